--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Everything a fresh machine needs is set up by the first target that is run.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := state coordination protocol transport daemon cli devtools
+EXAMPLES ?= 400
+
+.PHONY: run test lint fuzz bench capacity pins setup
+
+setup: $(STAMP)
+
+$(STAMP): requirements/dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements/dev.txt
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --no-deps --no-build-isolation \
+		$(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+run: setup
+	$(BIN)/python -m pearward_devtools.launcher $(if $(KEEP),--keep,)
+
+test: setup
+	$(BIN)/python -m pearward_devtools.check
+
+lint: setup
+	$(BIN)/python -m pearward_devtools.check --lint-only
+
+fuzz: setup
+	EXAMPLES=$(EXAMPLES) $(BIN)/behave --tags=fuzz features
+
+bench: setup
+	$(BIN)/python -m pearward_devtools.bench $(if $(ONLY),--only $(ONLY),)
+
+capacity: setup
+	$(BIN)/python -m pearward_devtools.capacity
+
+pins: setup
+	$(BIN)/uv pip compile --quiet --generate-hashes --no-header --no-emit-index-url \
+		requirements/dev.in -o requirements/dev.txt
--- /dev/null
+++ b/packages/cli/src/pearward_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder of the package."""
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -0,0 +1,190 @@
+"""The coordinator's role in a cell: what it has heard, and when that calls for a new record.
+
+Any daemon can take the role and lose it. Two at once do no harm, since only one
+compare-and-swap of the record succeeds; and a coordinator that hears nothing decides
+nothing, since only witnesses' reports and evidence take shards away.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pearward_state.records import CellRecord, Instance
+from pearward_state.table import Policy, ServiceTable
+
+from .assignment import CellView, Joiner, next_record
+from .lease import LeaseTiming, majority
+from .messages import Heartbeat, HeartbeatReply, PeerId
+
+__all__ = ["Coordinator"]
+
+REPORT_AGE_BEATS = 4.0
+"""Heartbeat intervals after which a report no longer counts."""
+FORMATION_S = 1.5
+"""Time that a new cell waits for the servers of its table before the first assignment."""
+QUICK_CONFIRM_S = 0.05
+"""Time for which an owner must stay silent under the quick policy before its shards move."""
+
+
+@dataclass(slots=True)
+class _Report:
+    """The last heartbeat of one daemon."""
+
+    peer: PeerId
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+class Coordinator:
+    """Collects heartbeats and evidence, and plans the next record."""
+
+    def __init__(self, cell: str, timing: LeaseTiming, now: float) -> None:
+        self._cell = cell
+        self._timing = timing
+        self._began = now
+        self._reports: dict[str, _Report] = {}
+        self._lost_since: dict[str, float] = {}
+        self._unhealthy_since: dict[str, float] = {}
+        self._at_address: dict[str, str] = {}
+        self._unlisted: frozenset[str] = frozenset()
+        self._forced: set[str] = set()
+
+    @property
+    def reports(self) -> dict[str, Heartbeat]:
+        """The last heartbeat of each incarnation."""
+        return {name: report.heartbeat for name, report in self._reports.items()}
+
+    # -- events -------------------------------------------------------------
+
+    def on_heartbeat(
+        self, sender: PeerId, heartbeat: Heartbeat, version: int, now: float
+    ) -> HeartbeatReply:
+        """Take a member's report."""
+        self._reports[sender.incarnation] = _Report(sender, heartbeat, now)
+        return HeartbeatReply(self._cell, True, version)
+
+    def peer_seen(self, peer: PeerId) -> None:
+        """Note which incarnation answered a connection that was made *to* an address.
+
+        An address has one listener, so any other incarnation of it has ended.
+        """
+        self._at_address[peer.address] = peer.incarnation
+
+    def instances_listed(self, instances: Iterable[Instance], record: CellRecord) -> None:
+        """Compare the platform's list, which lags but tells no untruth, with the record."""
+        names = {instance.name for instance in instances}
+        self._unlisted = frozenset(m.incarnation for m in record.members if m.instance not in names)
+
+    def force_release(self, incarnation: str) -> None:
+        """Take an operator's word that *incarnation* has ended."""
+        self._forced.add(incarnation)
+
+    # -- decisions ----------------------------------------------------------
+
+    def plan(
+        self, record: CellRecord, table: ServiceTable, write_id: str, now: float
+    ) -> CellRecord | None:
+        """Return the record to write, or None where nothing is to change."""
+        self._forget_old_reports(now)
+        fresh = self._fresh_reports(now)
+        if not record.members and not self._formed(table, fresh, now):
+            return None
+        ended = self._ended(record)
+        view = CellView(
+            table=table,
+            joiners=self._joiners(record, fresh),
+            lost=self._lost(record, table, fresh, now) - ended,
+            ended=ended,
+            draining=self._draining(table, fresh, now),
+            settled={name: r.heartbeat.settled for name, r in fresh.items()},
+            adopted={name: r.heartbeat.adopted for name, r in fresh.items()},
+        )
+        return next_record(record, view, write_id)
+
+    def _forget_old_reports(self, now: float) -> None:
+        """Drop reports far too old to matter, so that state stays bounded."""
+        horizon = now - 60.0
+        for name in [n for n, r in self._reports.items() if r.heard_at < horizon]:
+            del self._reports[name]
+
+    def _fresh_reports(self, now: float) -> dict[str, _Report]:
+        limit = now - REPORT_AGE_BEATS * self._timing.heartbeat_s
+        return {name: r for name, r in self._reports.items() if r.heard_at >= limit}
+
+    def _formed(self, table: ServiceTable, fresh: dict[str, _Report], now: float) -> bool:
+        """Return whether a new cell has waited long enough for its servers."""
+        servers = {r.heartbeat.server for r in fresh.values()}
+        return servers >= set(table.servers) or now - self._began >= FORMATION_S
+
+    def _joiners(self, record: CellRecord, fresh: dict[str, _Report]) -> tuple[Joiner, ...]:
+        """Return the daemons that report, are healthy and are not in the record."""
+        return tuple(
+            Joiner(
+                name,
+                r.heartbeat.instance,
+                r.heartbeat.server,
+                r.heartbeat.failure_domain,
+                r.peer.address,
+                r.heartbeat.caller,
+            )
+            for name, r in sorted(fresh.items())
+            if name not in record.by_incarnation
+            and r.heartbeat.healthy
+            and not r.heartbeat.draining
+            and self._at_address.get(r.peer.address) == name
+        )
+
+    def _ended(self, record: CellRecord) -> frozenset[str]:
+        """Return members that certainly can no longer act."""
+        replaced = {
+            m.incarnation
+            for m in record.members
+            if self._at_address.get(m.peer, m.incarnation) != m.incarnation
+        }
+        return frozenset(replaced) | self._unlisted | frozenset(self._forced)
+
+    def _lost(
+        self,
+        record: CellRecord,
+        table: ServiceTable,
+        fresh: dict[str, _Report],
+        now: float,
+    ) -> frozenset[str]:
+        """Return members that a majority of their witnesses has missed for long enough."""
+        wait = table.service.wait_return_s
+        if table.service.policy is Policy.QUICK:
+            wait = max(wait, QUICK_CONFIRM_S)
+        lost: set[str] = set()
+        for member in record.members:
+            name = member.incarnation
+            if not self._missed(name, member.witnesses, fresh):
+                self._lost_since.pop(name, None)
+                continue
+            if now - self._lost_since.setdefault(name, now) >= wait:
+                lost.add(name)
+        return frozenset(lost)
+
+    def _missed(self, name: str, witnesses: tuple[str, ...], fresh: dict[str, _Report]) -> bool:
+        """Return whether a majority of *witnesses* reports *name* as silent."""
+        votes = 0
+        for witness in witnesses:
+            if witness == name:
+                votes += name not in fresh
+            elif witness in fresh and name in fresh[witness].heartbeat.silent:
+                votes += 1
+        return bool(witnesses) and votes >= majority(len(witnesses))
+
+    def _draining(
+        self, table: ServiceTable, fresh: dict[str, _Report], now: float
+    ) -> frozenset[str]:
+        """Return members that are leaving, or whose server has not answered for long enough."""
+        leaving: set[str] = set()
+        for name, report in fresh.items():
+            if report.heartbeat.healthy:
+                self._unhealthy_since.pop(name, None)
+            else:
+                since = self._unhealthy_since.setdefault(name, now)
+                if now - since >= table.service.wait_return_s:
+                    leaving.add(name)
+            if report.heartbeat.draining:
+                leaving.add(name)
+        return frozenset(leaving)
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -0,0 +1,162 @@
+"""What daemons tell each other about ownership and versions."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "AskRelease",
+    "ControlMessage",
+    "Digest",
+    "Heartbeat",
+    "HeartbeatReply",
+    "PeerId",
+    "Pull",
+    "Push",
+    "ReleaseReply",
+    "Released",
+    "Renew",
+    "RenewReply",
+    "VersionedKey",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerId:
+    """A running daemon: its incarnation and the address where peers reach it."""
+
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class VersionedKey:
+    """A key of the platform's service (``table/...`` or ``cell/...``) and a version of it."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """An owner asks a witness to renew its lease."""
+
+    cell: str
+    nonce: int
+    adopted: int
+    """Version of the cell record that the sender acts on."""
+    released: int
+    """Highest version whose taken shards the sender has given up entirely."""
+    table_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewReply:
+    """A witness's answer to Renew."""
+
+    cell: str
+    nonce: int
+    granted: bool
+    version: int
+    """The witness's own record version; a higher one than the asker's comes with a Push."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskRelease:
+    """A new owner asks a witness of an earlier owner whether that one has ended."""
+
+    cell: str
+    owner: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseReply:
+    """A witness's answer to AskRelease."""
+
+    cell: str
+    owner: str
+    version: int
+    """The version asked for."""
+    released: bool
+    known: int
+    """The witness's own record version."""
+    remaining_ms: int
+    """Milliseconds until the last grant runs out, where it is not released."""
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """An owner tells a successor that it has given up what *version* took from it."""
+
+    cell: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A member reports to the coordinator of its cell."""
+
+    cell: str
+    instance: str
+    server: str
+    failure_domain: str
+    caller: str
+    adopted: int
+    settled: int
+    """Highest version whose shards given to the sender are all being served."""
+    released: int
+    table_version: int
+    draining: bool
+    healthy: bool
+    """Whether the server beside the sender answers."""
+    running: int
+    """Requests that run at the server now."""
+    silent: tuple[str, ...]
+    """Incarnations that the sender is a witness of and has not heard from."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """The coordinator's answer; its absence is how a lost coordinator is noticed."""
+
+    cell: str
+    coordinating: bool
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """What the sender holds; the receiver answers with what is newer, and asks for the rest."""
+
+    fingerprint: int
+    """Hash over the entries; entries are left out while fingerprints are being compared."""
+    entries: tuple[VersionedKey, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks for the values of some keys."""
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Push:
+    """A versioned value, byte for byte as the platform's service holds it."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+ControlMessage = (
+    Renew
+    | RenewReply
+    | AskRelease
+    | ReleaseReply
+    | Released
+    | Heartbeat
+    | HeartbeatReply
+    | Digest
+    | Pull
+    | Push
+)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside each target instance: settings, request path, control, operators' port."""
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -0,0 +1,481 @@
+"""The control plane of one daemon: the sans-I/O cores, run on real clocks and sockets."""
+
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import eliot
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+from twisted.web.http_headers import Headers
+
+from pearward_coordination.agent import Abort, Action, CellAgent, GrantServer, Send
+from pearward_coordination.assignment import Joiner
+from pearward_coordination.messages import (
+    ControlMessage,
+    Digest,
+    Heartbeat,
+    HeartbeatReply,
+    PeerId,
+    Pull,
+    Push,
+)
+from pearward_coordination.ownership import Ownership
+from pearward_coordination.routing import Router
+from pearward_coordination.spread import RecordSpread
+from pearward_state.errors import InvalidRecord
+from pearward_state.records import CellRecord
+from pearward_state.shards import Shard
+from pearward_state.table import ServiceTable
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import PlatformUnavailable, ServerBroke, ServerUnreachable
+from pearward_transport.http_client import BytesBody, ServerClient
+from pearward_transport.peer import PeerPool
+from pearward_transport.platform import KeyValueService
+
+from .coordinating import CellWriter, Seeker, parse_instance, spawn
+from .settings import Settings
+
+__all__ = ["ControlPlane"]
+
+TICK_S = 0.025
+DIGEST_S = 1.0
+GRANT_TIMEOUT_S = 0.5
+GRANT_PATH = b"/.pearward/grants"
+HTTP_OK = 200
+UNHEALTHY_AFTER = 2
+"""Probes in a row without an answer that make the server unhealthy."""
+PROBE_TIMEOUT_S = 1.0
+
+
+class ControlPlane:
+    """Runs the cell's agent, spreads versions and, while it has the role, coordinates."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        me: PeerId,
+        platform: KeyValueService,
+        router: Router,
+        client: ServerClient,
+        rng: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._me = me
+        self._platform = platform
+        self._router = router
+        self._client = client
+        self._rng = rng
+        self._service = settings.server.service
+        self._cell = settings.server.service
+        identity = Joiner(
+            me.incarnation,
+            settings.instance,
+            settings.server.name,
+            settings.failure_domain,
+            me.address,
+            settings.caller_address,
+        )
+        self._agent = CellAgent(me, identity, self._cell, settings.lease)
+        self._spread = RecordSpread(rng)
+        self._seeker = Seeker(
+            reactor, platform, me, self._cell, rng, self._coordinator_found, self._role_taken
+        )
+        self._writer: CellWriter | None = None
+        self._pool: PeerPool | None = None
+        self._peers: tuple[str, ...] = ()
+        self._bootstrap_peers: tuple[str, ...] = ()
+        self._next_digest = 0.0
+        self._state_key: tuple[object, ...] = ()
+        self._fenced = True
+        self._failed_probes = 0
+        self._probing = False
+        self._loop = LoopingCall(self._tick)
+        self._probe_loop = LoopingCall(self._probe)
+        self._on_serving_changed: list[Callable[[], None]] = []
+        self._on_abort: list[Callable[[tuple[int, ...]], None]] = []
+        self._on_table: list[Callable[[ServiceTable], None]] = []
+
+    # -- properties -----------------------------------------------------------
+
+    @property
+    def incarnation(self) -> str:
+        """This daemon's incarnation."""
+        return self._me.incarnation
+
+    @property
+    def agent(self) -> CellAgent:
+        """This daemon's part in its cell."""
+        return self._agent
+
+    @property
+    def ownership(self) -> Ownership:
+        """What may be served."""
+        return self._agent.ownership
+
+    @property
+    def valid_until(self) -> float:
+        """End of the ownership lease as things stand."""
+        return self._agent.lease.valid_until
+
+    @property
+    def lease_held(self) -> bool:
+        """Whether the ownership lease is valid now."""
+        return self._agent.lease.held(boot_time())
+
+    @property
+    def draining(self) -> bool:
+        """Whether this daemon is leaving."""
+        return self._agent.draining
+
+    @property
+    def coordinating(self) -> bool:
+        """Whether this daemon has the coordinator's role."""
+        return self._writer is not None
+
+    @property
+    def server_healthy(self) -> bool:
+        """Whether the server answers probes."""
+        return self._failed_probes < UNHEALTHY_AFTER
+
+    @property
+    def record(self) -> CellRecord | None:
+        """The newest record of the cell that this daemon knows."""
+        return self._agent.record
+
+    @property
+    def spread(self) -> RecordSpread:
+        """The versions that this daemon knows."""
+        return self._spread
+
+    # -- life -----------------------------------------------------------------
+
+    def on_serving_changed(self, callback: Callable[[], None]) -> None:
+        """Call *callback* when what may be served has changed."""
+        self._on_serving_changed.append(callback)
+
+    def on_abort(self, callback: Callable[[tuple[int, ...]], None]) -> None:
+        """Call *callback* with the requests whose permits are void."""
+        self._on_abort.append(callback)
+
+    def on_table(self, callback: Callable[[ServiceTable], None]) -> None:
+        """Call *callback* with each newer table of any service."""
+        self._on_table.append(callback)
+
+    def start(self, pool: PeerPool) -> None:
+        """Begin."""
+        self._pool = pool
+        self._loop.start(TICK_S, now=True)
+        self._probe_loop.start(self._settings.server.probe_s, now=True)
+        spawn(self._find_peers())
+
+    def drain(self) -> None:
+        """Ask for this daemon's work to be handed over."""
+        self._agent.drain()
+
+    def stop(self) -> None:
+        """End."""
+        for loop in (self._loop, self._probe_loop):
+            if loop.running:
+                loop.stop()
+        if self._writer is not None:
+            self._writer.stop()
+
+    # -- for the request path --------------------------------------------------
+
+    def run_finished(self, run: int) -> None:
+        """A request that held a permit has ended."""
+        self._act(self._agent.finished(run, boot_time()))
+
+    def server_forgot(self) -> None:
+        """The server refused a request for want of a grant."""
+        self._agent.server_forgot()
+
+    def server_suspect(self) -> None:
+        """The server did not answer a connection: probe it now."""
+        if self.server_healthy:
+            self._probe()
+
+    def want_record(self, service: str, version: int, address: str) -> None:
+        """A peer knows a newer record of *service*: ask it for that."""
+        if address and self._pool is not None:
+            self._pool.send_control(address, Pull((f"cell/{service}", f"table/{service}")))
+
+    # -- messages --------------------------------------------------------------
+
+    def peer_answered(self, peer: PeerId) -> None:
+        """Note who listens at an address that was connected to."""
+        if self._writer is not None:
+            self._writer.core.peer_seen(peer)
+
+    def control_received(self, sender: PeerId, message: ControlMessage) -> None:
+        """Act on a peer's message."""
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(sender, message)
+            case HeartbeatReply():
+                if message.coordinating and sender.address == self._agent.coordinator:
+                    self._seeker.heard()
+                elif not message.coordinating:
+                    self._agent.set_coordinator("")
+            case Push():
+                self._offer(message.key, message.version, message.value)
+            case Digest():
+                for answer in self._spread.on_digest(message):
+                    self._send(sender.address, answer)
+            case Pull():
+                for answer in self._spread.on_pull(message):
+                    self._send(sender.address, answer)
+            case _:
+                self._act(self._agent.receive(sender, message, boot_time()))
+
+    def _on_heartbeat(self, sender: PeerId, heartbeat: Heartbeat) -> None:
+        if heartbeat.cell != self._cell:
+            return
+        if self._writer is not None:
+            self._writer.on_heartbeat(sender, heartbeat)
+            self._bring_up_to_date(sender, heartbeat)
+        else:
+            self._send(sender.address, HeartbeatReply(self._cell, False, 0))
+
+    def _bring_up_to_date(self, sender: PeerId, heartbeat: Heartbeat) -> None:
+        """Send a member the versions that it does not act on yet."""
+        for key, version in (
+            (f"cell/{self._cell}", heartbeat.adopted),
+            (f"table/{self._service}", heartbeat.table_version),
+        ):
+            if self._spread.version(key) > version:
+                self._send(sender.address, self._spread.push(key))
+
+    # -- versions --------------------------------------------------------------
+
+    def record_written(self, record: CellRecord, value: bytes) -> None:
+        """A new record is in force: adopt it and tell every member."""
+        key = f"cell/{record.cell}"
+        if self._offer(key, record.version, value):
+            for member in record.members:
+                if member.incarnation != self._me.incarnation:
+                    self._send(member.peer, self._spread.push(key))
+
+    def table_read(self, service: str, value: bytes) -> None:
+        """A table value was read from the platform: adopt it and tell every member."""
+        table = ServiceTable.from_bytes(service, value)
+        key = f"table/{service}"
+        record = self._agent.record
+        if self._offer(key, table.version, value) and record is not None:
+            for member in record.members:
+                if member.incarnation != self._me.incarnation:
+                    self._send(member.peer, self._spread.push(key))
+
+    def reply(self, peer: PeerId, reply: HeartbeatReply) -> None:
+        """Answer a member's heartbeat."""
+        self._send(peer.address, reply)
+
+    def _offer(self, key: str, version: int, value: bytes) -> bool:
+        """Act on a value if it is newer than what is known, and pass it on."""
+        if version <= self._spread.version(key):
+            return False
+        kind, _, name = key.partition("/")
+        try:
+            if kind == "table":
+                self._take_table(ServiceTable.from_bytes(name, value))
+            elif kind == "cell":
+                self._take_record(CellRecord.from_bytes(value), value)
+            else:
+                return False
+        except InvalidRecord as error:
+            eliot.log_message("pearward:invalid-record", key=key, error=str(error))
+            return False
+        self._spread.offer(key, version, value)
+        for address in self._spread.choose_peers(self._peers):
+            self._send(address, self._spread.push(key))
+        return True
+
+    def _take_table(self, table: ServiceTable) -> None:
+        self._router.set_table(table)
+        if table.service.name == self._service:
+            self._agent.set_table_version(table.version)
+            row = table.servers.get(self._settings.server.name)
+            self._fenced = row.fenced if row is not None else True
+        for callback in self._on_table:
+            callback(table)
+
+    def _take_record(self, record: CellRecord, value: bytes) -> None:
+        self._router.set_record(record)
+        self._update_peers()
+        if record.cell == self._cell:
+            self._act(self._agent.adopt(record, value, boot_time()))
+
+    def _update_peers(self) -> None:
+        """Derive whom to exchange versions with: members of all cells, and the first list."""
+        known = {m.peer for r in self._router.records.values() for m in r.members}
+        known.update(self._bootstrap_peers)
+        self._peers = tuple(sorted(known - {self._me.address}))
+
+    async def _find_peers(self) -> None:
+        """Read the platform's list once, to know whom to ask for the rest."""
+        while self._loop.running:
+            try:
+                pairs = await self._platform.scan("instances/")
+            except PlatformUnavailable as error:
+                eliot.log_message("pearward:platform", call="find peers", error=str(error))
+                pairs = []
+            listed = [i for i in map(parse_instance, pairs) if i is not None]
+            self._bootstrap_peers = tuple(
+                f"{i.address}:{i.peer_port}" for i in listed if i.peer_port
+            )
+            if self._bootstrap_peers:
+                self._update_peers()
+                return
+            waited: Deferred[None] = Deferred()
+            self._reactor.callLater(1.0, waited.callback, None)
+            await waited
+
+    # -- the coordinator --------------------------------------------------------
+
+    def _coordinator_found(self, address: str) -> None:
+        self._agent.set_coordinator(address)
+
+    def _role_taken(self, lease: int) -> None:
+        writer = CellWriter(
+            self._reactor,
+            self._platform,
+            self,
+            self._me,
+            self._cell,
+            self._service,
+            self._settings.lease,
+            lease,
+            self._role_lost,
+        )
+        self._writer = writer
+        writer.core.peer_seen(self._me)
+        writer.start()
+        self._agent.set_coordinator(self._me.address)
+
+    def _role_lost(self, successor: str) -> None:
+        self._writer = None
+        self._agent.set_coordinator(successor)
+
+    # -- running ----------------------------------------------------------------
+
+    def _tick(self) -> None:
+        now = boot_time()
+        self._act(self._agent.tick(now))
+        self._seeker.tick(self._rank())
+        if self._writer is not None:
+            self._writer.tick()
+        if now >= self._next_digest:
+            self._next_digest = now + DIGEST_S * (0.75 + 0.5 * self._rng.random())
+            for address in self._spread.choose_peers(self._peers, 1):
+                self._send(address, self._spread.short_digest())
+        self._notice_change()
+
+    def _rank(self) -> int:
+        """Return this daemon's place in the order in which members seek a coordinator."""
+        record = self._agent.record
+        if record is None:
+            return self._rng.randrange(3)
+        index = record.by_incarnation.get(self._me.incarnation)
+        return len(record.members) if index is None else index
+
+    def _notice_change(self) -> None:
+        """Let waiting requests look again when what may be served has changed."""
+        ownership = self._agent.ownership
+        key = (
+            ownership.adopted,
+            ownership.serving_count,
+            self._agent.lease.term,
+            self.lease_held,
+        )
+        if key != self._state_key:
+            self._state_key = key
+            for callback in self._on_serving_changed:
+                callback()
+
+    def _act(self, actions: list[Action]) -> None:
+        """Do what the agent asks for."""
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(action.address, action.message)
+                case GrantServer():
+                    spawn(self._grant(action))
+                case Abort():
+                    for callback in self._on_abort:
+                        callback(action.runs)
+        if actions:
+            self._notice_change()
+
+    def _send(self, address: str, message: ControlMessage) -> None:
+        if address == self._me.address:
+            # The coordinator's own heartbeat and the like stay in this process.
+            self.control_received(self._me, message)
+        elif self._pool is not None and address:
+            self._pool.send_control(address, message)
+
+    # -- the server --------------------------------------------------------------
+
+    async def _grant(self, grant: GrantServer) -> None:
+        """Tell the server all that it owns now; a server that does not check is not asked."""
+        accepted = True
+        if self._fenced:
+            accepted = await self._put_grants(grant)
+        self._act(self._agent.server_granted(grant, accepted, boot_time()))
+
+    async def _put_grants(self, grant: GrantServer) -> bool:
+        body = json.dumps(
+            {
+                "service": self._service,
+                "version": grant.version,
+                "shards": [_shard_row(shard) for shard in grant.shards],
+            }
+        ).encode()
+        try:
+            status = await self._exchange(b"PUT", GRANT_PATH, BytesBody(body), GRANT_TIMEOUT_S)
+        except (ServerUnreachable, ServerBroke) as error:
+            eliot.log_message("pearward:grant-failed", error=str(error))
+            return False
+        return status == HTTP_OK
+
+    def _probe(self) -> None:
+        """Ask the server whether it lives; its answer's content is only a hint."""
+        if not self._probing:
+            self._probing = True
+            spawn(self._probe_once())
+
+    async def _probe_once(self) -> None:
+        try:
+            path = self._settings.server.health_path.encode()
+            await self._exchange(b"GET", path, None, PROBE_TIMEOUT_S)
+            self._failed_probes = 0
+        except (ServerUnreachable, ServerBroke):
+            self._failed_probes += 1
+        finally:
+            self._probing = False
+        self._agent.set_health(self.server_healthy)
+
+    async def _exchange(
+        self, method: bytes, path: bytes, body: BytesBody | None, timeout_s: float
+    ) -> int:
+        """Make one small exchange with the server and return its status."""
+        connection = self._client.take() or await self._client.connect()
+        timer = self._reactor.callLater(timeout_s, connection.abort)
+        try:
+            headers = Headers({b"Host": [self._client.address.encode()]})
+            response = await connection.request(method, path, headers, body)
+            ended: Deferred[bool] = Deferred()
+            connection.read_body(lambda data: None, ended.callback)
+            await ended
+            return int(response.code)
+        finally:
+            if timer.active():
+                timer.cancel()
+
+
+def _shard_row(shard: Shard) -> dict[str, object]:
+    """Return a shard as a grant names it."""
+    return {"start": f"{shard.start:x}", "end": f"{shard.end:x}", "epoch": shard.epoch}
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -0,0 +1,424 @@
+"""Finding the cell's coordinator, and being it: the part that talks to the platform.
+
+The role is a key with a platform lease. Safety does not rest on it, since the record is
+replaced by compare-and-swap; it only keeps the number of writers and watchers at one.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+import eliot
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.python.failure import Failure
+
+from pearward_coordination.coordinator import Coordinator
+from pearward_coordination.lease import LeaseTiming
+from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
+from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_state.errors import InvalidRecord
+from pearward_state.records import CellRecord, Instance, InstanceState
+from pearward_state.table import ServiceTable
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import CasConflict, PlatformUnavailable
+from pearward_transport.platform import KeyValueService, Watch
+
+__all__ = ["CellWriter", "Seeker", "parse_instance"]
+
+ROLE_TTL_S = 15
+KEEP_ALIVE_S = 5.0
+INSTANCE_POLL_S = 5.0
+TABLE_POLL_S = 15.0
+"""The watch tells of changes at once; polling finds what a broken watch missed."""
+COORDINATOR_SILENCE_S = 0.7
+RANK_DELAY_S = 0.12
+MAX_RANK = 8
+SEEK_BACKOFF_MIN_S = 0.1
+SEEK_BACKOFF_MAX_S = 4.0
+
+
+class CellStore(Protocol):
+    """What the coordinator's role needs of the control plane around it."""
+
+    @property
+    def record(self) -> CellRecord | None:
+        """The newest record of the cell that this daemon knows."""
+
+    def record_written(self, record: CellRecord, value: bytes) -> None:
+        """A new record is in force: adopt and spread it."""
+
+    def table_read(self, service: str, value: bytes) -> None:
+        """A table value was read from the platform: adopt and spread it."""
+
+    def reply(self, peer: PeerId, reply: HeartbeatReply) -> None:
+        """Answer a member's heartbeat."""
+
+
+def parse_instance(pair: KeyValue) -> Instance | None:
+    """Read an entry of the platform's list of instances; None where it makes no sense."""
+    try:
+        raw = json.loads(pair.value)
+        return Instance(
+            name=pair.key.rpartition("/")[2],
+            address=str(raw["address"]),
+            failure_domain=str(raw["failure_domain"]),
+            state=InstanceState(raw.get("state", "live")),
+            peer_port=int(raw.get("peer_port", 0)),
+            caller_port=int(raw.get("caller_port", 0)),
+            admin_port=int(raw.get("admin_port", 0)),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def spawn(coroutine: Any) -> "Deferred[None]":
+    """Run a coroutine; an unexpected error is logged, never lost."""
+
+    def failed(failure: Failure) -> None:
+        eliot.log_message(
+            "pearward:bug", error=failure.getErrorMessage(), traceback=failure.getTraceback()
+        )
+
+    return ensureDeferred(coroutine).addErrback(failed)
+
+
+class CellWriter:
+    """The coordinator's role while this daemon has it."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        platform: KeyValueService,
+        store: CellStore,
+        me: PeerId,
+        cell: str,
+        service: str,
+        timing: LeaseTiming,
+        lease: int,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._platform = platform
+        self._store = store
+        self._me = me
+        self._cell = cell
+        self._service = service
+        self._lease = lease
+        self._on_lost = on_lost
+        self._core = Coordinator(cell, timing, boot_time())
+        self._record: CellRecord | None = None
+        self._revision = 0
+        self._table: ServiceTable | None = None
+        self._writes = 0
+        self._writing = False
+        self._loaded = False
+        self._stopped = False
+        self._watch: Watch | None = None
+        self._next_keep_alive = 0.0
+        self._next_poll = 0.0
+        self._next_table = 0.0
+        self._polling = False
+
+    @property
+    def core(self) -> Coordinator:
+        """What has been heard, without I/O."""
+        return self._core
+
+    @property
+    def key(self) -> str:
+        """Key of the cell's record."""
+        return f"cell/{self._cell}"
+
+    # -- events ---------------------------------------------------------------
+
+    def on_heartbeat(self, sender: PeerId, heartbeat: Heartbeat) -> None:
+        """Take a member's report and answer it."""
+        version = self._record.version if self._record is not None else 0
+        reply = self._core.on_heartbeat(sender, heartbeat, version, boot_time())
+        self._store.reply(sender, reply)
+
+    def start(self) -> None:
+        """Read the record and the table, then coordinate."""
+        spawn(self._load())
+
+    def stop(self) -> None:
+        """Give the role up."""
+        if self._stopped:
+            return
+        self._stopped = True
+        if self._watch is not None:
+            self._watch.stop()
+
+    def tick(self) -> None:
+        """Do what is due."""
+        if self._stopped:
+            return
+        now = boot_time()
+        if not self._loaded:
+            return
+        if now >= self._next_keep_alive:
+            self._next_keep_alive = now + KEEP_ALIVE_S
+            spawn(self._keep_alive())
+        if now >= self._next_poll and not self._polling:
+            self._next_poll = now + INSTANCE_POLL_S
+            spawn(self._poll_instances())
+        if now >= self._next_table or self._watch is None:
+            self._next_table = now + TABLE_POLL_S
+            self._watch_table()
+            spawn(self._read_table())
+        if not self._writing:
+            self._consider(now)
+
+    # -- the record -----------------------------------------------------------
+
+    async def _load(self) -> None:
+        """Read where the cell stands; tried again until the platform answers."""
+        while not self._stopped and not self._loaded:
+            try:
+                await self._read_record()
+                await self._read_table()
+                self._loaded = True
+            except PlatformUnavailable as error:
+                eliot.log_message("pearward:platform", call="load", error=str(error))
+                await _sleep(self._reactor, 0.3)
+
+    async def _read_record(self) -> None:
+        pair = await self._platform.get(self.key)
+        if pair is None:
+            self._record, self._revision = CellRecord(self._cell, self._service), 0
+            return
+        try:
+            self._record = CellRecord.from_bytes(pair.value)
+        except InvalidRecord as error:
+            eliot.log_message("pearward:invalid-record", key=self.key, error=str(error))
+            self._lose("the record cannot be read")
+            return
+        self._revision = pair.revision
+        self._store.record_written(self._record, pair.value)
+
+    def _consider(self, now: float) -> None:
+        """Write a new record where what has been heard calls for one."""
+        if self._record is None or self._table is None:
+            return
+        self._writes += 1
+        write_id = f"{self._me.incarnation}:{self._writes}"
+        planned = self._core.plan(self._record, self._table, write_id, now)
+        if planned is not None:
+            self._writing = True
+            spawn(self._write(planned))
+
+    async def _write(self, planned: CellRecord) -> None:
+        """Replace the record; a lost answer is settled by reading back."""
+        value = planned.to_bytes()
+        try:
+            await self._platform.swap(self.key, self._revision, value)
+            await self._settle(planned)
+        except CasConflict:
+            # Either our own earlier write took effect, or another coordinator is at work.
+            await self._settle(planned)
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="write record", error=str(error))
+            await _sleep(self._reactor, 0.2)
+            await self._settle(planned)
+        finally:
+            self._writing = False
+
+    async def _settle(self, planned: CellRecord) -> None:
+        """Read back what is in force after a write."""
+        try:
+            await self._read_record()
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="read back", error=str(error))
+            await _sleep(self._reactor, 0.3)
+            return
+        record = self._record
+        if record is None or record.write_id == planned.write_id:
+            eliot.log_message(
+                "pearward:record", cell=self._cell, version=planned.version,
+                members=len(planned.members),
+            )  # fmt: skip
+        elif record.version >= planned.version:
+            await self._check_role()
+
+    async def _check_role(self) -> None:
+        """Give the role up if the platform's service names somebody else."""
+        try:
+            pair = await self._platform.get(f"coordinator/{self._cell}")
+        except PlatformUnavailable:
+            return
+        holder = _role_holder(pair)
+        if holder is None or holder.incarnation != self._me.incarnation:
+            self._lose(holder.address if holder is not None else "")
+
+    # -- the table and the list -----------------------------------------------
+
+    def _watch_table(self) -> None:
+        if self._watch is None:
+            self._watch = self._platform.watch(
+                f"table/{self._service}", self._table_changed, self._watch_lost
+            )
+
+    def _watch_lost(self) -> None:
+        self._watch = None
+        self._next_table = boot_time() + 0.5
+
+    def _table_changed(self, events: list[WatchEvent]) -> None:
+        for event in events:
+            if event.value is not None:
+                self._take_table(event.value)
+
+    async def _read_table(self) -> None:
+        try:
+            pair = await self._platform.get(f"table/{self._service}")
+        except PlatformUnavailable as error:
+            if not self._loaded:
+                raise
+            eliot.log_message("pearward:platform", call="read table", error=str(error))
+            return
+        if pair is not None:
+            self._take_table(pair.value)
+
+    def _take_table(self, value: bytes) -> None:
+        try:
+            table = ServiceTable.from_bytes(self._service, value)
+        except InvalidRecord as error:
+            eliot.log_message("pearward:invalid-table", service=self._service, error=str(error))
+            return
+        if self._table is None or table.version > self._table.version:
+            self._table = table
+            self._store.table_read(self._service, value)
+
+    async def _poll_instances(self) -> None:
+        self._polling = True
+        try:
+            pairs = await self._platform.scan("instances/")
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="list instances", error=str(error))
+            return
+        finally:
+            self._polling = False
+        listed = [i for i in map(parse_instance, pairs) if i is not None]
+        # An empty list tells of a fault of the list, not of the loss of everything.
+        if listed and self._record is not None:
+            self._core.instances_listed(listed, self._record)
+
+    async def _keep_alive(self) -> None:
+        try:
+            alive = await self._platform.keep_alive(self._lease)
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="keep alive", error=str(error))
+            return
+        if not alive:
+            await self._check_role()
+
+    def _lose(self, successor: str) -> None:
+        if not self._stopped:
+            self.stop()
+            eliot.log_message("pearward:coordinator-lost", cell=self._cell, successor=successor)
+            self._on_lost(successor)
+
+
+@dataclass(frozen=True, slots=True)
+class _Role:
+    """Who coordinates, as the platform's service has it."""
+
+    incarnation: str
+    address: str
+    revision: int
+
+
+def _role_holder(pair: KeyValue | None) -> _Role | None:
+    if pair is None:
+        return None
+    try:
+        raw = json.loads(pair.value)
+        return _Role(str(raw["incarnation"]), str(raw["address"]), pair.revision)
+    except (ValueError, KeyError, TypeError):
+        return _Role("", "", pair.revision)
+
+
+class Seeker:
+    """Finds the coordinator of a cell, and takes the role where it has no living holder."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        platform: KeyValueService,
+        me: PeerId,
+        cell: str,
+        rng: Random,
+        on_found: Callable[[str], None],
+        on_taken: Callable[[int], None],
+    ) -> None:
+        self._reactor = reactor
+        self._platform = platform
+        self._me = me
+        self._cell = cell
+        self._rng = rng
+        self._on_found = on_found
+        self._on_taken = on_taken
+        self._silent_holder = ""
+        self._seeking = False
+        self._last_reply = float("-inf")
+        self._not_before = 0.0
+        self._backoff_s = SEEK_BACKOFF_MIN_S
+
+    def heard(self) -> None:
+        """The coordinator answered a heartbeat."""
+        self._last_reply = boot_time()
+        self._silent_holder = ""
+        self._backoff_s = SEEK_BACKOFF_MIN_S
+
+    def tick(self, rank: int) -> None:
+        """Look for a coordinator if none has answered for a while.
+
+        *rank* orders the members, so that they do not all ask the platform at once.
+        """
+        now = boot_time()
+        if self._seeking or now < self._not_before:
+            return
+        delay = min(rank, MAX_RANK) * RANK_DELAY_S
+        if now - self._last_reply >= COORDINATOR_SILENCE_S + delay:
+            self._seeking = True
+            spawn(self._seek())
+
+    async def _seek(self) -> None:
+        try:
+            pair = await self._platform.get(f"coordinator/{self._cell}")
+            role = _role_holder(pair)
+            if role is not None and role.incarnation not in ("", self._silent_holder):
+                # Give the named one a chance to answer before it is replaced.
+                self._silent_holder = role.incarnation
+                self._last_reply = boot_time() - COORDINATOR_SILENCE_S + 0.4
+                self._on_found(role.address)
+                return
+            await self._take(role.revision if role is not None else 0)
+        except CasConflict:
+            self._silent_holder = ""
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="seek coordinator", error=str(error))
+            self._wait()
+        finally:
+            self._seeking = False
+
+    async def _take(self, revision: int) -> None:
+        lease = await self._platform.grant_lease(ROLE_TTL_S)
+        value = json.dumps({"incarnation": self._me.incarnation, "address": self._me.address})
+        await self._platform.swap(f"coordinator/{self._cell}", revision, value.encode(), lease)
+        eliot.log_message("pearward:coordinator-taken", cell=self._cell)
+        self.heard()
+        self._on_taken(lease)
+
+    def _wait(self) -> None:
+        """Ask less and less often while the platform is down, and not all at the same time."""
+        self._not_before = boot_time() + self._backoff_s * (0.5 + self._rng.random())
+        self._backoff_s = min(SEEK_BACKOFF_MAX_S, self._backoff_s * 2)
+
+
+def _sleep(reactor: Any, seconds: float) -> "Deferred[None]":
+    """Return a Deferred that fires after *seconds*."""
+    waited: Deferred[None] = Deferred()
+    reactor.callLater(seconds, waited.callback, None)
+    return waited
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -0,0 +1,232 @@
+"""All parts of one daemon, put together, started and stopped."""
+
+import secrets
+from random import Random
+from typing import Any
+
+import eliot
+from twisted.internet.defer import Deferred
+
+from pearward_coordination.messages import ControlMessage, PeerId
+from pearward_coordination.routing import Router
+from pearward_protocol.heads import RequestHead
+from pearward_state.table import ServiceTable
+from pearward_transport.clock import boot_time
+from pearward_transport.http_client import ServerClient
+from pearward_transport.http_server import CallerFactory, HttpLimits
+from pearward_transport.peer import InboundHandler, PeerConnection, PeerListener, PeerPool
+from pearward_transport.platform import EtcdService, KeyValueService
+
+from .admin import admin_site
+from .control import ControlPlane
+from .exchange import PeerReply
+from .ingress import Ingress
+from .metrics import Metrics
+from .owner import OwnerService
+from .settings import LogRequests, Settings
+
+__all__ = ["Daemon"]
+
+DRAIN_CHECK_S = 0.1
+MIN_DRAIN_S = 1.0
+"""Time for which a leaving daemon still takes what peers that have not heard yet send it."""
+
+
+class Daemon:
+    """One pearwardd."""
+
+    def __init__(
+        self, reactor: Any, settings: Settings, platform: KeyValueService, rng: Random
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        limits = settings.limits
+        self._me = PeerId(secrets.token_hex(8), settings.peer_address)
+        self._router = Router(rng)
+        client = ServerClient(reactor, settings.server.address)
+        self._control = ControlPlane(
+            reactor, settings, self._me, platform, self._router, client, rng
+        )
+        self._owner = OwnerService(
+            reactor,
+            settings.server.service,
+            settings.server.name,
+            client,
+            self._control,
+            limits,
+            log_requests=settings.log_requests is LogRequests.ALL,
+        )
+        self._pool = PeerPool(
+            self._me, self, reactor, window=limits.window_bytes, bind_ip=settings.listen.ip
+        )
+        self._metrics = Metrics(settings.instance, limits.tenants)
+        self._ingress = Ingress(
+            reactor,
+            self._router,
+            self._owner,
+            self._pool,
+            self._control,
+            self._metrics,
+            limits,
+            settings.requests,
+            settings.log_requests,
+            rng,
+        )
+        self._callers = CallerFactory(
+            self._ingress,
+            reactor,
+            HttpLimits(limits.header_bytes, limits.header_count, limits.idle_s),
+        )
+        self._listener = PeerListener(self._me, self, reactor, limits.window_bytes)
+        self._caller_port: Any = None
+        self._drain_began = 0.0
+        self._stopped: Deferred[None] = Deferred()
+        self._control.on_serving_changed(self._owner.recheck)
+        self._control.on_abort(self._owner.abort)
+        self._control.on_table(self._table_changed)
+        self._export_gauges()
+
+    @classmethod
+    def from_config(cls, reactor: Any, settings: Settings) -> "Daemon":
+        """Build a daemon from checked settings."""
+        platform = EtcdService.from_config(reactor, settings.platform)
+        return cls(reactor, settings, platform, Random(secrets.randbits(64)))
+
+    # -- life -----------------------------------------------------------------
+
+    def start(self) -> "Deferred[None]":
+        """Listen and begin; the Deferred fires when the daemon has stopped.
+
+        The peer port comes first and stays to the end: while it is held, no other
+        incarnation can take this one's address.
+        """
+        listen = self._settings.listen
+        reactor = self._reactor
+        reactor.listenTCP(listen.peer_port, self._listener, interface=listen.ip, backlog=1024)
+        site = admin_site(self._metrics, self._missing, self.status)
+        reactor.listenTCP(listen.admin_port, site, interface=listen.ip)
+        self._caller_port = reactor.listenTCP(
+            listen.caller_port, self._callers, interface=listen.ip, backlog=1024
+        )
+        self._control.start(self._pool)
+        eliot.log_message(
+            "pearward:started",
+            incarnation=self._me.incarnation,
+            instance=self._settings.instance,
+            peer=self._me.address,
+        )
+        return self._stopped
+
+    def drain(self) -> None:
+        """Hand all work over, let what runs end, then stop; a second call changes nothing."""
+        if self._drain_began:
+            return
+        self._drain_began = boot_time()
+        eliot.log_message("pearward:draining", running=self._owner.busy)
+        self._control.drain()
+        self._reactor.callLater(DRAIN_CHECK_S, self._check_drained)
+
+    def _check_drained(self) -> None:
+        """Stop once nothing is left, or the limit for draining has passed."""
+        waited_s = boot_time() - self._drain_began
+        over = waited_s >= self._settings.drain_limit_s
+        if over or (waited_s >= MIN_DRAIN_S and self._nothing_left()):
+            self._stop(waited_s, cut=self._owner.busy + self._ingress.open_requests)
+            return
+        self._reactor.callLater(DRAIN_CHECK_S, self._check_drained)
+
+    def _nothing_left(self) -> bool:
+        """Return whether nothing runs and every shard has a new owner that may serve."""
+        if self._owner.busy or self._ingress.open_requests:
+            return False
+        ownership = self._control.ownership
+        record = ownership.record
+        if record is None or record.member(self._me.incarnation) is None:
+            return True
+        if not self._control.server_healthy or not any(
+            m.incarnation != self._me.incarnation for m in record.members
+        ):
+            return True
+        return ownership.shard_count == 0 and ownership.released >= record.version
+
+    def _stop(self, waited_s: float, cut: int) -> None:
+        eliot.log_message("pearward:stopped", drained_s=round(waited_s, 3), cut=cut)
+        self._caller_port.stopListening()
+        self._control.stop()
+        self._pool.close()
+        self._stopped.callback(None)
+
+    # -- peers ------------------------------------------------------------------
+
+    def request_received(
+        self, connection: PeerConnection, stream: int, head: RequestHead, ended: bool
+    ) -> InboundHandler:
+        """Take a request that a peer's caller sent."""
+        return self._owner.take(head, ended, PeerReply(connection, stream))
+
+    def control_received(self, sender: PeerId, message: ControlMessage) -> None:
+        """Take a control message."""
+        self._control.control_received(sender, message)
+
+    def peer_answered(self, peer: PeerId) -> None:
+        """Note who listens at an address."""
+        self._control.peer_answered(peer)
+
+    # -- configuration and status -------------------------------------------------
+
+    def _table_changed(self, table: ServiceTable) -> None:
+        if table.service.name == self._settings.server.service:
+            self._owner.set_table(table)
+        self._ingress.set_retry_ratio(table.service.name, table.service.retry_ratio)
+
+    def _missing(self) -> str:
+        """Return what keeps this daemon from taking callers' requests, or nothing."""
+        if self._drain_began:
+            return "draining"
+        if self._control.record is None:
+            return "no assignment record yet"
+        if not self._control.lease_held:
+            return "no ownership lease"
+        if self._control.ownership.pending_shards():
+            return "shards are pending"
+        return ""
+
+    def status(self) -> dict[str, object]:
+        """Return what operators see of this daemon."""
+        control = self._control
+        ownership = control.ownership
+        counts = self._owner.counts
+        return {
+            "instance": self._settings.instance,
+            "incarnation": self._me.incarnation,
+            "failure_domain": self._settings.failure_domain,
+            "service": self._settings.server.service,
+            "server": self._settings.server.name,
+            "ready": self._missing() or "ready",
+            "draining": control.draining,
+            "coordinating": control.coordinating,
+            "coordinator": control.agent.coordinator,
+            "lease_held": control.lease_held,
+            "server_healthy": control.server_healthy,
+            "record_version": ownership.adopted,
+            "released": ownership.released,
+            "shards": ownership.shard_count,
+            "serving": ownership.serving_count if control.lease_held else 0,
+            "running": self._owner.running,
+            "waiting": self._owner.waiting,
+            "served": counts.served,
+            "refused": counts.refused,
+            "unknown": counts.unknown,
+            "open_requests": self._ingress.open_requests,
+            "versions": {key: control.spread.version(key) for key in control.spread.keys},
+        }
+
+    def _export_gauges(self) -> None:
+        ownership = self._control.ownership
+        gauge = self._metrics.gauge
+        gauge("pearward.running", "Requests at the server", lambda: self._owner.running)
+        gauge("pearward.waiting", "Requests that wait", lambda: self._owner.waiting)
+        gauge("pearward.shards", "Shards owned", lambda: ownership.shard_count)
+        gauge("pearward.record.version", "Cell record acted on", lambda: ownership.adopted)
+        gauge("pearward.lease.held", "Ownership lease", lambda: float(self._control.lease_held))
+        gauge("pearward.open", "Callers' requests", lambda: self._ingress.open_requests)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/logs.py
@@ -0,0 +1,72 @@
+"""Structured logs by eliot, written without ever holding up the loop.
+
+Lines are gathered and written in one go a few times a second to a descriptor in
+non-blocking mode. When its reader falls behind, lines are dropped and counted: a slow
+log collector must not slow down requests.
+"""
+
+import os
+from collections import deque
+from typing import Any
+
+import eliot
+import orjson
+from eliot.json import json_default
+
+__all__ = ["LineWriter"]
+
+MAX_LINES = 20_000
+"""Lines kept for a reader that falls behind; further ones are dropped."""
+FLUSH_S = 0.1
+
+
+class LineWriter:
+    """An eliot destination that writes JSON lines to a descriptor."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    @classmethod
+    def start(cls, reactor: Any, descriptor: int) -> "LineWriter":
+        """Send eliot's messages to *descriptor* from now on, flushed by *reactor*."""
+        writer = cls(descriptor)
+        eliot.add_destinations(writer.write)
+        reactor.addSystemEventTrigger("after", "shutdown", writer.flush)
+
+        def flush_again() -> None:
+            writer.flush()
+            reactor.callLater(FLUSH_S, flush_again)
+
+        reactor.callLater(FLUSH_S, flush_again)
+        return writer
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were lost because the reader fell behind."""
+        return self._dropped
+
+    def write(self, message: dict[str, Any]) -> None:
+        """Take one message."""
+        if len(self._lines) >= MAX_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(orjson.dumps(message, default=json_default))
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        if self._lines:
+            self._rest += b"\n".join(self._lines) + b"\n"
+            self._lines.clear()
+        while self._rest:
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except OSError:
+                break
+            self._rest = self._rest[written:]
+        if len(self._rest) > MAX_LINES * 512:
+            self._dropped += self._rest.count(b"\n")
+            self._rest = b""
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/main.py
@@ -0,0 +1,82 @@
+"""The command pearwardd."""
+
+import gc
+import sys
+from pathlib import Path
+
+import click
+
+from .errors import SettingsError
+from .settings import Settings
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
+GC_THRESHOLD = 20_000
+"""Allocations between collections of the youngest generation; requests make no cycles to hunt."""
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="YAML file with this daemon's settings.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and stop.")
+def main(path: Path, check: bool) -> None:
+    """Route requests to the servers that own their keys.
+
+    SIGTERM hands this daemon's work over, lets what runs end, and stops.
+    Exit codes: 0 stopped as asked, 2 settings, 3 a port cannot be had.
+    """
+    try:
+        settings = Settings.from_file(path)
+    except SettingsError as error:
+        click.echo(f"pearwardd: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    if check:
+        click.echo("settings are valid")
+        return
+    _run(settings)
+
+
+def _run(settings: Settings) -> None:
+    """Run until the daemon has stopped."""
+    # Imported late, so that a check of settings stays quick and small.
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from .daemon import Daemon
+    from .logs import LineWriter
+
+    gc.set_threshold(GC_THRESHOLD, 20, 50)
+    LineWriter.start(reactor, sys.stdout.fileno())
+    daemon = Daemon.from_config(reactor, settings)
+    try:
+        stopped = daemon.start()
+    except CannotListenError as error:
+        click.echo(f"pearwardd: {error}", err=True)
+        sys.exit(EXIT_LISTEN)
+    stopped.addBoth(lambda _: reactor.callLater(0.05, reactor.stop))
+    _on_sigterm(daemon.drain)
+    reactor.run(installSignalHandlers=False)
+
+
+def _on_sigterm(drain: object) -> None:
+    """Call *drain* in the loop at SIGTERM or SIGINT."""
+    import signal
+
+    from twisted.internet import reactor
+
+    def handler(number: int, frame: object) -> None:
+        reactor.callFromThread(drain)
+
+    signal.signal(signal.SIGTERM, handler)
+    signal.signal(signal.SIGINT, handler)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/metrics.py
@@ -0,0 +1,92 @@
+"""Metrics by OpenTelemetry: histograms by service, class and tenant, and counters."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+from pearward_state.outcome import Outcome, Reason, RequestClass
+
+__all__ = ["Metrics"]
+
+LATENCY_BUCKETS_S = (
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 2.0, 4.0, 16.0, 64.0,
+)  # fmt: skip
+OTHER_TENANTS = "other"
+
+
+class Metrics:
+    """What one daemon counts and times."""
+
+    def __init__(self, instance: str, tenants: int) -> None:
+        view = View(
+            instrument_name="pearward.request.duration",
+            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S),
+        )
+        provider = MeterProvider(metric_readers=[PrometheusMetricReader()], views=[view])
+        self._meter = provider.get_meter("pearward", attributes={"instance": instance})
+        self._duration = self._meter.create_histogram(
+            "pearward.request.duration", unit="s", description="From a caller's headers to the end"
+        )
+        self._attempts = self._meter.create_counter(
+            "pearward.attempts", description="Attempts by how they ended"
+        )
+        self._tenant_limit = tenants
+        self._tenants: set[str] = set()
+        self._attributes: dict[tuple[str, RequestClass, str, Outcome], dict[str, str]] = {}
+
+    def request_ended(
+        self,
+        service: str,
+        request_class: RequestClass,
+        tenant: str,
+        outcome: Outcome,
+        took_s: float,
+    ) -> None:
+        """Time a caller's request."""
+        key = (service, request_class, self._bounded(tenant), outcome)
+        attributes = self._attributes.get(key)
+        if attributes is None:
+            attributes = self._attributes[key] = {
+                "service": service,
+                "class": request_class.label,
+                "tenant": key[2],
+                "outcome": outcome.value,
+            }
+        self._duration.record(took_s, attributes)
+
+    def attempt_failed(self, service: str, outcome: Outcome, reason: Reason) -> None:
+        """Count an attempt that did not bring the server's answer."""
+        self._attempts.add(
+            1, {"service": service, "outcome": outcome.value, "reason": reason.value}
+        )
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Export a value that is read when metrics are."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return (Observation(read()),)
+
+        self._meter.create_observable_gauge(name, callbacks=[observe], description=description)
+
+    def exposition(self) -> bytes:
+        """Return everything in Prometheus's text format."""
+        return generate_latest(REGISTRY)
+
+    def _bounded(self, tenant: str) -> str:
+        """Return the tenant's name as long as there are few, so that memory stays bounded."""
+        if tenant in self._tenants:
+            return tenant
+        if len(self._tenants) >= self._tenant_limit:
+            return OTHER_TENANTS
+        self._tenants.add(tenant)
+        return tenant
+
+
+def process_cpu_s() -> float:
+    """Return the processor seconds that this process has used."""
+    return time.process_time()
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/caller.py
@@ -0,0 +1,93 @@
+"""A blocking caller for tests and demonstrations; it checks every answer it gets."""
+
+import hashlib
+import http.client
+import itertools
+import json
+import os
+from dataclasses import dataclass, field
+
+from .standin_server import CHUNK, body_pattern
+
+__all__ = ["Answer", "Caller"]
+
+_numbers = itertools.count(1)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got."""
+
+    status: int
+    outcome: str
+    reason: str
+    request_id: str
+    headers: dict[str, str] = field(repr=False)
+    body: bytes = field(repr=False)
+    whole: bool = True
+    """False where the answer broke off."""
+    own: bool = True
+    """False where the body is not the one of this request."""
+
+
+class Caller:
+    """Sends requests to daemons, one connection each."""
+
+    def __init__(self, timeout_s: float = 30.0) -> None:
+        self._timeout_s = timeout_s
+
+    @staticmethod
+    def new_id() -> str:
+        """Return a fresh request id."""
+        return f"{os.getpid():x}-{next(_numbers):x}"
+
+    def call(
+        self,
+        address: str,
+        service: str,
+        key: str = "",
+        *,
+        method: str = "GET",
+        path: str = "/work",
+        body: bytes | None = None,
+        request_id: str | None = None,
+        headers: dict[str, str] | None = None,
+        expect_bytes: int = 0,
+    ) -> Answer:
+        """Make one request and check its answer; raises OSError where no answer came at all."""
+        request_id = request_id or self.new_id()
+        sent = {"Pearward-Service": service, "Pearward-Request-Id": request_id}
+        if key:
+            sent["Pearward-Key"] = key
+        sent.update(headers or {})
+        connection = http.client.HTTPConnection(address, timeout=self._timeout_s)
+        try:
+            connection.request(method, path, body, sent)
+            response = connection.getresponse()
+            try:
+                content, whole = response.read(), True
+            except (http.client.IncompleteRead, ConnectionError) as error:
+                content, whole = getattr(error, "partial", b""), False
+            got = {name.lower(): value for name, value in response.getheaders()}
+            outcome = got.get("pearward-outcome", "")
+            own = True
+            if outcome == "served" and whole and response.status == 200:
+                own = self._is_own(content, request_id, body, expect_bytes)
+            return Answer(
+                response.status, outcome, got.get("pearward-reason", ""), request_id,
+                got, content, whole, own,
+            )  # fmt: skip
+        except http.client.HTTPException as error:
+            raise OSError(f"{address}: {error!r}") from error
+        finally:
+            connection.close()
+
+    def _is_own(self, content: bytes, request_id: str, body: bytes | None, size: int) -> bool:
+        """Return whether an answer is whole and belongs to the request."""
+        if size:
+            pattern = body_pattern(request_id.encode())
+            wanted = (pattern * (size // CHUNK + 1))[:size]
+            return content == wanted
+        answer = json.loads(content)
+        digest = hashlib.sha256(body).hexdigest() if body else ""
+        return bool(answer["id"] == request_id and answer["body"] == digest)
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -0,0 +1,101 @@
+"""Control messages between daemons, in Cap'n Proto.
+
+Each message type is a group of the schema's union with the same field names in mixed
+case, so one table of fields serves both directions.
+"""
+
+from dataclasses import fields
+from typing import Any
+
+import capnp
+
+from pearward_coordination.messages import (
+    AskRelease,
+    ControlMessage,
+    Digest,
+    Heartbeat,
+    HeartbeatReply,
+    Pull,
+    Push,
+    Released,
+    ReleaseReply,
+    Renew,
+    RenewReply,
+    VersionedKey,
+)
+
+from .errors import FrameError
+from .heads import schema
+
+__all__ = ["decode_control", "encode_control"]
+
+_TYPES: tuple[type[Any], ...] = (
+    Renew,
+    RenewReply,
+    AskRelease,
+    ReleaseReply,
+    Released,
+    Heartbeat,
+    HeartbeatReply,
+    Digest,
+    Pull,
+    Push,
+)
+
+
+def _mixed(name: str) -> str:
+    """Return *name* with words joined in mixed case, as the schema has it."""
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+def _group(kind: type[Any]) -> str:
+    """Return the union member that carries *kind*."""
+    return kind.__name__[0].lower() + kind.__name__[1:]
+
+
+_GROUPS = {kind: _group(kind) for kind in _TYPES}
+_KINDS = {group: kind for kind, group in _GROUPS.items()}
+_FIELDS = {kind: [(f.name, _mixed(f.name)) for f in fields(kind)] for kind in _TYPES}
+
+
+def encode_control(message: ControlMessage) -> bytes:
+    """Return the payload of a CONTROL frame."""
+    kind = type(message)
+    envelope = schema.Control.new_message()
+    group = envelope.init(_GROUPS[kind])
+    for name, wire_name in _FIELDS[kind]:
+        value = getattr(message, name)
+        if isinstance(value, tuple):
+            value = [_to_wire(item) for item in value]
+        setattr(group, wire_name, value)
+    return envelope.to_bytes()
+
+
+def decode_control(payload: bytes) -> ControlMessage:
+    """Read a control message; raises FrameError."""
+    try:
+        with schema.Control.from_bytes(payload) as envelope:
+            name = str(envelope.which())
+            kind = _KINDS[name]
+            group = getattr(envelope, name)
+            values = [_from_wire(kind, wire, getattr(group, wire)) for _, wire in _FIELDS[kind]]
+            return kind(*values)
+    except (capnp.KjException, KeyError) as error:
+        raise FrameError(f"control message: {error}") from error
+
+
+def _to_wire(item: Any) -> Any:
+    """Return a list's item as the schema's builder takes it."""
+    if isinstance(item, VersionedKey):
+        return {"key": item.key, "version": item.version}
+    return item
+
+
+def _from_wire(kind: type[Any], wire: str, value: Any) -> Any:
+    """Return a field's value without any tie to the message's memory."""
+    if wire == "entries":
+        return tuple(VersionedKey(entry.key, entry.version) for entry in value)
+    if wire in ("silent", "keys"):
+        return tuple(str(item) for item in value)
+    return value
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/etcd.py
@@ -0,0 +1,193 @@
+"""The platform's key-value service: etcd v3's JSON over HTTP mapping.
+
+Source: etcd's published gRPC gateway (``/v3/kv/range``, ``/v3/kv/txn``,
+``/v3/lease/grant``, ``/v3/lease/keepalive``, ``/v3/lease/revoke``, ``/v3/watch``). Keys
+and values travel in base64, 64-bit integers as strings.
+"""
+
+import base64
+import binascii
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .errors import BadPlatformAnswer
+
+__all__ = [
+    "KeyValue",
+    "Path",
+    "WatchEvent",
+    "encode_json",
+    "keepalive_body",
+    "lease_body",
+    "parse_json",
+    "parse_lease_id",
+    "parse_lease_ttl",
+    "parse_range",
+    "parse_txn_succeeded",
+    "parse_watch_line",
+    "prefix_end",
+    "range_body",
+    "revoke_body",
+    "txn_body",
+    "watch_body",
+]
+
+
+class Path:
+    """Paths of the calls that are used."""
+
+    RANGE = "/v3/kv/range"
+    TXN = "/v3/kv/txn"
+    LEASE_GRANT = "/v3/lease/grant"
+    LEASE_KEEPALIVE = "/v3/lease/keepalive"
+    LEASE_REVOKE = "/v3/lease/revoke"
+    WATCH = "/v3/watch"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """A key with its value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """A change that a watch reports; *value* is None for a deletion."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+def _b64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the end of the range of keys that start with *prefix*."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def range_body(key: str, *, prefix: bool = False) -> dict[str, Any]:
+    """Return the body of a range call."""
+    body: dict[str, Any] = {"key": _b64(key.encode())}
+    if prefix:
+        body["range_end"] = _b64(prefix_end(key))
+    return body
+
+
+def txn_body(key: str, expected_revision: int, value: bytes | None, lease: int) -> dict[str, Any]:
+    """Return the body of a compare-and-swap: revision 0 stands for an absent key."""
+    name = _b64(key.encode())
+    compare = {
+        "key": name,
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expected_revision),
+    }
+    if value is None:
+        operation: dict[str, Any] = {"request_delete_range": {"key": name}}
+    else:
+        put: dict[str, Any] = {"key": name, "value": _b64(value)}
+        if lease:
+            put["lease"] = str(lease)
+        operation = {"request_put": put}
+    return {"compare": [compare], "success": [operation], "failure": []}
+
+
+def lease_body(ttl_s: int) -> dict[str, Any]:
+    """Return the body of a lease grant; the service chooses the id."""
+    return {"TTL": str(ttl_s), "ID": "0"}
+
+
+def keepalive_body(lease: int) -> dict[str, Any]:
+    """Return the body of a keep-alive."""
+    return {"ID": str(lease)}
+
+
+def revoke_body(lease: int) -> dict[str, Any]:
+    """Return the body of a lease's end."""
+    return {"ID": str(lease)}
+
+
+def watch_body(key: str, *, prefix: bool, start_revision: int = 0) -> dict[str, Any]:
+    """Return the body that creates a watch."""
+    create: dict[str, Any] = range_body(key, prefix=prefix)
+    if start_revision:
+        create["start_revision"] = str(start_revision)
+    return {"create_request": create}
+
+
+def encode_json(body: Mapping[str, Any]) -> bytes:
+    """Return *body* as it is sent."""
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def parse_json(data: bytes) -> dict[str, Any]:
+    """Read an answer; raises BadPlatformAnswer."""
+    try:
+        answer = json.loads(data)
+    except ValueError as error:
+        raise BadPlatformAnswer(f"no JSON: {data[:80]!r}") from error
+    if not isinstance(answer, dict):
+        raise BadPlatformAnswer(f"no object: {data[:80]!r}")
+    return answer
+
+
+def _key_value(raw: Mapping[str, Any]) -> KeyValue:
+    try:
+        return KeyValue(
+            base64.b64decode(raw["key"]).decode(),
+            base64.b64decode(raw.get("value", "")),
+            int(raw.get("mod_revision", 0)),
+            int(raw.get("lease", 0)),
+        )
+    except (KeyError, ValueError, TypeError, binascii.Error) as error:
+        raise BadPlatformAnswer(f"key-value {raw!r}: {error}") from error
+
+
+def parse_range(answer: Mapping[str, Any]) -> list[KeyValue]:
+    """Return the key-values of a range answer."""
+    return [_key_value(raw) for raw in answer.get("kvs", [])]
+
+
+def parse_txn_succeeded(answer: Mapping[str, Any]) -> bool:
+    """Return whether a compare-and-swap was made."""
+    return bool(answer.get("succeeded", False))
+
+
+def parse_lease_id(answer: Mapping[str, Any]) -> int:
+    """Return the id of a granted lease."""
+    try:
+        return int(answer["ID"])
+    except (KeyError, ValueError) as error:
+        raise BadPlatformAnswer(f"lease grant {answer!r}") from error
+
+
+def parse_lease_ttl(answer: Mapping[str, Any]) -> int:
+    """Return the seconds that a kept-alive lease has left; 0 when it has run out."""
+    result = answer.get("result", answer)
+    return int(result.get("TTL", 0))
+
+
+def parse_watch_line(line: bytes) -> list[WatchEvent]:
+    """Return the events of one line of a watch's stream."""
+    answer = parse_json(line)
+    if "error" in answer:
+        raise BadPlatformAnswer(f"watch: {answer['error']!r}")
+    result = answer.get("result", {})
+    if result.get("canceled"):
+        raise BadPlatformAnswer(f"watch cancelled: {result.get('cancel_reason', '')!r}")
+    events: list[WatchEvent] = []
+    for raw in result.get("events", []):
+        pair = _key_value(raw["kv"])
+        deleted = raw.get("type") == "DELETE"
+        events.append(WatchEvent(pair.key, None if deleted else pair.value, pair.revision))
+    return events
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/frames.py
@@ -0,0 +1,85 @@
+"""Framing of one peer connection: a fixed header before each payload.
+
+Header, 12 bytes, big-endian: kind (1), flags (1), zero (2), stream id (4), payload
+length (4). Chunks of bodies carry no message of their own, only this header.
+"""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+
+from .errors import FrameError
+
+__all__ = ["END", "HEADER_SIZE", "MAX_PAYLOAD", "Frame", "FrameDecoder", "FrameKind", "pack_frame"]
+
+_HEADER = struct.Struct(">BBHII")
+HEADER_SIZE = _HEADER.size
+MAX_PAYLOAD = 2 * 1024 * 1024
+"""Payload bytes at most: a record of a megabyte with room to spare."""
+END = 0x01
+"""Flag: the sender's half of the stream ends with this frame."""
+
+
+class FrameKind(IntEnum):
+    """What a frame carries."""
+
+    HELLO = 0xA7
+    """First frame of each side; its unusual number rejects other protocols early."""
+    REQUEST = 2
+    RESPONSE = 3
+    DATA = 4
+    RESET = 5
+    WINDOW = 6
+    CONTROL = 7
+    PING = 8
+    """Asks for a sign of life; the answer has the END flag."""
+
+
+_KINDS = {int(kind): kind for kind in FrameKind}
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One decoded frame."""
+
+    kind: FrameKind
+    flags: int
+    stream: int
+    payload: bytes
+
+
+def pack_frame(kind: FrameKind, stream: int, payload: bytes = b"", flags: int = 0) -> bytes:
+    """Return the bytes of one frame; raises FrameError where the payload is too long."""
+    if len(payload) > MAX_PAYLOAD:
+        raise FrameError(f"payload of {len(payload)} bytes is over {MAX_PAYLOAD}")
+    return _HEADER.pack(kind, flags, 0, stream, len(payload)) + payload
+
+
+class FrameDecoder:
+    """Cuts a byte stream into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._greeted = False
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that *data* completes; raises FrameError on anything else."""
+        buffer = self._buffer + data if self._buffer else data
+        offset = 0
+        size = len(buffer)
+        while size - offset >= HEADER_SIZE:
+            number, flags, zero, stream, length = _HEADER.unpack_from(buffer, offset)
+            kind = _KINDS.get(number)
+            if kind is None or zero or length > MAX_PAYLOAD:
+                raise FrameError(f"no frame: kind {number}, length {length}")
+            if not self._greeted and kind is not FrameKind.HELLO:
+                raise FrameError(f"first frame is {kind.name}, not HELLO")
+            end = offset + HEADER_SIZE + length
+            if end > size:
+                break
+            self._greeted = True
+            payload = buffer[offset + HEADER_SIZE : end]
+            offset = end
+            yield Frame(kind, flags, stream, payload)
+        self._buffer = buffer[offset:]
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -0,0 +1,181 @@
+"""Heads of requests and responses between daemons, and the greeting, in Cap'n Proto."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import capnp
+
+from pearward_state.outcome import Outcome, Reason, RequestClass
+
+from .errors import FrameError
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "Hello",
+    "RequestHead",
+    "ResponseHead",
+    "decode_hello",
+    "decode_request",
+    "decode_response",
+    "encode_hello",
+    "encode_request",
+    "encode_response",
+    "schema",
+]
+
+PROTOCOL_VERSION = 1
+
+capnp.remove_import_hook()
+schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+_OUTCOMES = tuple(Outcome)
+_OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(_OUTCOMES)}
+_REASONS = {reason.value: reason for reason in Reason}
+_NO_TRAVERSAL_LIMIT = 2**61
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Who is at one end of a connection."""
+
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """A request on its way to the daemon beside its server."""
+
+    service: str
+    key: bytes
+    request_id: bytes
+    method: bytes
+    path: bytes
+    headers: bytes
+    """Header block as HTTP/1.1 writes it: ``name: value`` lines that each end in CR LF."""
+    deadline_ms: int
+    """Milliseconds left when the frame was sent."""
+    request_class: RequestClass
+    tenant: str
+    repeatable: bool
+    prior_age_ms: int
+    """Milliseconds since an earlier submission of the same id was first seen; 0 for none."""
+    version: int
+    """Version of the record that the route was chosen by."""
+    task_id: str
+    """Id under which logs of all daemons join."""
+    position: int
+    body_length: int
+    """Bytes of the body; -1 where the sender does not know."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """The server's answer, or a daemon's own."""
+
+    status: int
+    outcome: Outcome
+    reason: Reason | None = None
+    headers: bytes = b""
+    retry_after_ms: int = 0
+    version: int = 0
+    detail: str = ""
+    body_length: int = -1
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Return the payload of a HELLO frame."""
+    message = schema.Hello.new_message(
+        protocol=PROTOCOL_VERSION, incarnation=hello.incarnation, address=hello.address
+    )
+    return message.to_bytes()
+
+
+def decode_hello(payload: bytes) -> Hello:
+    """Read a greeting; raises FrameError for another protocol version or garbage."""
+    try:
+        with schema.Hello.from_bytes(payload) as message:
+            if message.protocol != PROTOCOL_VERSION:
+                raise FrameError(f"peer speaks version {message.protocol}")
+            return Hello(message.incarnation, message.address)
+    except capnp.KjException as error:
+        raise FrameError(f"greeting: {error.description}") from error
+
+
+def encode_request(head: RequestHead) -> bytes:
+    """Return the payload of a REQUEST frame."""
+    message = schema.RequestHead.new_message()
+    message.service = head.service
+    message.key = head.key
+    message.requestId = head.request_id
+    message.method = head.method
+    message.path = head.path
+    message.headers = head.headers
+    message.deadlineMs = head.deadline_ms
+    message.requestClass = int(head.request_class)
+    message.tenant = head.tenant
+    message.repeatable = head.repeatable
+    message.priorAgeMs = head.prior_age_ms
+    message.version = head.version
+    message.taskId = head.task_id
+    message.position = head.position
+    message.bodyLength = head.body_length
+    return message.to_bytes()
+
+
+def decode_request(payload: bytes) -> RequestHead:
+    """Read a request's head; raises FrameError."""
+    try:
+        with schema.RequestHead.from_bytes(payload) as message:
+            return RequestHead(
+                message.service,
+                message.key,
+                message.requestId,
+                message.method,
+                message.path,
+                message.headers,
+                message.deadlineMs,
+                RequestClass(message.requestClass),
+                message.tenant,
+                message.repeatable,
+                message.priorAgeMs,
+                message.version,
+                message.taskId,
+                message.position,
+                message.bodyLength,
+            )
+    except (capnp.KjException, ValueError) as error:
+        raise FrameError(f"request head: {error}") from error
+
+
+def encode_response(head: ResponseHead) -> bytes:
+    """Return the payload of a RESPONSE frame."""
+    message = schema.ResponseHead.new_message()
+    message.status = head.status
+    message.outcome = _OUTCOME_NUMBERS[head.outcome]
+    message.headers = head.headers
+    message.version = head.version
+    message.bodyLength = head.body_length
+    if head.reason is not None:
+        message.reason = head.reason.value
+        message.retryAfterMs = head.retry_after_ms
+        message.detail = head.detail
+    return message.to_bytes()
+
+
+def decode_response(payload: bytes) -> ResponseHead:
+    """Read a response's head; raises FrameError."""
+    try:
+        with schema.ResponseHead.from_bytes(payload) as message:
+            return ResponseHead(
+                message.status,
+                _OUTCOMES[message.outcome],
+                _REASONS.get(message.reason),
+                message.headers,
+                message.retryAfterMs,
+                message.version,
+                message.detail,
+                message.bodyLength,
+            )
+    except (capnp.KjException, IndexError) as error:
+        raise FrameError(f"response head: {error}") from error
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -0,0 +1,110 @@
+# Messages between pearward daemons. Framing is in frames.py; only heads and control
+# messages are Cap'n Proto, bodies travel as raw bytes.
+@0xb3f0c1a5d7e94c21;
+
+struct Hello {
+  protocol @0 :UInt16;
+  incarnation @1 :Text;
+  address @2 :Text;
+}
+
+struct RequestHead {
+  service @0 :Text;
+  key @1 :Data;
+  requestId @2 :Data;
+  method @3 :Data;
+  path @4 :Data;
+  headers @5 :Data;
+  deadlineMs @6 :UInt32;
+  requestClass @7 :UInt8;
+  tenant @8 :Text;
+  repeatable @9 :Bool;
+  priorAgeMs @10 :UInt32;
+  version @11 :UInt64;
+  taskId @12 :Text;
+  position @13 :UInt64;
+  bodyLength @14 :Int64;
+}
+
+struct ResponseHead {
+  status @0 :UInt16;
+  outcome @1 :UInt8;
+  reason @2 :Text;
+  headers @3 :Data;
+  retryAfterMs @4 :UInt32;
+  version @5 :UInt64;
+  detail @6 :Text;
+  bodyLength @7 :Int64;
+}
+
+struct VersionedKey {
+  key @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Control {
+  union {
+    renew :group {
+      cell @0 :Text;
+      nonce @1 :UInt64;
+      adopted @2 :UInt64;
+      released @3 :UInt64;
+      tableVersion @4 :UInt64;
+    }
+    renewReply :group {
+      cell @5 :Text;
+      nonce @6 :UInt64;
+      granted @7 :Bool;
+      version @8 :UInt64;
+    }
+    askRelease :group {
+      cell @9 :Text;
+      owner @10 :Text;
+      version @11 :UInt64;
+    }
+    releaseReply :group {
+      cell @12 :Text;
+      owner @13 :Text;
+      version @14 :UInt64;
+      released @15 :Bool;
+      known @16 :UInt64;
+      remainingMs @17 :UInt32;
+    }
+    released :group {
+      cell @18 :Text;
+      version @19 :UInt64;
+    }
+    heartbeat :group {
+      cell @20 :Text;
+      instance @21 :Text;
+      server @22 :Text;
+      failureDomain @23 :Text;
+      caller @24 :Text;
+      adopted @25 :UInt64;
+      settled @26 :UInt64;
+      released @27 :UInt64;
+      tableVersion @28 :UInt64;
+      draining @29 :Bool;
+      healthy @30 :Bool;
+      running @31 :UInt32;
+      silent @32 :List(Text);
+    }
+    heartbeatReply :group {
+      cell @33 :Text;
+      coordinating @34 :Bool;
+      version @35 :UInt64;
+    }
+    digest :group {
+      fingerprint @36 :UInt64;
+      entries @37 :List(VersionedKey);
+    }
+    pull :group {
+      keys @38 :List(Text);
+    }
+    push :group {
+      key @39 :Text;
+      version @40 :UInt64;
+      value @41 :Data;
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/streams.py
@@ -0,0 +1,368 @@
+"""Many streams over one peer connection, without I/O.
+
+The side that opened the connection opens streams, each with a fresh id that is never
+used again, so that a late answer can match nothing else. Each direction of a stream
+has a window of bytes that the receiver has not yet consumed.
+"""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+
+from pearward_coordination.messages import ControlMessage
+
+from .control import decode_control, encode_control
+from .errors import FrameError, StreamError
+from .frames import END, Frame, FrameDecoder, FrameKind, pack_frame
+from .heads import (
+    Hello,
+    RequestHead,
+    ResponseHead,
+    decode_hello,
+    decode_request,
+    decode_response,
+    encode_hello,
+    encode_request,
+    encode_response,
+)
+
+__all__ = [
+    "ControlReceived",
+    "DataReceived",
+    "Event",
+    "HelloReceived",
+    "Multiplexer",
+    "RequestReceived",
+    "ResetCode",
+    "ResetReceived",
+    "ResponseReceived",
+    "StreamWritable",
+]
+
+DEFAULT_WINDOW = 128 * 1024
+MAX_CHUNK = 64 * 1024
+_CREDIT = struct.Struct(">I")
+LAST_STREAM = 2**32 - 1
+
+
+class ResetCode(IntEnum):
+    """Why a stream was broken off."""
+
+    CANCELLED = 1
+    """The requester no longer wants the answer."""
+    BROKEN = 2
+    """The answer cannot be completed."""
+
+
+@dataclass(frozen=True, slots=True)
+class HelloReceived:
+    """The peer's greeting."""
+
+    hello: Hello
+
+
+@dataclass(frozen=True, slots=True)
+class RequestReceived:
+    """The peer opened a stream."""
+
+    stream: int
+    head: RequestHead
+    ended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseReceived:
+    """The peer began to answer."""
+
+    stream: int
+    head: ResponseHead
+    ended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DataReceived:
+    """A chunk of a body; call consumed() once it is dealt with."""
+
+    stream: int
+    data: bytes
+    ended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ResetReceived:
+    """The peer broke the stream off."""
+
+    stream: int
+    code: ResetCode
+
+
+@dataclass(frozen=True, slots=True)
+class StreamWritable:
+    """A stream whose window was used up can take data again."""
+
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class ControlReceived:
+    """A control message."""
+
+    message: ControlMessage
+
+
+Event = (
+    HelloReceived
+    | RequestReceived
+    | ResponseReceived
+    | DataReceived
+    | ResetReceived
+    | StreamWritable
+    | ControlReceived
+)
+
+
+@dataclass(slots=True)
+class _Stream:
+    """Both directions of one stream."""
+
+    send_window: int
+    receive_window: int
+    answered: bool = False
+    sent_end: bool = False
+    received_end: bool = False
+    backlog: bytes = b""
+    """Data accepted from the sender that the window does not cover yet."""
+    end_after_backlog: bool = False
+    uncredited: int = 0
+
+
+class Multiplexer:
+    """One end of a peer connection."""
+
+    def __init__(self, *, opener: bool, window: int = DEFAULT_WINDOW) -> None:
+        self._opener = opener
+        self._window = window
+        self._decoder = FrameDecoder()
+        self._streams: dict[int, _Stream] = {}
+        self._last_stream = 0
+        self._greeted = False
+        self._output: list[bytes] = []
+        self._closed: list[int] = []
+
+    @property
+    def open_streams(self) -> int:
+        """Streams that are not finished in both directions."""
+        return len(self._streams)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether this connection has no stream ids left and a new one is needed."""
+        return self._last_stream >= LAST_STREAM
+
+    def take_output(self) -> list[bytes]:
+        """Return the frames to write, in order, and forget them."""
+        output, self._output = self._output, []
+        return output
+
+    def take_closed(self) -> list[int]:
+        """Return the streams that both sides have finished since the last call."""
+        closed, self._closed = self._closed, []
+        return closed
+
+    # -- sending ------------------------------------------------------------
+
+    def send_hello(self, hello: Hello) -> None:
+        """Greet the peer; must be the first thing sent."""
+        self._output.append(pack_frame(FrameKind.HELLO, 0, encode_hello(hello)))
+
+    def send_control(self, message: ControlMessage) -> None:
+        """Send a control message."""
+        self._output.append(pack_frame(FrameKind.CONTROL, 0, encode_control(message)))
+
+    def send_ping(self) -> None:
+        """Ask the peer for a sign of life."""
+        self._output.append(pack_frame(FrameKind.PING, 0))
+
+    def open_stream(self, head: RequestHead, *, ended: bool) -> int:
+        """Open a stream and return its id; *ended* says that no body follows."""
+        if not self._opener or self.exhausted:
+            raise StreamError("this side cannot open a stream")
+        self._last_stream += 1
+        stream = self._last_stream
+        self._streams[stream] = _Stream(self._window, self._window, sent_end=ended)
+        flags = END if ended else 0
+        self._output.append(pack_frame(FrameKind.REQUEST, stream, encode_request(head), flags))
+        return stream
+
+    def respond(self, stream: int, head: ResponseHead, *, ended: bool) -> None:
+        """Begin the answer on *stream*."""
+        state = self._state(stream)
+        if self._opener or state.answered:
+            raise StreamError(f"stream {stream} is answered already")
+        state.answered = True
+        state.sent_end = ended
+        flags = END if ended else 0
+        self._output.append(pack_frame(FrameKind.RESPONSE, stream, encode_response(head), flags))
+        self._close_if_done(stream, state)
+
+    def send_data(self, stream: int, data: bytes, *, ended: bool = False) -> bool:
+        """Send a chunk of a body; return whether the sender may go on at once.
+
+        What the window does not cover is kept and sent later; the sender should
+        then wait for StreamWritable.
+        """
+        state = self._state(stream)
+        if state.sent_end or state.end_after_backlog:
+            raise StreamError(f"stream {stream}: data after the end")
+        state.backlog = state.backlog + data if state.backlog else data
+        state.end_after_backlog = ended
+        self._flush(stream, state)
+        return not state.backlog
+
+    def consumed(self, stream: int, count: int) -> None:
+        """Give the peer back *count* bytes of its window."""
+        state = self._streams.get(stream)
+        if state is None or state.received_end:
+            return
+        state.uncredited += count
+        if state.uncredited * 2 >= self._window:
+            state.receive_window += state.uncredited
+            credit = _CREDIT.pack(state.uncredited)
+            state.uncredited = 0
+            self._output.append(pack_frame(FrameKind.WINDOW, stream, credit))
+
+    def reset(self, stream: int, code: ResetCode) -> None:
+        """Break a stream off; one that has ended is left alone."""
+        if self._streams.pop(stream, None) is not None:
+            self._output.append(pack_frame(FrameKind.RESET, stream, b"", int(code)))
+
+    def _flush(self, stream: int, state: _Stream) -> None:
+        """Send what the window allows of the backlog."""
+        while state.backlog and state.send_window > 0:
+            size = min(len(state.backlog), state.send_window, MAX_CHUNK)
+            chunk = state.backlog[:size]
+            state.backlog = state.backlog[size:]
+            state.send_window -= size
+            last = state.end_after_backlog and not state.backlog
+            self._output.append(pack_frame(FrameKind.DATA, stream, chunk, END if last else 0))
+            state.sent_end = last
+        if state.end_after_backlog and not state.backlog and not state.sent_end:
+            state.sent_end = True
+            self._output.append(pack_frame(FrameKind.DATA, stream, b"", END))
+        self._close_if_done(stream, state)
+
+    def _state(self, stream: int) -> _Stream:
+        state = self._streams.get(stream)
+        if state is None:
+            raise StreamError(f"stream {stream} is not open")
+        return state
+
+    def _close_if_done(self, stream: int, state: _Stream) -> None:
+        """Forget a stream that both sides have finished."""
+        if state.sent_end and state.received_end and stream in self._streams:
+            del self._streams[stream]
+            self._closed.append(stream)
+
+    # -- receiving ----------------------------------------------------------
+
+    def receive(self, data: bytes) -> Iterator[Event]:
+        """Yield what *data* brings; raises FrameError where the connection must end."""
+        for frame in self._decoder.feed(data):
+            event = self._on_frame(frame)
+            if event is not None:
+                yield event
+
+    def _on_frame(self, frame: Frame) -> Event | None:
+        match frame.kind:
+            case FrameKind.DATA:
+                return self._on_data(frame)
+            case FrameKind.REQUEST:
+                return self._on_request(frame)
+            case FrameKind.RESPONSE:
+                return self._on_response(frame)
+            case FrameKind.WINDOW:
+                return self._on_window(frame)
+            case FrameKind.RESET:
+                return self._on_reset(frame)
+            case FrameKind.CONTROL:
+                return ControlReceived(decode_control(frame.payload))
+            case FrameKind.PING:
+                if not frame.flags & END:
+                    self._output.append(pack_frame(FrameKind.PING, 0, b"", END))
+                return None
+            case FrameKind.HELLO:
+                return self._on_hello(frame)
+
+    def _on_hello(self, frame: Frame) -> Event:
+        if self._greeted:
+            raise FrameError("second greeting")
+        self._greeted = True
+        return HelloReceived(decode_hello(frame.payload))
+
+    def _on_request(self, frame: Frame) -> Event:
+        if self._opener or frame.stream <= self._last_stream:
+            raise FrameError(f"stream id {frame.stream} is not new")
+        self._last_stream = frame.stream
+        ended = bool(frame.flags & END)
+        self._streams[frame.stream] = _Stream(self._window, self._window, received_end=ended)
+        return RequestReceived(frame.stream, decode_request(frame.payload), ended)
+
+    def _on_response(self, frame: Frame) -> Event | None:
+        state = self._streams.get(frame.stream)
+        if state is None:
+            self._check_was_open(frame)
+            return None
+        if not self._opener or state.answered:
+            raise FrameError(f"stream {frame.stream}: unexpected response")
+        state.answered = True
+        ended = bool(frame.flags & END)
+        state.received_end = ended
+        self._close_if_done(frame.stream, state)
+        return ResponseReceived(frame.stream, decode_response(frame.payload), ended)
+
+    def _on_data(self, frame: Frame) -> Event | None:
+        state = self._streams.get(frame.stream)
+        if state is None:
+            self._check_was_open(frame)
+            return None
+        if state.received_end or (self._opener and not state.answered):
+            raise FrameError(f"stream {frame.stream}: data out of place")
+        state.receive_window -= len(frame.payload)
+        if state.receive_window < 0:
+            raise FrameError(f"stream {frame.stream}: more data than the window allows")
+        ended = bool(frame.flags & END)
+        state.received_end = ended
+        self._close_if_done(frame.stream, state)
+        return DataReceived(frame.stream, frame.payload, ended)
+
+    def _on_window(self, frame: Frame) -> Event | None:
+        state = self._streams.get(frame.stream)
+        if state is None:
+            self._check_was_open(frame)
+            return None
+        try:
+            (credit,) = _CREDIT.unpack(frame.payload)
+        except struct.error as error:
+            raise FrameError(f"window: {error}") from error
+        was_blocked = bool(state.backlog)
+        state.send_window += credit
+        self._flush(frame.stream, state)
+        if was_blocked and not state.backlog and frame.stream in self._streams:
+            return StreamWritable(frame.stream)
+        return None
+
+    def _on_reset(self, frame: Frame) -> Event | None:
+        if self._streams.pop(frame.stream, None) is None:
+            self._check_was_open(frame)
+            return None
+        try:
+            code = ResetCode(frame.flags)
+        except ValueError as error:
+            raise FrameError(str(error)) from error
+        return ResetReceived(frame.stream, code)
+
+    def _check_was_open(self, frame: Frame) -> None:
+        """Ignore a frame of a finished stream; one that never was is an error."""
+        if frame.stream > self._last_stream or frame.stream == 0:
+            raise FrameError(f"{frame.kind.name} on stream {frame.stream}, which never was")
--- /dev/null
+++ b/packages/transport/src/pearward_transport/errors.py
@@ -0,0 +1,41 @@
+"""Errors of the transport layer; errors from below and from libraries become these."""
+
+from pearward_state.errors import PearwardError
+
+__all__ = [
+    "CasConflict",
+    "PeerUnreachable",
+    "PlatformError",
+    "PlatformUnavailable",
+    "ServerBroke",
+    "ServerUnreachable",
+    "TransportError",
+]
+
+
+class TransportError(PearwardError):
+    """Root of the transport layer's errors."""
+
+
+class PeerUnreachable(TransportError):
+    """No connection to another daemon could be made; nothing was sent."""
+
+
+class ServerUnreachable(TransportError):
+    """No connection to the server could be made; it received nothing."""
+
+
+class ServerBroke(TransportError):
+    """The connection to the server ended after the request was begun."""
+
+
+class PlatformError(TransportError):
+    """Root of errors of the platform's key-value service."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The service did not answer in time; a write may or may not have taken effect."""
+
+
+class CasConflict(PlatformError):
+    """A compare-and-swap found another revision than the expected one."""
--- /dev/null
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -0,0 +1,480 @@
+"""Connections between daemons: one TCP connection to each peer, many streams on it."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionAborted
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from pearward_coordination.messages import ControlMessage, PeerId
+from pearward_protocol.errors import FrameError
+from pearward_protocol.heads import Hello, RequestHead, ResponseHead
+from pearward_protocol.streams import (
+    ControlReceived,
+    DataReceived,
+    Event,
+    HelloReceived,
+    Multiplexer,
+    RequestReceived,
+    ResetCode,
+    ResetReceived,
+    ResponseReceived,
+    StreamWritable,
+)
+
+from .errors import PeerUnreachable
+
+__all__ = [
+    "InboundHandler",
+    "PeerConnection",
+    "PeerHandler",
+    "PeerListener",
+    "PeerPool",
+    "StreamHandler",
+]
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_MIN_S = 0.05
+RECONNECT_MAX_S = 1.0
+CHECK_INTERVAL_S = 0.5
+SILENCE_LIMIT_S = 1.5
+"""A connection with open streams that stays silent for longer, pings included, is dead."""
+CONTROL_BACKLOG = 64
+"""Control messages kept for a peer that is being connected to; the oldest go first."""
+
+
+class StreamHandler(Protocol):
+    """What one end of a stream does with what the other end sends."""
+
+    def response_received(self, head: ResponseHead, ended: bool) -> None:
+        """Take the head of the answer (requester's end only)."""
+
+    def data_received(self, data: bytes, ended: bool) -> None:
+        """Take a chunk of the body."""
+
+    def writable(self) -> None:
+        """Go on sending."""
+
+    def reset_received(self, code: ResetCode) -> None:
+        """The other end broke the stream off."""
+
+    def connection_lost(self) -> None:
+        """The connection under the stream is gone."""
+
+
+class InboundHandler(StreamHandler, Protocol):
+    """The owner's end of a stream."""
+
+    def begin(self) -> None:
+        """Start: the stream can be answered from now on."""
+
+
+class PeerHandler(Protocol):
+    """What a daemon does with what its peers send."""
+
+    def request_received(
+        self, connection: "PeerConnection", stream: int, head: RequestHead, ended: bool
+    ) -> InboundHandler:
+        """Take a new stream; begin() is called on the result."""
+
+    def control_received(self, sender: PeerId, message: ControlMessage) -> None:
+        """Take a control message."""
+
+    def peer_answered(self, peer: PeerId) -> None:
+        """Note who listens at an address that was connected to."""
+
+
+@implementer(IPushProducer)
+class PeerConnection(TwistedProtocol):
+    """One end of a connection; the side that dialled opens the streams."""
+
+    def __init__(
+        self,
+        me: PeerId,
+        handler: PeerHandler,
+        reactor: Any,
+        *,
+        opener: bool,
+        window: int,
+        on_ready: Callable[["PeerConnection"], None] | None = None,
+        on_lost: Callable[["PeerConnection"], None] | None = None,
+    ) -> None:
+        self._me = me
+        self._handler = handler
+        self._reactor = reactor
+        self._opener = opener
+        self._mux = Multiplexer(opener=opener, window=window)
+        self._on_ready = on_ready
+        self._on_lost = on_lost
+        self._peer: PeerId | None = None
+        self._streams: dict[int, StreamHandler] = {}
+        self._paused = False
+        self._connected = False
+        self._last_received = 0.0
+        self._check: Any = None
+
+    # -- properties ---------------------------------------------------------
+
+    @property
+    def peer(self) -> PeerId | None:
+        """Who is at the other end, once it has greeted."""
+        return self._peer
+
+    @property
+    def usable(self) -> bool:
+        """Whether a stream can be opened now."""
+        return self._connected and self._peer is not None and not self._mux.exhausted
+
+    @property
+    def open_streams(self) -> int:
+        """Streams on this connection."""
+        return len(self._streams)
+
+    # -- sending ------------------------------------------------------------
+
+    def open_stream(self, head: RequestHead, handler: StreamHandler, *, ended: bool) -> int:
+        """Send a request's head and return the stream's id."""
+        stream = self._mux.open_stream(head, ended=ended)
+        self._streams[stream] = handler
+        self._flush()
+        return stream
+
+    def respond(self, stream: int, head: ResponseHead, *, ended: bool) -> None:
+        """Send the head of an answer; nothing happens where the stream is gone."""
+        if stream not in self._streams:
+            return
+        self._mux.respond(stream, head, ended=ended)
+        self._flush()
+
+    def send_data(self, stream: int, data: bytes, *, ended: bool = False) -> bool:
+        """Send a chunk; return whether more may follow at once."""
+        if stream not in self._streams:
+            return True
+        go_on = self._mux.send_data(stream, data, ended=ended)
+        self._flush()
+        return go_on and not self._paused
+
+    def consumed(self, stream: int, count: int) -> None:
+        """Let the other end send *count* bytes more."""
+        self._mux.consumed(stream, count)
+        self._flush()
+
+    def reset(self, stream: int, code: ResetCode) -> None:
+        """Break a stream off."""
+        self._streams.pop(stream, None)
+        self._mux.reset(stream, code)
+        self._flush()
+
+    def send_control(self, message: ControlMessage) -> None:
+        """Send a control message."""
+        self._mux.send_control(message)
+        self._flush()
+
+    def close(self) -> None:
+        """End the connection after what was sent."""
+        if self._connected:
+            self.transport.loseConnection()
+
+    def _flush(self) -> None:
+        output = self._mux.take_output()
+        if output and self._connected:
+            self.transport.writeSequence(output)
+        for stream in self._mux.take_closed():
+            self._streams.pop(stream, None)
+
+    # -- Twisted's callbacks ------------------------------------------------
+
+    def connectionMade(self) -> None:
+        self._connected = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self.transport.registerProducer(self, True)
+        self._last_received = self._reactor.seconds()
+        self._check = self._reactor.callLater(CHECK_INTERVAL_S, self._check_silence)
+        self._mux.send_hello(Hello(self._me.incarnation, self._me.address))
+        self._flush()
+
+    def dataReceived(self, data: bytes) -> None:
+        self._last_received = self._reactor.seconds()
+        try:
+            for event in self._mux.receive(data):
+                self._dispatch(event)
+        except FrameError:
+            # Garbage, another protocol or another version: this connection only.
+            self.transport.abortConnection()
+            return
+        self._flush()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionAborted())) -> None:  # noqa: B008
+        self._connected = False
+        if self._check is not None and self._check.active():
+            self._check.cancel()
+        streams, self._streams = self._streams, {}
+        for handler in streams.values():
+            handler.connection_lost()
+        if self._on_lost is not None:
+            self._on_lost(self)
+
+    def pauseProducing(self) -> None:
+        self._paused = True
+
+    def resumeProducing(self) -> None:
+        self._paused = False
+        for handler in list(self._streams.values()):
+            handler.writable()
+
+    def stopProducing(self) -> None:
+        self._paused = True
+
+    def _check_silence(self) -> None:
+        """Ping a silent peer that owes an answer, and give it up if it stays silent."""
+        silent_s = self._reactor.seconds() - self._last_received
+        if self._streams or self._peer is None:
+            if silent_s >= SILENCE_LIMIT_S:
+                self.transport.abortConnection()
+                return
+            if silent_s >= CHECK_INTERVAL_S and self._peer is not None:
+                self._mux.send_ping()
+                self._flush()
+        else:
+            self._last_received = self._reactor.seconds()
+        self._check = self._reactor.callLater(CHECK_INTERVAL_S, self._check_silence)
+
+    def _dispatch(self, event: Event) -> None:
+        match event:
+            case DataReceived():
+                if handler := self._streams.get(event.stream):
+                    handler.data_received(event.data, event.ended)
+            case ResponseReceived():
+                if handler := self._streams.get(event.stream):
+                    handler.response_received(event.head, event.ended)
+            case RequestReceived():
+                inbound = self._handler.request_received(
+                    self, event.stream, event.head, event.ended
+                )
+                self._streams[event.stream] = inbound
+                inbound.begin()
+            case StreamWritable():
+                if not self._paused and (handler := self._streams.get(event.stream)):
+                    handler.writable()
+            case ResetReceived():
+                if handler := self._streams.pop(event.stream, None):
+                    handler.reset_received(event.code)
+            case ControlReceived():
+                if self._peer is not None:
+                    self._handler.control_received(self._peer, event.message)
+            case HelloReceived():
+                self._greeted(event.hello)
+
+    def _greeted(self, hello: Hello) -> None:
+        self._peer = PeerId(hello.incarnation, hello.address)
+        if self._opener:
+            self._handler.peer_answered(self._peer)
+        if self._on_ready is not None:
+            self._on_ready(self)
+
+
+class PeerListener(Factory):  # type: ignore[misc]
+    """Accepts connections from peers."""
+
+    noisy = False
+
+    def __init__(self, me: PeerId, handler: PeerHandler, reactor: Any, window: int) -> None:
+        self._me = me
+        self._handler = handler
+        self._reactor = reactor
+        self._window = window
+        self._connections: set[PeerConnection] = set()
+
+    @property
+    def connections(self) -> frozenset[PeerConnection]:
+        """The connections that are open."""
+        return frozenset(self._connections)
+
+    def buildProtocol(self, addr: Any) -> PeerConnection:
+        connection = PeerConnection(
+            self._me,
+            self._handler,
+            self._reactor,
+            opener=False,
+            window=self._window,
+            on_lost=self._connections.discard,
+        )
+        self._connections.add(connection)
+        return connection
+
+
+class _Link:
+    """The one outbound connection to an address, made when needed."""
+
+    def __init__(self, pool: "PeerPool", address: str) -> None:
+        self._pool = pool
+        self._address = address
+        self._connection: PeerConnection | None = None
+        self._connecting = False
+        self._retry_at = 0.0
+        self._backoff_s = RECONNECT_MIN_S
+        self._waiting: list[Deferred[PeerConnection]] = []
+        self._backlog: deque[ControlMessage] = deque(maxlen=CONTROL_BACKLOG)
+
+    @property
+    def ready(self) -> PeerConnection | None:
+        """The connection, if it can carry a stream now."""
+        connection = self._connection
+        return connection if connection is not None and connection.usable else None
+
+    def send_control(self, message: ControlMessage) -> None:
+        """Send now, or when the connection is made."""
+        if (connection := self.ready) is not None:
+            connection.send_control(message)
+            return
+        self._backlog.append(message)
+        self._connect()
+
+    def wait(self) -> "Deferred[PeerConnection]":
+        """Return a Deferred of the connection; it fails with PeerUnreachable."""
+        result: Deferred[PeerConnection] = Deferred()
+        if (connection := self.ready) is not None:
+            result.callback(connection)
+            return result
+        self._waiting.append(result)
+        self._connect()
+        return result
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _connect(self) -> None:
+        if self._connecting or self._connection is not None:
+            return
+        if self._pool.reactor.seconds() < self._retry_at:
+            self._fail("waiting to reconnect")
+            return
+        self._connecting = True
+        self._pool.dial(self._address, self._ready, self._lost).addErrback(self._failed)
+
+    def _failed(self, failure: Failure) -> None:
+        self._connecting = False
+        self._retry_at = self._pool.reactor.seconds() + self._backoff_s
+        self._backoff_s = min(RECONNECT_MAX_S, self._backoff_s * 2)
+        self._fail(failure.getErrorMessage())
+
+    def _fail(self, why: str) -> None:
+        waiting, self._waiting = self._waiting, []
+        for result in waiting:
+            result.errback(PeerUnreachable(f"{self._address}: {why}"))
+
+    def _ready(self, connection: PeerConnection) -> None:
+        self._connecting = False
+        self._connection = connection
+        self._backoff_s = RECONNECT_MIN_S
+        backlog, self._backlog = list(self._backlog), deque(maxlen=CONTROL_BACKLOG)
+        for message in backlog:
+            connection.send_control(message)
+        waiting, self._waiting = self._waiting, []
+        for result in waiting:
+            result.callback(connection)
+
+    def _lost(self, connection: PeerConnection) -> None:
+        if self._connection is connection:
+            self._connection = None
+        elif self._connecting:
+            self._failed(Failure(PeerUnreachable("closed before its greeting")))
+
+
+class PeerPool:
+    """The outbound connections of a daemon, one for each peer address.
+
+    A new connection to an address is dialled only after the former one has ended, so
+    greetings from one address arrive in the order of the listeners behind it.
+    """
+
+    def __init__(
+        self,
+        me: PeerId,
+        handler: PeerHandler,
+        reactor: Any,
+        *,
+        window: int,
+        bind_ip: str = "",
+    ) -> None:
+        self._me = me
+        self._handler = handler
+        self._reactor = reactor
+        self._window = window
+        self._bind = (bind_ip, 0) if bind_ip else None
+        self._links: dict[str, _Link] = {}
+
+    @property
+    def reactor(self) -> Any:
+        """The reactor that connections run on."""
+        return self._reactor
+
+    def ready(self, address: str) -> PeerConnection | None:
+        """Return the connection to *address* if it is up."""
+        link = self._links.get(address)
+        return link.ready if link is not None else None
+
+    def connect(self, address: str) -> "Deferred[PeerConnection]":
+        """Return a Deferred of the connection to *address*; fails with PeerUnreachable."""
+        return self._link(address).wait()
+
+    def send_control(self, address: str, message: ControlMessage) -> None:
+        """Send a control message; it may be lost with its connection."""
+        self._link(address).send_control(message)
+
+    def close(self) -> None:
+        """End all connections."""
+        for link in self._links.values():
+            link.close()
+
+    def dial(
+        self,
+        address: str,
+        on_ready: Callable[[PeerConnection], None],
+        on_lost: Callable[[PeerConnection], None],
+    ) -> "Deferred[Any]":
+        """Open one connection."""
+        host, _, port = address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S, bindAddress=self._bind
+        )
+        factory = _DialFactory(
+            lambda: PeerConnection(
+                self._me,
+                self._handler,
+                self._reactor,
+                opener=True,
+                window=self._window,
+                on_ready=on_ready,
+                on_lost=on_lost,
+            )
+        )
+        return endpoint.connect(factory)
+
+    def _link(self, address: str) -> _Link:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = _Link(self, address)
+        return link
+
+
+class _DialFactory(Factory):  # type: ignore[misc]
+    """Builds the protocol of one outbound connection."""
+
+    noisy = False
+
+    def __init__(self, build: Callable[[], PeerConnection]) -> None:
+        self._build = build
+
+    def buildProtocol(self, addr: Any) -> PeerConnection:
+        return self._build()
--- /dev/null
+++ b/packages/transport/src/pearward_transport/platform.py
@@ -0,0 +1,231 @@
+"""The platform's key-value service, as the rest of pearward sees it."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from pearward_protocol import etcd
+from pearward_protocol.errors import BadPlatformAnswer
+from pearward_protocol.etcd import KeyValue, Path, WatchEvent
+
+from .errors import CasConflict, PlatformUnavailable
+from .http_client import BytesBody
+
+__all__ = ["EtcdService", "KeyValueService", "Watch"]
+
+CALL_TIMEOUT_S = 2.0
+MAX_WATCH_LINE = 8 * 1024 * 1024
+
+
+class Watch(Protocol):
+    """A running watch."""
+
+    def stop(self) -> None:
+        """End the watch."""
+
+
+class KeyValueService(Protocol):
+    """What pearward needs of the platform: get, compare-and-swap, leases, watches.
+
+    Every call may raise PlatformUnavailable.
+    """
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key's value, or None."""
+
+    async def scan(self, prefix: str) -> list[KeyValue]:
+        """Return all key-values under *prefix*."""
+
+    async def swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> None:
+        """Replace a value (None deletes) if its revision is the expected one; 0 is absent.
+
+        Raises CasConflict if it is not. After PlatformUnavailable the swap may or
+        may not have been made: read back and look for your write id.
+        """
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return a new lease."""
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    def watch(
+        self,
+        key: str,
+        on_events: Callable[[list[WatchEvent]], None],
+        on_lost: Callable[[], None],
+        *,
+        prefix: bool = False,
+    ) -> Watch:
+        """Report changes of a key, or of all keys under a prefix, until it is lost or stopped."""
+
+
+class EtcdService:
+    """The service by etcd v3's JSON mapping, over twisted.web's client."""
+
+    def __init__(self, reactor: Any, endpoints: list[str]) -> None:
+        self._reactor = reactor
+        self._endpoints = endpoints
+        self._current = 0
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = 4
+        # A swap must never be sent twice behind our back.
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=CALL_TIMEOUT_S, pool=self._pool)
+
+    @classmethod
+    def from_config(cls, reactor: Any, endpoints: tuple[str, ...]) -> "EtcdService":
+        """Build the adapter from checked settings."""
+        return cls(reactor, list(endpoints))
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key's value, or None."""
+        found = etcd.parse_range(await self._call(Path.RANGE, etcd.range_body(key)))
+        return found[0] if found else None
+
+    async def scan(self, prefix: str) -> list[KeyValue]:
+        """Return all key-values under *prefix*."""
+        body = etcd.range_body(prefix, prefix=True)
+        return etcd.parse_range(await self._call(Path.RANGE, body))
+
+    async def swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> None:
+        """Replace a value if its revision is the expected one."""
+        body = etcd.txn_body(key, expected_revision, value, lease)
+        if not etcd.parse_txn_succeeded(await self._call(Path.TXN, body)):
+            raise CasConflict(f"{key}: revision is not {expected_revision} any more")
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return a new lease."""
+        return etcd.parse_lease_id(await self._call(Path.LEASE_GRANT, etcd.lease_body(ttl_s)))
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        answer = await self._call(Path.LEASE_KEEPALIVE, etcd.keepalive_body(lease))
+        return etcd.parse_lease_ttl(answer) > 0
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self._call(Path.LEASE_REVOKE, etcd.revoke_body(lease))
+
+    def watch(
+        self,
+        key: str,
+        on_events: Callable[[list[WatchEvent]], None],
+        on_lost: Callable[[], None],
+        *,
+        prefix: bool = False,
+    ) -> Watch:
+        """Report changes until the watch is lost or stopped."""
+        running = _EtcdWatch(on_events, on_lost)
+        body = etcd.watch_body(key, prefix=prefix)
+        running.begin(self._post(Path.WATCH, etcd.encode_json(body)))
+        return running
+
+    def close(self) -> "Deferred[None]":
+        """End kept connections."""
+        return self._pool.closeCachedConnections()
+
+    def _post(self, path: str, body: bytes) -> "Deferred[Any]":
+        url = f"http://{self._endpoints[self._current]}{path}".encode()
+        headers = Headers({b"Content-Type": [b"application/json"]})
+        return self._agent.request(b"POST", url, headers, BytesBody(body))
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Make one call; every way in which it can fail becomes PlatformUnavailable."""
+        exchange = self._exchange(path, etcd.encode_json(body))
+        exchange.addTimeout(CALL_TIMEOUT_S, self._reactor)
+        try:
+            status, data = await exchange
+        except Exception as error:
+            self._current = (self._current + 1) % len(self._endpoints)
+            name = type(error).__name__
+            raise PlatformUnavailable(f"{path}: {name}: {error}") from error
+        if status != 200:
+            raise PlatformUnavailable(f"{path}: HTTP {status}: {data[:120]!r}")
+        try:
+            return etcd.parse_json(data)
+        except BadPlatformAnswer as error:
+            raise PlatformUnavailable(f"{path}: {error}") from error
+
+    def _exchange(self, path: str, body: bytes) -> "Deferred[tuple[int, bytes]]":
+        def answered(response: Any) -> "Deferred[tuple[int, bytes]]":
+            return readBody(response).addCallback(lambda data: (response.code, data))
+
+        return self._post(path, body).addCallback(answered)
+
+
+class _EtcdWatch(TwistedProtocol):  # type: ignore[misc]
+    """Reads a watch's stream of JSON lines."""
+
+    def __init__(
+        self, on_events: Callable[[list[WatchEvent]], None], on_lost: Callable[[], None]
+    ) -> None:
+        self._on_events = on_events
+        self._on_lost = on_lost
+        self._buffer = b""
+        self._stopped = False
+        self._request: Deferred[Any] | None = None
+
+    def begin(self, request: "Deferred[Any]") -> None:
+        """Take the pending request of the stream."""
+        self._request = request
+        request.addCallbacks(self._answered, self._failed)
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._stopped = True
+        if self.transport is not None:
+            self._abort()
+        elif self._request is not None:
+            self._request.cancel()
+
+    def _answered(self, response: Any) -> None:
+        if response.code != 200:
+            self._lose()
+            return
+        response.deliverBody(self)
+        if self._stopped:
+            self._abort()
+
+    def _failed(self, failure: Failure) -> None:
+        self._lose()
+
+    def dataReceived(self, data: bytes) -> None:
+        self._buffer += data
+        *lines, self._buffer = self._buffer.split(b"\n")
+        try:
+            events = [event for line in lines if line for event in etcd.parse_watch_line(line)]
+        except BadPlatformAnswer:
+            self._abort()
+            return
+        if len(self._buffer) > MAX_WATCH_LINE:
+            self._abort()
+        if events and not self._stopped:
+            self._on_events(events)
+
+    def connectionLost(self, reason: Failure) -> None:
+        self._lose()
+
+    def _abort(self) -> None:
+        transport = self.transport
+        if transport is not None and hasattr(transport, "abortConnection"):
+            transport.abortConnection()
+        elif transport is not None:
+            transport.loseConnection()
+
+    def _lose(self) -> None:
+        if not self._stopped:
+            self._stopped = True
+            self._on_lost()
