--- /dev/null
+++ b/packages/cli/src/pearward_cli/fleet.py
@@ -0,0 +1,91 @@
+"""Asking the daemons themselves: status, confirmations, routes."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from pearward_state.records import Instance, InstanceState
+from pearward_transport.errors import PlatformUnavailable
+from pearward_transport.instances import INSTANCES, parse_instance
+from pearward_transport.platform import KeyValueService
+
+from .errors import PlatformDown
+
+__all__ = ["Fleet", "Report"]
+
+ASK_TIMEOUT_S = 1.5
+AT_ONCE = 64
+"""Daemons that are asked at the same time."""
+POLL_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What one daemon says of itself; *status* is None where it did not answer."""
+
+    instance: Instance
+    status: dict[str, Any] | None
+
+
+class Fleet:
+    """All daemons of the platform's list."""
+
+    def __init__(self, reactor: Any, platform: KeyValueService) -> None:
+        self._reactor = reactor
+        self._platform = platform
+        pool = HTTPConnectionPool(reactor, persistent=False)
+        self._agent = Agent(reactor, connectTimeout=ASK_TIMEOUT_S, pool=pool)
+
+    async def instances(self) -> list[Instance]:
+        """Return the platform's list."""
+        try:
+            pairs = await self._platform.scan(INSTANCES)
+        except PlatformUnavailable as error:
+            raise PlatformDown(str(error)) from error
+        return [i for i in map(parse_instance, pairs) if i is not None]
+
+    async def reports(self, instances: list[Instance]) -> list[Report]:
+        """Ask every daemon, a bounded number at once."""
+        reports: list[Report] = []
+        for start in range(0, len(instances), AT_ONCE):
+            group = instances[start : start + AT_ONCE]
+            asked = [ensureDeferred(self._ask(instance)) for instance in group]
+            results = await DeferredList(asked, consumeErrors=True)
+            reports.extend(report for _, report in results)
+        return reports
+
+    async def wait_confirmed(self, versions: dict[str, int], timeout_s: float) -> list[Report]:
+        """Wait until all live daemons act on *versions*; return those that do not yet."""
+        deadline = self._reactor.seconds() + timeout_s
+        missing = [i for i in await self.instances() if i.state is InstanceState.LIVE]
+        while True:
+            reports = await self.reports(missing)
+            behind = [r for r in reports if not _confirms(r, versions)]
+            if not behind or self._reactor.seconds() >= deadline:
+                return behind
+            missing = [r.instance for r in behind]
+            waited: Deferred[None] = Deferred()
+            self._reactor.callLater(POLL_S, waited.callback, None)
+            await waited
+
+    async def _ask(self, instance: Instance) -> Report:
+        host = instance.admin_address or instance.address
+        url = f"http://{host}:{instance.admin_port}/status".encode()
+        exchange = self._agent.request(b"GET", url).addCallback(readBody)
+        exchange.addTimeout(ASK_TIMEOUT_S, self._reactor)
+        try:
+            return Report(instance, json.loads(await exchange))
+        except Exception:
+            # Whatever keeps a daemon from answering, it is reported as not answering.
+            return Report(instance, None)
+
+
+def _confirms(report: Report, versions: dict[str, int]) -> bool:
+    """Return whether a daemon acts on at least *versions*."""
+    if report.status is None:
+        return False
+    known = report.status.get("versions", {})
+    return all(known.get(key, 0) >= version for key, version in versions.items())
--- a/packages/coordination/src/pearward_coordination/retry.py
+++ b/packages/coordination/src/pearward_coordination/retry.py
@@ -1,10 +1,15 @@
 """Whether a failed attempt may be made again: outcome, repeatability, deadline and budget."""
 
+from __future__ import annotations
+
 from dataclasses import dataclass
-from random import Random
+from typing import TYPE_CHECKING
 
 from pearward_state.outcome import Outcome, Reason
 
+if TYPE_CHECKING:
+    from random import Random
+
 __all__ = ["Attempt", "RetryBudget", "RetryDecision", "decide_retry"]
 
 MAX_ATTEMPTS = 64
--- a/packages/coordination/src/pearward_coordination/routing.py
+++ b/packages/coordination/src/pearward_coordination/routing.py
@@ -1,8 +1,10 @@
 """Where a request goes: the owner of its key, or the less loaded of two servers."""
 
+from __future__ import annotations
+
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
-from random import Random
+from typing import TYPE_CHECKING
 
 from pearward_state.keys import key_hash, service_seed
 from pearward_state.records import CellRecord, Member, MemberState
@@ -11,6 +13,9 @@
 
 from .errors import CoordinationError
 
+if TYPE_CHECKING:
+    from random import Random
+
 __all__ = ["NoRoute", "Route", "Router", "UnknownService"]
 
 
--- a/packages/coordination/src/pearward_coordination/spread.py
+++ b/packages/coordination/src/pearward_coordination/spread.py
@@ -5,14 +5,19 @@
 older one is never applied.
 """
 
+from __future__ import annotations
+
 from collections.abc import Sequence
 from dataclasses import dataclass
-from random import Random
+from typing import TYPE_CHECKING
 
 import xxhash
 
 from .messages import Digest, Pull, Push, VersionedKey
 
+if TYPE_CHECKING:
+    from random import Random
+
 __all__ = ["RecordSpread", "Stored"]
 
 FANOUT = 3
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -31,10 +31,11 @@
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PlatformUnavailable, ServerBroke, ServerUnreachable
 from pearward_transport.http_client import BytesBody, ServerClient
+from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.peer import PeerPool
 from pearward_transport.platform import KeyValueService
 
-from .coordinating import CellWriter, Seeker, parse_instance, spawn
+from .coordinating import CellWriter, Seeker, spawn
 from .settings import Settings
 
 __all__ = ["ControlPlane"]
@@ -319,7 +320,7 @@
         """Read the platform's list once, to know whom to ask for the rest."""
         while self._loop.running:
             try:
-                pairs = await self._platform.scan("instances/")
+                pairs = await self._platform.scan(INSTANCES)
             except PlatformUnavailable as error:
                 eliot.log_message("pearward:platform", call="find peers", error=str(error))
                 pairs = []
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -19,13 +19,14 @@
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
-from pearward_state.records import CellRecord, Instance, InstanceState
+from pearward_state.records import CellRecord
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import CasConflict, PlatformUnavailable
+from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import KeyValueService, Watch
 
-__all__ = ["CellWriter", "Seeker", "parse_instance"]
+__all__ = ["CellWriter", "Seeker", "spawn"]
 
 ROLE_TTL_S = 15
 KEEP_ALIVE_S = 5.0
@@ -56,23 +57,6 @@
         """Answer a member's heartbeat."""
 
 
-def parse_instance(pair: KeyValue) -> Instance | None:
-    """Read an entry of the platform's list of instances; None where it makes no sense."""
-    try:
-        raw = json.loads(pair.value)
-        return Instance(
-            name=pair.key.rpartition("/")[2],
-            address=str(raw["address"]),
-            failure_domain=str(raw["failure_domain"]),
-            state=InstanceState(raw.get("state", "live")),
-            peer_port=int(raw.get("peer_port", 0)),
-            caller_port=int(raw.get("caller_port", 0)),
-            admin_port=int(raw.get("admin_port", 0)),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
-
-
 def spawn(coroutine: Any) -> "Deferred[None]":
     """Run a coroutine; an unexpected error is logged, never lost."""
 
@@ -293,7 +277,7 @@
     async def _poll_instances(self) -> None:
         self._polling = True
         try:
-            pairs = await self._platform.scan("instances/")
+            pairs = await self._platform.scan(INSTANCES)
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="list instances", error=str(error))
             return
--- a/packages/devtools/src/pearward_devtools/cluster.py
+++ b/packages/devtools/src/pearward_devtools/cluster.py
@@ -155,6 +155,7 @@
         for node in self.nodes:
             self.start_server(node)
         for node in self.nodes:
+            self.wait_server(node)
             self.start_daemon(node)
         if wait:
             self.wait_ready()
@@ -210,6 +211,9 @@
             f"server-{node.name}", "pearward_devtools.standin_server",
             "--address", node.server_address, fenced,
         )  # fmt: skip
+
+    def wait_server(self, node: Node) -> None:
+        """Wait until a node's server answers."""
         wait_until(lambda: self._answers(node.server_address, "/health"), node.server_address)
 
     def start_daemon(self, node: Node) -> None:
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/launcher.py
@@ -0,0 +1,177 @@
+"""``make run``: the six services at reduced size, mixed traffic, one planned stop, the promises."""
+
+import subprocess
+import sys
+import time
+
+import click
+
+from .cluster import Cluster, Node, ServiceSpec, wait_until
+from .promises import (
+    Verdict,
+    at_most_once,
+    no_new_work,
+    no_request_cut,
+    not_run_is_true,
+    one_owner,
+    whole_answers,
+)
+from .traffic import Flow, Traffic
+
+__all__ = ["main"]
+
+DOMAINS = ["bp-hall-a", "bp-hall-b", "gyor-hall"]
+SERVICES = [
+    ServiceSpec("roster-app", "keyed", 3, {"policy": "patient"}),
+    ServiceSpec("timesheet-core", "pooled", 3, {"default_class": "submit"}),
+    ServiceSpec("export-hub", "pooled", 3, {"default_class": "export"}),
+    ServiceSpec("premview", "keyed", 3, {"policy": "quick"}),
+    ServiceSpec("paypost", "pooled", 3, {"default_class": "submit"}),
+    ServiceSpec("stmtvault", "pooled", 3, {"default_class": "export"}),
+]
+FLOWS = [
+    Flow("roster-app", 4, keys=500),
+    Flow("timesheet-core", 2, method="POST", body_bytes=4000, request_class="submit"),
+    Flow("export-hub", 1, answer_bytes=4_000_000, path="/e?rate=2000000", request_class="export"),
+    Flow("premview", 4, keys=500),
+    Flow("paypost", 2, method="POST", body_bytes=300, request_class="submit"),
+    Flow("stmtvault", 1, answer_bytes=2_000_000, request_class="export"),
+]
+BEFORE_S, AFTER_S = 3.0, 3.0
+
+
+def _status_of_change(cluster: Cluster) -> Verdict:
+    """Change a row with the operators' command and wait for every daemon."""
+    began = time.monotonic()
+    result = subprocess.run(
+        [
+            sys.executable, "-m", "pearward_cli.main", "--platform", cluster.platform_address,
+            "set", "premview", "limit=500", "--wait",
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )  # fmt: skip
+    took_s = time.monotonic() - began
+    versions = [
+        status["versions"].get("table/premview", 0)
+        for node in cluster.nodes
+        if (status := cluster.status(node)) is not None
+    ]
+    return Verdict(
+        "an accepted change is in force everywhere within seconds",
+        result.returncode == 0 and min(versions) >= 2,
+        f"{len(versions)} daemons, command took {took_s:.1f} s {result.stderr.strip()}",
+    )
+
+
+def _assignments_kept(cluster: Cluster, versions: dict[str, int]) -> Verdict:
+    """Every shard still has an owner, and no record went back."""
+    lost = back = shards = 0
+    for service, version in versions.items():
+        record = cluster.record(service)
+        back += record["version"] < version
+        shards += len(record["owners"])
+        lost += sum(owner >= len(record["members"]) for owner in record["owners"])
+    return Verdict(
+        "an acknowledged assignment survives",
+        not lost and not back,
+        f"{shards} shards, {lost} without owner, {back} records went back",
+    )
+
+
+def _planned_stop(cluster: Cluster, node: Node) -> tuple[float, float, int]:
+    """Stop a daemon as planned and start it again; return when, until when and its exit code."""
+    began = time.time()
+    process = cluster.terminate_daemon(node)
+    code = process.wait(timeout=60)
+    ended = time.time()
+    cluster.start_daemon(node)
+    wait_until(cluster.ready, "the restarted daemon")
+    return began, ended, code
+
+
+def run_demo(cluster: Cluster) -> list[Verdict]:
+    """Send traffic around one planned stop and check the promises."""
+    stopping = cluster.of("roster-app")[0]
+    leaving: list[str] = []
+
+    def addresses() -> list[str]:
+        return [n.caller for n in cluster.nodes if n.caller not in leaving]
+
+    versions = {s.name: cluster.record(s.name)["version"] for s in SERVICES}
+    traffic = Traffic(FLOWS, addresses)
+    traffic.start()
+    time.sleep(BEFORE_S)
+    change = _status_of_change(cluster)
+    # Callers learn from readyz that a daemon is leaving; requests under way go on.
+    leaving.append(stopping.caller)
+    began, ended, code = _planned_stop(cluster, stopping)
+    leaving.clear()
+    time.sleep(AFTER_S)
+    sent = traffic.stop()
+    runs = [run for spec in SERVICES for run in cluster.runs(spec.name)]
+    keyed = [run for run in runs if run["epoch"]]
+    by_service = [
+        one_owner([r for r in keyed if r["server"].startswith(name)])
+        for name in ("roster-app", "premview")
+    ]
+    owners = Verdict(
+        by_service[0].promise,
+        all(v.held for v in by_service),
+        "; ".join(v.counts for v in by_service),
+    )
+    stop = no_request_cut(sent, "a planned stop")
+    return [
+        owners,
+        _assignments_kept(cluster, versions),
+        whole_answers(sent),
+        not_run_is_true(sent, runs),
+        at_most_once(sent, runs),
+        no_new_work(runs, stopping.server, began, ended),
+        Verdict(stop.promise, stop.held and code == 0, f"{stop.counts}, daemon exit {code}"),
+        change,
+    ]
+
+
+def _show_addresses(cluster: Cluster) -> None:
+    """Print what to try."""
+    first = cluster.of("roster-app")[0]
+    click.echo(f"\nplatform {cluster.platform_address}, files in {cluster.directory}")
+    for node in cluster.nodes:
+        click.echo(f"  {node.name:<18} callers {node.caller}  operators {node.admin}")
+    platform = f"--platform {cluster.platform_address}"
+    click.echo(
+        "\ntry:\n"
+        f"  curl -i -H 'Pearward-Service: roster-app' -H 'Pearward-Key: crew-7' "
+        f"http://{first.caller}/crew/7\n"
+        f"  .venv/bin/pearward {platform} status\n"
+        f"  .venv/bin/pearward {platform} route roster-app crew-7\n"
+        f"  .venv/bin/pearward {platform} drain roster-app/roster-app-0 --wait\n"
+        f"  curl -s http://{first.admin}/metrics\n"
+        "Ctrl-C ends everything."
+    )
+
+
+@click.command()
+@click.option("--keep", is_flag=True, help="Leave everything running afterwards.")
+def main(keep: bool) -> None:
+    """Run the demonstration; exits non-zero if a promise broke."""
+    with Cluster(SERVICES, DOMAINS) as cluster:
+        click.echo(f"starting {sum(s.servers for s in SERVICES)} daemons and as many servers")
+        cluster.start()
+        verdicts = run_demo(cluster)
+        for verdict in verdicts:
+            click.echo(str(verdict))
+        if keep:
+            _show_addresses(cluster)
+            try:
+                while True:
+                    time.sleep(3600)
+            except KeyboardInterrupt:
+                pass
+    sys.exit(0 if all(v.held for v in verdicts) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/state/src/pearward_state/records.py
+++ b/packages/state/src/pearward_state/records.py
@@ -36,6 +36,8 @@
     peer_port: int = 0
     caller_port: int = 0
     admin_port: int = 0
+    admin_address: str = ""
+    """IP number of the operators' port, where it is not the instance's own."""
 
 
 class MemberState(StrEnum):
