Bench of the request path

Cause: no figures. Change: make bench ONLY=path: throughput, latency at half load, memory, processor time by leg, each beside a direct call in the same run.

--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each group prints one JSON object a line."""
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/bench/__main__.py
@@ -0,0 +1,19 @@
+"""``make bench``: run the groups of measurements, or one of them."""
+
+import importlib
+
+import click
+
+GROUPS = ("path",)
+
+
+@click.command()
+@click.option("--only", type=click.Choice(GROUPS), help="One group alone.")
+def main(only: str | None) -> None:
+    """Measure; one JSON object a line: name, value, unit, baseline."""
+    for group in (only,) if only else GROUPS:
+        importlib.import_module(f"pearward_devtools.bench.{group}").run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/bench/path.py
@@ -0,0 +1,205 @@
+"""The request path: throughput, added latency, memory and processor time by leg."""
+
+import json
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import psutil
+
+from pearward_devtools.cluster import Cluster, Node, ServiceSpec
+from pearward_state.keys import key_hash, service_seed
+from pearward_state.records import CellRecord
+
+from .report import emit
+
+__all__ = ["run"]
+
+SERVICE = "roster-app"
+GENERATORS = 3
+SECONDS = 4.0
+MIB = 1024 * 1024
+STREAM_BYTES = 1024 * MIB
+OPEN_STREAMS = 1000
+
+
+@dataclass(frozen=True)
+class _Load:
+    """The sum of some load generators."""
+
+    rps: float
+    p50_ms: float
+    p99_ms: float
+    errors: int
+    bytes: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class _Scene:
+    """Who plays which part."""
+
+    cluster: Cluster
+    ingress: Node
+    owner: Node
+    keys: list[str]
+
+    @property
+    def headers(self) -> list[str]:
+        """Headers of every request."""
+        return [f"Pearward-Service={SERVICE}"]
+
+
+def _keys_of(cluster: Cluster, node: Node, count: int) -> list[str]:
+    """Return keys that a node's server owns."""
+    record = CellRecord.from_bytes(json.dumps(cluster.record(SERVICE)).encode())
+    seed = service_seed(SERVICE)
+    found: list[str] = []
+    number = 0
+    while len(found) < count:
+        key = f"key-{number}"
+        owner = record.owner_of(record.shards.find(key_hash(key.encode(), seed)))
+        if owner is not None and owner.server == node.server:
+            found.append(key)
+        number += 1
+    return found
+
+
+def _generate(
+    scene: _Scene, target: str, *, path: str = "/standin/plain", rate: float = 0.0,
+    generators: int = GENERATORS, workers: int = 12, seconds: float = SECONDS,
+) -> _Load:  # fmt: skip
+    """Run load generators side by side and add them up."""
+    command = [
+        sys.executable, "-m", "pearward_devtools.loadgen", "--target", target, "--path", path,
+        "--workers", str(workers), "--seconds", str(seconds), "--rate", str(rate / generators),
+    ]  # fmt: skip
+    for header in scene.headers:
+        command += ["--header", header]
+    for key in scene.keys:
+        command += ["--key", key]
+    processes = [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(generators)]
+    rows: list[dict[str, Any]] = [json.loads(p.communicate()[0]) for p in processes]
+    return _Load(
+        sum(r["count"] / r["seconds"] for r in rows),
+        max(r["p50_ms"] for r in rows),
+        max(r["p99_ms"] for r in rows),
+        sum(r["errors"] for r in rows),
+        sum(r["bytes"] for r in rows),
+        max(r["seconds"] for r in rows),
+    )
+
+
+def _process(node: Node) -> psutil.Process:
+    assert node.daemon is not None
+    return psutil.Process(node.daemon.pid)
+
+
+def _rss_mb(node: Node) -> float:
+    return _process(node).memory_info().rss / MIB
+
+
+def _cpu_s(node: Node) -> float:
+    times = _process(node).cpu_times()
+    return float(times.user + times.system)
+
+
+def _throughput(scene: _Scene) -> _Load:
+    """Measure requests a second as fast as possible: direct, local and over one hop."""
+    direct = _generate(scene, scene.owner.server_address)
+    owner_before = _cpu_s(scene.owner)
+    local = _generate(scene, scene.owner.caller)
+    local_cpu = (_cpu_s(scene.owner) - owner_before) / max(1.0, local.rps * local.seconds)
+    ingress_before, owner_before = _cpu_s(scene.ingress), _cpu_s(scene.owner)
+    onehop = _generate(scene, scene.ingress.caller)
+    requests = max(1.0, onehop.rps * onehop.seconds)
+    emit("direct_rps", direct.rps, "1/s")
+    emit("local_rps", local.rps, "1/s", direct.rps)
+    emit("local_rps_ratio", local.rps / direct.rps, "ratio", 1.0)
+    emit("onehop_rps", onehop.rps, "1/s", direct.rps)
+    emit("onehop_rps_ratio", onehop.rps / direct.rps, "ratio", 1.0)
+    emit("path_errors", direct.errors + local.errors + onehop.errors, "requests", 0)
+    emit("cpu_local_us", local_cpu * 1e6, "us/request")
+    emit("cpu_ingress_us", (_cpu_s(scene.ingress) - ingress_before) / requests * 1e6, "us/request")
+    emit("cpu_owner_us", (_cpu_s(scene.owner) - owner_before) / requests * 1e6, "us/request")
+    return onehop
+
+
+def _added_latency(scene: _Scene, rate: float) -> None:
+    """Measure latency at half load beside a direct call at the same rate."""
+    load = {"rate": rate, "generators": 2, "workers": 24, "seconds": 4.0}
+    direct = _generate(scene, scene.owner.server_address, **load)  # type: ignore[arg-type]
+    local = _generate(scene, scene.owner.caller, **load)  # type: ignore[arg-type]
+    onehop = _generate(scene, scene.ingress.caller, **load)  # type: ignore[arg-type]
+    emit("half_load_rps", rate, "1/s")
+    for name, measured in (("local", local), ("onehop", onehop)):
+        emit(f"{name}_added_p50_ms", measured.p50_ms - direct.p50_ms, "ms", direct.p50_ms)
+        emit(f"{name}_added_p99_ms", measured.p99_ms - direct.p99_ms, "ms", direct.p99_ms)
+
+
+def _streaming(scene: _Scene) -> None:
+    """Stream a gigabyte through two daemons and watch their memory."""
+    before = (_rss_mb(scene.ingress), _rss_mb(scene.owner))
+    peak = list(before)
+    path = f"/download?bytes={STREAM_BYTES}"
+    command = [
+        sys.executable, "-m", "pearward_devtools.loadgen", "--target", scene.ingress.caller,
+        "--path", path, "--workers", "1", "--seconds", "0.01",
+        "--header", scene.headers[0], "--key", scene.keys[0],
+    ]  # fmt: skip
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    while process.poll() is None:
+        peak[0] = max(peak[0], _rss_mb(scene.ingress))
+        peak[1] = max(peak[1], _rss_mb(scene.owner))
+        time.sleep(0.02)
+    assert process.stdout is not None
+    row = json.loads(process.stdout.read())
+    command[command.index(scene.ingress.caller)] = scene.owner.server_address
+    direct = json.loads(subprocess.run(command, capture_output=True, check=True).stdout)
+    emit("stream_bytes_short", STREAM_BYTES - row["bytes"], "bytes", 0)
+    emit("stream_rss_growth_mb", max(peak[0] - before[0], peak[1] - before[1]), "MB", 16)
+    rate = row["bytes"] / row["seconds"] / MIB
+    emit("stream_mb_s", rate, "MB/s", direct["bytes"] / direct["seconds"] / MIB)
+
+
+def _open_streams(scene: _Scene) -> None:
+    """Hold many requests open at once and see what each costs in memory."""
+    before = (_rss_mb(scene.ingress), _rss_mb(scene.owner))
+    command = [
+        sys.executable, "-m", "pearward_devtools.loadgen", "--target", scene.ingress.caller,
+        "--path", "/work?work_ms=4000", "--workers", str(OPEN_STREAMS), "--seconds", "1",
+        "--header", scene.headers[0], "--key", scene.keys[0],
+    ]  # fmt: skip
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    peak = list(before)
+    while process.poll() is None:
+        peak[0] = max(peak[0], _rss_mb(scene.ingress))
+        peak[1] = max(peak[1], _rss_mb(scene.owner))
+        time.sleep(0.05)
+    assert process.stdout is not None
+    row = json.loads(process.stdout.read())
+    emit("open_streams_errors", row["errors"], "requests", 0)
+    per = 1000 / OPEN_STREAMS
+    emit("rss_ingress_per_1000_streams_mb", (peak[0] - before[0]) * per, "MB")
+    emit("rss_owner_per_1000_streams_mb", (peak[1] - before[1]) * per, "MB")
+
+
+def run() -> None:
+    """Run the group."""
+    spec = ServiceSpec(SERVICE, "keyed", 3, server_fields={"slots": 2000, "connections": 4000})
+    settings = {"limits": {"queue": 4000}}
+    with Cluster([spec], ["a", "b", "c"], settings=settings) as cluster:
+        cluster.start()
+        ingress, owner = cluster.nodes[0], cluster.nodes[1]
+        scene = _Scene(cluster, ingress, owner, _keys_of(cluster, owner, 20))
+        time.sleep(1.0)
+        emit("rss_idle_mb", _rss_mb(owner), "MB", 64)
+        before = _cpu_s(owner)
+        time.sleep(4.0)
+        emit("cpu_idle_percent", (_cpu_s(owner) - before) / 4.0 * 100, "% of a core", 2.9)
+        onehop = _throughput(scene)
+        _added_latency(scene, onehop.rps / 2)
+        _streaming(scene)
+        _open_streams(scene)
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/loadgen.py
@@ -0,0 +1,142 @@
+"""A load generator: one process, many kept connections, a bounded time; prints one JSON line."""
+
+import json
+import time
+from random import Random
+from typing import Any
+
+import click
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
+from twisted.web.http_headers import Headers
+
+from pearward_transport.errors import TransportError
+from pearward_transport.http_client import ServerClient
+
+__all__ = ["main"]
+
+
+class Load:
+    """Workers that make requests one after another, or at given times."""
+
+    def __init__(
+        self,
+        targets: list[str],
+        headers: dict[str, str],
+        keys: list[str],
+        path: str,
+        *,
+        workers: int,
+        seconds: float,
+        rate: float,
+    ) -> None:
+        self._clients = [ServerClient(reactor, target) for target in targets]
+        self._headers = [
+            Headers({name: [value] for name, value in {**headers, "Pearward-Key": key}.items()})
+            for key in keys or [""]
+        ]
+        for header in self._headers:
+            header.setRawHeaders("Host", [targets[0]])
+            if not keys:
+                header.removeHeader("Pearward-Key")
+        self._path = path.encode()
+        self._workers = workers
+        self._seconds = seconds
+        self._interval = workers / rate if rate else 0.0
+        self._rng = Random(1)
+        self.latencies: list[float] = []
+        self.errors = 0
+        self.bytes = 0
+
+    async def run(self) -> float:
+        """Run all workers and return the seconds that it took."""
+        began = time.perf_counter()
+        end = began + self._seconds
+        await gatherResults(
+            [ensureDeferred(self._work(number, end)) for number in range(self._workers)]
+        )
+        return time.perf_counter() - began
+
+    async def _work(self, number: int, end: float) -> None:
+        client = self._clients[number % len(self._clients)]
+        due = time.perf_counter() + self._interval * number / self._workers
+        while True:
+            now = time.perf_counter()
+            if now >= end:
+                return
+            if self._interval:
+                if due > now:
+                    await _sleep(due - now)
+                began, due = due, due + self._interval
+            else:
+                began = now
+            if await self._one(client):
+                self.latencies.append(time.perf_counter() - began)
+            else:
+                self.errors += 1
+
+    async def _one(self, client: ServerClient) -> bool:
+        try:
+            connection = client.take() or await client.connect()
+            headers = self._headers[self._rng.randrange(len(self._headers))]
+            response = await connection.request(b"GET", self._path, headers, None)
+            ended: Deferred[bool] = Deferred()
+            connection.read_body(self._count, ended.callback)
+            return bool(await ended) and response.code == 200
+        except TransportError:
+            return False
+
+    def _count(self, data: bytes) -> None:
+        self.bytes += len(data)
+
+
+def _sleep(seconds: float) -> "Deferred[None]":
+    waited: Deferred[None] = Deferred()
+    reactor.callLater(seconds, waited.callback, None)
+    return waited
+
+
+def _percentile(values: list[float], share: float) -> float:
+    return values[min(len(values) - 1, int(len(values) * share))] if values else 0.0
+
+
+@click.command()
+@click.option("--target", "targets", multiple=True, required=True)
+@click.option("--header", "headers", multiple=True, help="Name=value")
+@click.option("--key", "keys", multiple=True)
+@click.option("--path", default="/standin/plain")
+@click.option("--workers", default=16)
+@click.option("--seconds", default=3.0)
+@click.option("--rate", default=0.0, help="Requests a second; 0 is as fast as possible.")
+def main(
+    targets: tuple[str, ...],
+    headers: tuple[str, ...],
+    keys: tuple[str, ...],
+    path: str,
+    workers: int,
+    seconds: float,
+    rate: float,
+) -> None:
+    """Make requests for a while."""
+    pairs = dict(header.split("=", 1) for header in headers)
+    load = Load(list(targets), pairs, list(keys), path, workers=workers, seconds=seconds, rate=rate)
+
+    def finish(took: Any) -> None:
+        values = sorted(load.latencies)
+        result = {
+            "count": len(values),
+            "errors": load.errors,
+            "bytes": load.bytes,
+            "seconds": took if isinstance(took, float) else -1,
+            "p50_ms": _percentile(values, 0.5) * 1000,
+            "p99_ms": _percentile(values, 0.99) * 1000,
+        }
+        click.echo(json.dumps(result))
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: ensureDeferred(load.run()).addBoth(finish))
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/devtools/src/pearward_devtools/promises.py
+++ b/packages/devtools/src/pearward_devtools/promises.py
@@ -3,6 +3,7 @@
 Each check returns a line with its counts and whether the promise held.
 """
 
+import itertools
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -47,7 +48,7 @@
     backwards = 0
     for visits in by_shard.values():
         epochs = [epoch for _, epoch in sorted(visits)]
-        backwards += sum(b < a for a, b in zip(epochs, epochs[1:], strict=False))
+        backwards += sum(b < a for a, b in itertools.pairwise(epochs))
     counts = (
         f"{len(by_shard)} shards used, {len(servers)} ownerships, "
         f"{shared} shared, {backwards} runs under an older epoch after a newer one"
