--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,89 @@
+"""Clusters of real processes, one for each feature that asks for one by a tag."""
+
+import json
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from pearward_devtools.caller import Caller
+from pearward_devtools.cluster import Cluster, ServiceSpec
+
+DOMAINS = ["waco-a", "waco-b", "temple-a", "temple-b"]
+SPECS = {
+    "quick": ServiceSpec("premview", "keyed", 4, {"policy": "quick"}),
+    "patient": ServiceSpec("roster-app", "keyed", 3, {"policy": "patient", "wait_return_s": 8.0}),
+    "pooled": ServiceSpec("paypost", "pooled", 3),
+    "unfenced": ServiceSpec("premview", "keyed", 3, {"policy": "quick"}, {"fenced": False}),
+}
+
+
+def _services(tags: list[str]) -> list[ServiceSpec]:
+    """Return the services that a feature's tag ``cluster.<a>.<b>`` names."""
+    for tag in tags:
+        if tag.startswith("cluster."):
+            return [SPECS[name] for name in tag.split(".")[1:]]
+    return []
+
+
+def before_feature(context: Any, feature: Any) -> None:
+    """Start the feature's cluster."""
+    context.cluster = None
+    services = _services(feature.tags)
+    if services:
+        settings = {"log": {"requests": "all"}, "limits": {"header_bytes": 4096}}
+        context.cluster = Cluster(
+            services, DOMAINS, proxied="proxied" in feature.tags, settings=settings
+        )
+        context.cluster.start()
+
+
+def after_feature(context: Any, feature: Any) -> None:
+    """End the feature's cluster; keep its logs where a failure should be looked into."""
+    if context.cluster is not None:
+        keep = os.environ.get("KEEP_LOGS")
+        if keep and feature.status.name != "passed":
+            shutil.copytree(
+                context.cluster.directory, Path(keep) / feature.name, dirs_exist_ok=True
+            )
+        context.cluster.stop()
+
+
+def before_scenario(context: Any, scenario: Any) -> None:
+    """Give each scenario its own caller and clean notes."""
+    context.caller = Caller()
+    context.answers = []
+    context.notes = {}
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    """End all faults and bring back what a scenario took away."""
+    cluster = context.cluster
+    if cluster is None:
+        return
+    cluster.platform_faults()
+    if "proxied" in scenario.feature.tags:
+        cluster.link_faults([])
+    for node in cluster.nodes:
+        cluster.resume(node)
+        if node.server_process is None:
+            cluster.start_server(node)
+        if node.daemon is None:
+            cluster.start_daemon(node)
+    cluster.wait_ready()
+
+
+def run_pearward(context: Any, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the operators' command against the feature's platform."""
+    return subprocess.run(
+        [sys.executable, "-m", "pearward_cli.main", "--platform", context.cluster.platform_address,
+         *arguments],
+        capture_output=True, text=True, check=False, timeout=60,
+    )  # fmt: skip
+
+
+def parsed(result: subprocess.CompletedProcess[str]) -> Any:
+    """Return the JSON that a command printed."""
+    return json.loads(result.stdout)
--- /dev/null
+++ b/features/patience.feature
@@ -0,0 +1,34 @@
+@cluster.patient.pooled
+Feature: Patient services move few keys, pooled ones lose no work
+
+  Scenario: A killed daemon that returns gets its keys back
+    Given callers send requests to "roster-app"
+    When the daemon of the owner of "crew-1" is killed and started again
+    Then every key of "roster-app" is served again
+    And no key of "roster-app" has moved to another server
+    And the promises hold for "roster-app"
+
+  Scenario: A planned stop lets a long download end
+    When a long download from "paypost" through "paypost-0" is under way
+    And the daemon "paypost-0" is stopped as planned
+    Then the download ends whole and the caller's own
+    And that daemon ends with exit code 0
+
+  Scenario: A drained server gets no new work and cuts none
+    Given callers send requests to "paypost"
+    When the command "drain paypost/paypost-1 --wait" is run
+    And 2 seconds pass
+    Then "paypost-1" gets no work during 2 seconds
+    And no request to "paypost" failed meanwhile
+    When the command "drain paypost/paypost-1 --off --wait" is run
+    Then "paypost-1" gets work again
+    And the promises hold for "paypost"
+
+  Scenario: A drained server hands its keys over
+    Given callers send requests to "roster-app"
+    When the command "drain roster-app/roster-app-0 --wait" is run
+    Then "roster-app-0" comes to own nothing
+    And no request to "roster-app" failed meanwhile
+    When the command "drain roster-app/roster-app-0 --off --wait" is run
+    Then "roster-app-0" comes to own its share
+    And the promises hold for "roster-app"
--- /dev/null
+++ b/features/steps/fault_steps.py
@@ -0,0 +1,342 @@
+"""Steps that break things, and that look at what the servers really ran."""
+
+import time
+from typing import Any
+
+from behave import given, then, when
+from environment import run_pearward
+
+from pearward_devtools.cluster import Node, wait_until
+from pearward_devtools.promises import (
+    at_most_once,
+    no_request_cut,
+    not_run_is_true,
+    one_owner,
+    whole_answers,
+)
+from pearward_devtools.traffic import Flow, Traffic
+
+KEYS = 60
+
+
+@given('callers send requests to "{service}"')
+def traffic(context: Any, service: str) -> None:
+    keyed = service in ("premview", "roster-app")
+    keys = KEYS if keyed else 0
+    flows = [
+        Flow(service, 3, keys=keys),
+        Flow(service, 2, keys=keys, method="POST", body_bytes=200, request_class="submit"),
+    ]
+    context.notes["runs_before"] = _placements(context, service)
+    running = Traffic(flows, lambda: _reachable(context))
+    running.start()
+    context.notes["traffic"] = running
+    # Also ended where a step fails, so that no caller outlives its scenario.
+    context.add_cleanup(running.stop)
+    wait_until(lambda: len(running.sent) > 30, "traffic")
+
+
+def _reachable(context: Any) -> list[str]:
+    """Return the callers' addresses of daemons that are there, as callers would learn them."""
+    gone = context.notes.get("gone", [])
+    return [n.caller for n in context.cluster.nodes if n.daemon is not None and n not in gone]
+
+
+def _placements(context: Any, service: str) -> dict[int, str]:
+    record = context.cluster.record(service)
+    if not record:
+        return {}
+    servers = [member[2] for member in record["members"]]
+    pairs = zip(record["starts"], record["owners"], strict=True)
+    return {start: servers[owner] for start, owner in pairs}
+
+
+def _owner(context: Any, key: str) -> Node:
+    service = "premview" if key.startswith("acct") else "roster-app"
+    node = wait_until(lambda: context.cluster.owner_of(service, key), f"an owner of {key}")
+    context.notes.setdefault("victims", {})[key] = node
+    return node  # type: ignore[no-any-return]
+
+
+def _lose(context: Any, node: Node) -> None:
+    context.notes.setdefault("gone", []).append(node)
+
+
+# -- breaking --------------------------------------------------------------------
+
+
+@when('the daemon of the owner of "{key}" is killed')
+def kill_owner(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    _lose(context, node)
+    context.cluster.kill_daemon(node)
+
+
+@when('the daemon that coordinates "{service}" is killed')
+def kill_coordinator(context: Any, service: str) -> None:
+    node = wait_until(lambda: _coordinator(context, service), "a coordinator")
+    _lose(context, node)
+    context.cluster.kill_daemon(node)
+
+
+def _coordinator(context: Any, service: str) -> Node | None:
+    for node in context.cluster.of(service):
+        status = context.cluster.status(node)
+        if status is not None and status["coordinating"]:
+            return node  # type: ignore[no-any-return]
+    return None
+
+
+@when('the server of the owner of "{key}" is killed')
+def kill_server(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    context.notes["dead_runs"] = context.cluster.runs(node.service)
+    context.cluster.kill_server(node)
+
+
+@when('the daemon of the owner of "{key}" is frozen')
+def freeze_daemon(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    _lose(context, node)
+    context.cluster.freeze(node)
+
+
+@when('the daemon and the server of the owner of "{key}" are frozen')
+def freeze_both(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    _lose(context, node)
+    context.cluster.freeze(node, server=True)
+
+
+@when("the frozen processes go on")
+def thaw(context: Any) -> None:
+    for node in context.cluster.nodes:
+        context.cluster.resume(node)
+    context.notes["gone"] = []
+
+
+@when('the owner of "{key}" is cut off from all peers')
+def cut_off(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    _lose(context, node)
+    _links(context, node, "cut")
+
+
+@when('the links of the owner of "{key}" go silent')
+def go_silent(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    _lose(context, node)
+    _links(context, node, "stall")
+
+
+def _links(context: Any, node: Node, kind: str, seconds: float = 0.0) -> None:
+    faults = context.notes.setdefault("faults", [])
+    faults += [
+        {"from": node.ip, "to": "*", "kind": kind, "seconds": seconds},
+        {"from": "*", "to": node.ip, "kind": kind, "seconds": seconds},
+    ]
+    context.cluster.link_faults(faults)
+
+
+@when('the links of the owner of "{key}" delay by {delay:d} ms')
+def delay_links(context: Any, key: str, delay: int) -> None:
+    _links(context, _owner(context, key), "delay", delay / 1000)
+
+
+@when('the links towards the owner of "{key}" garble what they carry')
+def garble_links(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    faults = context.notes.setdefault("faults", [])
+    faults.append({"from": "*", "to": node.ip, "kind": "corrupt"})
+    context.cluster.link_faults(faults)
+
+
+@when("all links are mended")
+def mend(context: Any) -> None:
+    context.notes["faults"] = []
+    context.notes["gone"] = []
+    context.cluster.link_faults([])
+
+
+@when("the platform is down")
+def platform_down(context: Any) -> None:
+    context.cluster.platform_faults(down=True)
+
+
+@when("the platform is up again")
+def platform_up(context: Any) -> None:
+    context.cluster.platform_faults()
+
+
+@when("the platform loses the next {count:d} answers to writes")
+def lose_answers(context: Any, count: int) -> None:
+    context.cluster.platform_faults(lose_answers=count)
+
+
+@when("{seconds:d} second passes")
+@when("{seconds:d} seconds pass")
+def pass_time(context: Any, seconds: int) -> None:
+    # The fault itself must last; nothing is concluded from how long.
+    time.sleep(seconds)
+
+
+@when('the daemon of the owner of "{key}" is killed and started again')
+def kill_and_start(context: Any, key: str) -> None:
+    node = _owner(context, key)
+    context.cluster.kill_daemon(node)
+    context.cluster.start_daemon(node)
+
+
+@when('the daemon of the owner of "{key}" is stopped as planned')
+def stop_owner(context: Any, key: str) -> None:
+    _stop(context, _owner(context, key))
+
+
+@when('the daemon "{name}" is stopped as planned')
+def stop_named(context: Any, name: str) -> None:
+    _stop(context, next(n for n in context.cluster.nodes if n.name == name))
+
+
+def _stop(context: Any, node: Node) -> None:
+    """Stop a daemon; callers see it leave readyz first, as a caller's balancer would."""
+    _lose(context, node)
+    context.notes["stopping"] = context.cluster.terminate_daemon(node)
+
+
+@when('every daemon of "{service}" is stopped as planned and started again')
+def roll(context: Any, service: str) -> None:
+    for node in context.cluster.of(service):
+        _stop(context, node)
+        assert context.notes["stopping"].wait(timeout=60) == 0
+        context.cluster.start_daemon(node)
+        context.cluster.wait_ready()
+        context.notes["gone"] = []
+
+
+@when('every daemon of "{service}" is killed and started again')
+def kill_all(context: Any, service: str) -> None:
+    for node in context.cluster.of(service):
+        context.cluster.kill_daemon(node)
+    for node in context.cluster.of(service):
+        context.cluster.start_daemon(node)
+
+
+@when('the command "{command}" is run')
+@then('the command "{command}" succeeds')
+def run_command(context: Any, command: str) -> None:
+    result = run_pearward(context, *command.split())
+    assert result.returncode == 0, result.stderr + result.stdout
+
+
+@then('the command "{command}" fails with exit code {code:d}')
+def command_fails(context: Any, command: str, code: int) -> None:
+    result = run_pearward(context, *command.split())
+    assert result.returncode == code and result.stderr.strip(), (result.returncode, result.stderr)
+
+
+# -- looking ---------------------------------------------------------------------
+
+
+def _serves(context: Any, service: str, key: str) -> str:
+    """Return the server that answers for a key now, or nothing."""
+    address = _reachable(context)[0]
+    try:
+        answer = context.caller.call(
+            address, service, key, headers={"Pearward-Deadline-Ms": "1500"}
+        )
+    except OSError:
+        return ""
+    if answer.outcome != "served":
+        return ""
+    owner = answer.headers.get("pearward-owner", "")
+    return next((n.server for n in context.cluster.nodes if n.caller == owner), "?")
+
+
+@then('"{key}" is served by another server')
+def served_elsewhere(context: Any, key: str) -> None:
+    victim = context.notes["victims"][key].server
+    wait_until(lambda: _serves(context, "premview", key) not in ("", victim), f"{key} to be served")
+
+
+@then('"{key}" is not served')
+def not_served(context: Any, key: str) -> None:
+    assert _serves(context, "premview", key) == ""
+
+
+@then('every key of "{service}" is served again')
+def all_keys_served(context: Any, service: str) -> None:
+    for number in range(KEYS):
+        key = f"key-{number}"
+        wait_until(lambda k=key: _serves(context, service, k), f"{key} to be served")
+
+
+@then("the daemon that is cut off serves nothing")
+def cut_off_serves_nothing(context: Any) -> None:
+    (node,) = context.notes["gone"]
+    wait_until(lambda: context.cluster.status(node)["serving"] == 0, "the lease to lapse")
+    answer = context.caller.call(
+        node.caller, "premview", "acct-1", headers={"Pearward-Deadline-Ms": "500"}
+    )
+    assert answer.outcome != "served", answer
+
+
+@then("that daemon ends with exit code {code:d}")
+def ends_with(context: Any, code: int) -> None:
+    assert context.notes["stopping"].wait(timeout=60) == code
+
+
+def _stop_traffic(context: Any) -> Any:
+    return context.notes["traffic"].stop() if "traffic" in context.notes else []
+
+
+@then('no request to "{service}" failed meanwhile')
+def none_failed(context: Any, service: str) -> None:
+    verdict = no_request_cut(list(context.notes["traffic"].sent), "what happened")
+    assert verdict.held, str(verdict)
+
+
+@then('the promises hold for "{service}"')
+def promises_hold(context: Any, service: str) -> None:
+    sent = _stop_traffic(context)
+    runs = context.cluster.runs(service) + context.notes.get("dead_runs", [])
+    for verdict in (
+        one_owner(runs), at_most_once(sent, runs), not_run_is_true(sent, runs), whole_answers(sent)
+    ):  # fmt: skip
+        assert verdict.held, str(verdict)
+
+
+@then('no key of "{service}" has moved to another server')
+def none_moved(context: Any, service: str) -> None:
+    assert _placements(context, service) == context.notes["runs_before"]
+
+
+def _work_at(context: Any, server: str) -> int:
+    service = server.rpartition("-")[0]
+    return sum(run["server"] == server for run in context.cluster.runs(service))
+
+
+@then('"{server}" gets no work during {seconds:d} seconds')
+def no_work(context: Any, server: str, seconds: int) -> None:
+    before = _work_at(context, server)
+    time.sleep(seconds)
+    assert _work_at(context, server) == before
+
+
+@then('"{server}" gets work again')
+def work_again(context: Any, server: str) -> None:
+    before = _work_at(context, server)
+    wait_until(lambda: _work_at(context, server) > before, f"work at {server}")
+
+
+def _shards_of(context: Any, server: str) -> int:
+    return sum(s == server for s in _placements(context, server.rpartition("-")[0]).values())
+
+
+@then('"{server}" comes to own nothing')
+def owns_nothing(context: Any, server: str) -> None:
+    wait_until(lambda: _shards_of(context, server) == 0, f"{server} to own nothing")
+
+
+@then('"{server}" comes to own its share')
+def owns_share(context: Any, server: str) -> None:
+    wait_until(lambda: _shards_of(context, server) > 0, f"{server} to own shards")
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -158,6 +158,8 @@
         self._attempts = 0
         self._moves = 0
         self._avoid: set[str] = set()
+        self._refusal: tuple[Reason, str, int] | None = None
+        """What to answer once the body has come."""
         self._answering = False
         self._done = False
         self._paused = False
@@ -177,19 +179,19 @@
             context = read_context(self._request.method, headers.get, ingress.request_limits)
             table = ingress.router.row(context.service)
         except BadHeader as error:
-            self._answer(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error), status=BAD_REQUEST)
+            self._refuse(Reason.BAD_REQUEST, str(error), BAD_REQUEST)
             return
         except UnknownService as error:
-            self._answer(Outcome.NOT_RUN, Reason.UNKNOWN_SERVICE, str(error), status=NOT_FOUND)
+            self._refuse(Reason.UNKNOWN_SERVICE, str(error), NOT_FOUND)
             return
         self._context = context
         self._keyed = table.service.kind is Kind.KEYED
         if self._keyed and not context.key:
             detail = f"service {context.service!r} is divided by key: Pearward-Key is required"
-            self._answer(Outcome.NOT_RUN, Reason.BAD_REQUEST, detail, status=BAD_REQUEST)
+            self._refuse(Reason.BAD_REQUEST, detail, BAD_REQUEST)
             return
         if ingress.open_requests > ingress.limits.max_requests:
-            self._answer(Outcome.NOT_RUN, Reason.OVERLOADED, "too many requests", retry_s=1.0)
+            self._refuse(Reason.OVERLOADED, "too many requests", 503)
             return
         self._class = (
             table.service.default_class if context.request_class is None else context.request_class
@@ -210,9 +212,20 @@
             self._body_ended = self._body_length == 0
             self._try()
 
+    def _refuse(self, reason: Reason, detail: str, status: int) -> None:
+        """Refuse the request, after its body if that is short.
+
+        An answer in the middle of a body ends the connection, and its reset may
+        overtake the answer.
+        """
+        if 0 < self._body_length <= self._ingress.limits.replay_bytes:
+            self._refusal = (reason, detail, status)
+        else:
+            self._answer(Outcome.NOT_RUN, reason, detail, status=status)
+
     def body_received(self, data: bytes) -> None:
         """Keep a chunk, or pass it on."""
-        if self._done:
+        if self._done or self._refusal is not None:
             return
         if self._body_forwarded:
             self._forward(data, ended=False)
@@ -230,7 +243,10 @@
         if self._done:
             return
         self._body_ended = True
-        if self._body_forwarded:
+        if self._refusal is not None:
+            reason, detail, status = self._refusal
+            self._answer(Outcome.NOT_RUN, reason, detail, status=status)
+        elif self._body_forwarded:
             self._forward(b"", ended=True)
         elif self._attempts == 0:
             self._try()
--- a/packages/devtools/src/pearward_devtools/cluster.py
+++ b/packages/devtools/src/pearward_devtools/cluster.py
@@ -26,6 +26,8 @@
     range_body,
     txn_body,
 )
+from pearward_state.keys import key_hash, service_seed
+from pearward_state.records import CellRecord
 from pearward_state.table import Change, ServiceTable
 
 __all__ = ["Cluster", "Node", "ServiceSpec", "wait_until"]
@@ -239,6 +241,32 @@
         process.send_signal(signal.SIGTERM)
         return process
 
+    def freeze(self, node: Node, *, daemon: bool = True, server: bool = False) -> None:
+        """SIGSTOP a node's processes."""
+        for process in self._chosen(node, daemon, server):
+            process.send_signal(signal.SIGSTOP)
+
+    def resume(self, node: Node) -> None:
+        """SIGCONT a node's processes; one that runs is not harmed."""
+        for process in self._chosen(node, True, True):
+            process.send_signal(signal.SIGCONT)
+
+    def _chosen(self, node: Node, daemon: bool, server: bool) -> list[subprocess.Popen[bytes]]:
+        chosen = [node.daemon if daemon else None, node.server_process if server else None]
+        return [process for process in chosen if process is not None]
+
+    def owner_of(self, service: str, key: str) -> Node | None:
+        """Return the node that the platform's record gives a key to."""
+        raw = self.record(service)
+        if not raw:
+            return None
+        record = CellRecord.from_bytes(json.dumps(raw).encode())
+        position = key_hash(key.encode(), service_seed(service))
+        owner = record.owner_of(record.shards.find(position))
+        if owner is None:
+            return None
+        return next((n for n in self.nodes if n.name == owner.instance), None)
+
     # -- faults -------------------------------------------------------------------
 
     def platform_faults(self, **faults: Any) -> None:
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -81,7 +81,8 @@
         self.method = method
         self.uri = uri
         self.clientproto = version
-        self._sink = self.channel.factory.handler.request_begun(self, length)
+        if length != 0:
+            self._sink = self.channel.factory.handler.request_begun(self, length)
 
     def handleContentChunk(self, data: bytes) -> None:
         if self._sink is not None and not self._answered:
@@ -89,7 +90,12 @@
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         self._body_whole = True
-        if self._sink is not None and not self._answered:
+        if self._answered:
+            return
+        if self._sink is None:
+            # Without a body a request begins here: the channel can be answered only now.
+            self._sink = self.channel.factory.handler.request_begun(self, 0)
+        else:
             self._sink.body_ended()
 
     def connectionLost(self, reason: Failure) -> None:
--- /dev/null
+++ b/tests/fuzz/cell_world.py
@@ -0,0 +1,290 @@
+"""A small world for the ownership core: agents, a platform record, links and clocks.
+
+It is no simulator of a cluster: it holds just what the sans-I/O core can see, so that
+hypothesis can choose what goes wrong and an oracle can look at every agent at once.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from pearward_coordination.agent import Abort, Action, CellAgent, GrantServer, Send
+from pearward_coordination.assignment import Joiner
+from pearward_coordination.coordinator import Coordinator
+from pearward_coordination.lease import LeaseTiming
+from pearward_coordination.messages import (
+    ControlMessage,
+    Heartbeat,
+    HeartbeatReply,
+    PeerId,
+    Push,
+)
+from pearward_coordination.ownership import Permit, Verdict
+from pearward_state.keys import HASH_SPACE
+from pearward_state.records import CellRecord
+from pearward_state.table import ServiceTable
+
+CELL = "roster-app"
+TIMING = LeaseTiming()
+SHARDS_PER_SERVER = 2
+STEP_S = 0.05
+
+
+@dataclass
+class Platform:
+    """The record as the platform's service holds it."""
+
+    record: CellRecord = field(default_factory=lambda: CellRecord(CELL, CELL))
+    history: list[CellRecord] = field(default_factory=list)
+
+    def swap(self, expected: int, new: CellRecord) -> bool:
+        """Replace the record if it has the expected version."""
+        if self.record.version != expected:
+            return False
+        self.record = new
+        self.history.append(new)
+        return True
+
+
+@dataclass
+class Role:
+    """A coordinator: what it believes to be in force."""
+
+    core: Coordinator
+    record: CellRecord
+    writes: int = 0
+
+
+@dataclass
+class Run:
+    """A request at a server."""
+
+    number: int
+    permit: Permit
+
+
+@dataclass
+class Node:
+    """One instance: an agent with its clock, its server's grants and maybe the role."""
+
+    number: int
+    address: str
+    rate: float
+    agent: CellAgent
+    incarnation: str
+    paused: bool = False
+    dead: bool = False
+    role: Role | None = None
+    runs: list[Run] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Parcel:
+    """A message under way."""
+
+    sender: PeerId
+    target: str
+    message: ControlMessage
+
+
+class World:
+    """Everything that the rules of a state machine act on."""
+
+    def __init__(self, count: int, *, same_identity: bool = False) -> None:
+        self.time = 1000.0
+        self.platform = Platform()
+        self.parcels: list[Parcel] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.slow: set[tuple[str, str]] = set()
+        """Links whose messages wait until they are delivered one by one, in any order."""
+        self._incarnations = 0
+        self._same_identity = same_identity
+        rows = {"service": {"kind": "keyed", "policy": "quick",
+                            "shards_per_server": SHARDS_PER_SERVER},
+                "servers": {f"s{i}": {} for i in range(count)}}  # fmt: skip
+        self.table = ServiceTable.from_mapping(CELL, rows)
+        self.nodes = [self._make(i) for i in range(count)]
+        self.highest_epoch: dict[int, int] = {}
+        self.positions = [
+            (2 * i + 1) * HASH_SPACE // (2 * SHARDS_PER_SERVER * count)
+            for i in range(SHARDS_PER_SERVER * count)
+        ]
+
+    # -- nodes ------------------------------------------------------------------
+
+    def _make(self, number: int) -> Node:
+        self._incarnations += 1
+        name = f"n{number}" if self._same_identity else f"n{number}.{self._incarnations}"
+        address = f"10.0.0.{number}:1"
+        me = PeerId(name, address)
+        joiner = Joiner(name, f"i{number}", f"s{number}", f"d{number % 3}", address, address)
+        # Clocks differ by less than the drift that the lease allows for.
+        rate = 1.0 + (number % 3 - 1) * TIMING.drift * 0.9
+        return Node(number, address, rate, CellAgent(me, joiner, CELL, TIMING), name)
+
+    def now(self, node: Node) -> float:
+        """Return the time by a node's own clock."""
+        return self.time * node.rate + node.number * 77.0
+
+    def restart(self, node: Node) -> None:
+        """Replace a node's daemon by a new one."""
+        self.nodes[node.number] = self._make(node.number)
+
+    def take_role(self, node: Node) -> None:
+        """Make a node coordinate, whoever else does."""
+        core = Coordinator(CELL, TIMING, self.now(node))
+        node.role = Role(core, self.platform.record)
+        node.agent.set_coordinator(node.address)
+        for other in self.nodes:
+            if not other.dead and not other.paused:
+                other.agent.set_coordinator(node.address)
+
+    # -- time and messages --------------------------------------------------------
+
+    def step(self) -> None:
+        """Let a little time pass: ticks, deliveries, decisions, grants."""
+        self.time += STEP_S
+        for node in self.nodes:
+            if self._runs(node):
+                self._act(node, node.agent.tick(self.now(node)))
+        self.deliver()
+        for node in self.nodes:
+            if self._runs(node) and node.role is not None:
+                self.decide(node)
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Deliver everything that can be."""
+        for _ in range(6):
+            parcels, self.parcels = self.parcels, []
+            for parcel in parcels:
+                self.deliver_one(parcel)
+            if len(self.parcels) >= len(parcels):
+                return
+
+    def deliver_one(self, parcel: Parcel, *, force: bool = False) -> None:
+        """Deliver one message, unless its link is cut; a paused target gets it later."""
+        node = next(n for n in self.nodes if n.address == parcel.target)
+        if node.dead or (parcel.sender.address, parcel.target) in self.cut:
+            return
+        if node.paused or (not force and (parcel.sender.address, parcel.target) in self.slow):
+            self.parcels.append(parcel)
+            return
+        self._receive(node, parcel.sender, parcel.message)
+
+    def decide(self, node: Node, *, lose_answer: bool = False) -> None:
+        """Let a coordinator look at what it knows and write."""
+        role = node.role
+        assert role is not None
+        now = self.now(node)
+        for other in self.nodes:
+            reachable = (node.address, other.address) not in self.cut
+            if reachable and not other.dead and not other.paused:
+                role.core.peer_seen(PeerId(other.incarnation, other.address))
+        role.writes += 1
+        write_id = f"{node.incarnation}:{role.writes}"
+        planned = role.core.plan(role.record, self.table, write_id, now)
+        if planned is None:
+            return
+        written = self.platform.swap(role.record.version, planned)
+        if written and lose_answer:
+            return
+        role.record = self.platform.record
+        self._spread(node, role.record)
+
+    def _spread(self, node: Node, record: CellRecord) -> None:
+        value = record.to_bytes()
+        self._act(node, node.agent.adopt(record, value, self.now(node)))
+        push = Push(f"cell/{CELL}", record.version, value)
+        for member in record.members:
+            if member.incarnation != node.incarnation:
+                self._send(node, member.peer, push)
+
+    def _send(self, node: Node, address: str, message: ControlMessage) -> None:
+        sender = PeerId(node.incarnation, node.address)
+        if address == node.address:
+            self._receive(node, sender, message)
+        else:
+            self.parcels.append(Parcel(sender, address, message))
+
+    def _receive(self, node: Node, sender: PeerId, message: ControlMessage) -> None:
+        now = self.now(node)
+        if isinstance(message, Push):
+            record = CellRecord.from_bytes(message.value)
+            self._act(node, node.agent.adopt(record, message.value, now))
+        elif isinstance(message, Heartbeat):
+            if node.role is not None:
+                reply = node.role.core.on_heartbeat(sender, message, node.role.record.version, now)
+                self._send(node, sender.address, reply)
+                if message.adopted < node.agent.ownership.adopted:
+                    record = node.agent.record
+                    assert record is not None
+                    push = Push(f"cell/{CELL}", record.version, record.to_bytes())
+                    self._send(node, sender.address, push)
+        elif not isinstance(message, HeartbeatReply):
+            self._act(node, node.agent.receive(sender, message, now))
+
+    def _act(self, node: Node, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(node, action.address, action.message)
+            elif isinstance(action, GrantServer):
+                now = self.now(node)
+                self._act(node, node.agent.server_granted(action, True, now))
+            elif isinstance(action, Abort):
+                for run in [r for r in node.runs if r.number in action.runs]:
+                    self.finish(node, run)
+
+    def _runs(self, node: Node) -> bool:
+        return not node.dead and not node.paused
+
+    # -- requests -----------------------------------------------------------------
+
+    def start_request(self, node: Node, position: int) -> None:
+        """Run a request at a node if it admits it; the server sees epochs grow."""
+        admission = node.agent.ownership.admit(position, self.now(node))
+        if admission.verdict is not Verdict.SERVE:
+            return
+        assert admission.permit is not None
+        permit = admission.permit
+        assert permit.epoch >= self.highest_epoch.get(position, 0), "an epoch went back"
+        self.highest_epoch[position] = permit.epoch
+        node.runs.append(Run(node.agent.ownership.started(permit), permit))
+
+    def finish(self, node: Node, run: Run) -> None:
+        """End a request."""
+        node.runs.remove(run)
+        self._act(node, node.agent.finished(run.number, self.now(node)))
+
+    # -- the oracle -----------------------------------------------------------------
+
+    def actors(self, position: int) -> set[str]:
+        """Return the incarnations that could act on a key now, were they to wake this moment."""
+        found: set[str] = set()
+        for node in self.nodes:
+            if node.dead:
+                continue
+            now = self.now(node)
+            ownership = node.agent.ownership
+            if ownership.admit(position, now).verdict is Verdict.SERVE:
+                found.add(node.incarnation)
+            if any(
+                run.permit.start <= position < run.permit.end
+                and ownership.still_good(run.permit, now)
+                for run in node.runs
+            ):
+                found.add(node.incarnation)
+        return found
+
+    def check(self) -> None:
+        """Check what must always hold; raises AssertionError."""
+        for position in self.positions:
+            actors = self.actors(position)
+            assert len(actors) <= 1, f"{actors} could all act on {position:x}"
+        record = self.platform.record
+        if record.version and any(m.state.value == "active" for m in record.members):
+            for shard in record.shards:
+                assert record.owner_of(shard) is not None, f"shard {shard.start:x} was lost"
+
+    def served(self) -> int:
+        """Return how many of the sampled keys somebody serves now."""
+        return sum(bool(self.actors(position)) for position in self.positions)
--- /dev/null
+++ b/tests/fuzz/ownership_machine.py
@@ -0,0 +1,147 @@
+"""Stateful fuzzing of sole ownership: hypothesis chooses the faults, the oracle sees all."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from .cell_world import World
+
+NODES = st.integers(0, 4)
+SLOTS = st.integers(0, 63)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Pauses, cuts, losses, duplicates, restarts, lost answers, several coordinators."""
+
+    same_identity = False
+
+    @initialize(count=st.integers(3, 5))
+    def form(self, count: int) -> None:
+        """Form a cell that serves every key."""
+        self.world = World(count, same_identity=self.same_identity)
+        self.world.take_role(self.world.nodes[0])
+        for _ in range(20):
+            self.world.step()
+        assert self.world.served() == len(self.world.positions)
+
+    def _node(self, number: int):  # type: ignore[no-untyped-def]
+        return self.world.nodes[number % len(self.world.nodes)]
+
+    @rule(steps=st.integers(1, 30))
+    def pass_time(self, steps: int) -> None:
+        """Let time pass, looking at every step."""
+        for _ in range(steps):
+            self.world.step()
+            self.world.check()
+
+    @rule(number=NODES)
+    def pause(self, number: int) -> None:
+        """Freeze a daemon."""
+        self._node(number).paused = True
+
+    @rule(number=NODES)
+    def resume(self, number: int) -> None:
+        """Let a frozen daemon go on, with whatever has piled up for it."""
+        self._node(number).paused = False
+
+    @rule(number=NODES)
+    def kill(self, number: int) -> None:
+        """End a daemon for good."""
+        self._node(number).dead = True
+
+    @rule(number=NODES)
+    def restart(self, number: int) -> None:
+        """Start a new daemon in place of one."""
+        self.world.restart(self._node(number))
+
+    @rule(start=NODES, end=NODES, both=st.booleans())
+    def cut(self, start: int, end: int, both: bool) -> None:
+        """Cut a link one way or both ways."""
+        a, b = self._node(start).address, self._node(end).address
+        self.world.cut.add((a, b))
+        if both:
+            self.world.cut.add((b, a))
+
+    @rule(number=NODES)
+    def isolate(self, number: int) -> None:
+        """Cut a daemon off from all others."""
+        mine = self._node(number).address
+        for other in self.world.nodes:
+            if other.address != mine:
+                self.world.cut |= {(mine, other.address), (other.address, mine)}
+
+    @rule(start=NODES, end=NODES)
+    def slow(self, start: int, end: int) -> None:
+        """Let the messages of a link wait."""
+        self.world.slow.add((self._node(start).address, self._node(end).address))
+
+    @rule(number=NODES)
+    def slow_towards(self, number: int) -> None:
+        """Let all messages to a daemon wait."""
+        mine = self._node(number).address
+        self.world.slow |= {(n.address, mine) for n in self.world.nodes if n.address != mine}
+
+    @rule(slot=SLOTS)
+    def deliver(self, slot: int) -> None:
+        """Deliver one waiting message before others."""
+        parcels = self.world.parcels
+        if parcels:
+            self.world.deliver_one(parcels.pop(slot % len(parcels)), force=True)
+
+    @rule()
+    def heal(self) -> None:
+        """Mend all links."""
+        self.world.cut.clear()
+        self.world.slow.clear()
+
+    @rule(slot=SLOTS)
+    def duplicate(self, slot: int) -> None:
+        """Deliver a message twice."""
+        parcels = self.world.parcels
+        if parcels:
+            parcels.append(parcels[slot % len(parcels)])
+
+    @rule(slot=SLOTS)
+    def drop(self, slot: int) -> None:
+        """Lose a message."""
+        parcels = self.world.parcels
+        if parcels:
+            parcels.pop(slot % len(parcels))
+
+    @rule(number=NODES)
+    def coordinate(self, number: int) -> None:
+        """Let another daemon take the role, whether or not the present holder knows."""
+        node = self._node(number)
+        if not node.dead and not node.paused:
+            self.world.take_role(node)
+
+    @rule(number=NODES)
+    def lose_answer(self, number: int) -> None:
+        """Let a coordinator's write take effect while its answer is lost."""
+        node = self._node(number)
+        if node.role is not None and not node.dead and not node.paused:
+            self.world.decide(node, lose_answer=True)
+
+    @rule(number=NODES)
+    def drain(self, number: int) -> None:
+        """Plan a daemon's stop."""
+        self._node(number).agent.drain()
+
+    @rule(number=NODES, slot=SLOTS)
+    def request(self, number: int, slot: int) -> None:
+        """Start a request."""
+        node = self._node(number)
+        if not node.dead and not node.paused:
+            self.world.start_request(node, self.world.positions[slot % len(self.world.positions)])
+
+    @rule(number=NODES, slot=SLOTS)
+    def finish(self, number: int, slot: int) -> None:
+        """Finish a request."""
+        node = self._node(number)
+        if node.runs and not node.dead and not node.paused:
+            self.world.finish(node, node.runs[slot % len(node.runs)])
+
+    @invariant()
+    def sole_owner(self) -> None:
+        """Never two that could both act; nothing acknowledged is lost."""
+        if hasattr(self, "world"):
+            self.world.check()
--- /dev/null
+++ b/tests/fuzz/teeth.py
@@ -0,0 +1,169 @@
+"""Shows that the ownership machine has teeth: each safety rule is removed in turn.
+
+``make fuzz-teeth`` prints one line per removed rule and fails if one goes unfound.
+"""
+
+import os
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from pearward_coordination import assignment, lease, ownership, witness
+from pearward_coordination.messages import ReleaseReply, RenewReply
+
+from .ownership_machine import OwnershipMachine
+
+EXAMPLES = int(os.environ.get("EXAMPLES", "1500"))
+STEPS = 40
+
+
+def _release_before_expiry(self: Any, ask: Any, record: Any, now: float) -> ReleaseReply:
+    return ReleaseReply(ask.cell, ask.owner, ask.version, True, record.version, 0)
+
+
+def _no_predecessors(self: Any, cut: Any, receiver: str) -> None:
+    cut.predecessors = ()
+    cut.owner = receiver
+    cut.epoch = self._version
+    self._changed = True
+
+
+def _no_chain_of_predecessors(self: Any, cut: Any, receiver: str) -> None:
+    cut.predecessors = (cut.owner,) if cut.owner and cut.owner not in self._view.ended else ()
+    cut.owner = receiver
+    cut.epoch = self._version
+    self._changed = True
+
+
+def _counted_from_receipt(self: Any, name: str, nonce: int, now: float) -> None:
+    if self._sent.get(name, {}).pop(nonce, None) is not None:
+        self._until[name] = now + self._timing.held_s
+        self._recompute(now)
+
+
+_repair = assignment._Draft.repair_witnesses
+
+
+def _no_joint_set(self: Any) -> None:
+    _repair(self)
+    for name, member in self._members.items():
+        if member.former_witnesses:
+            self._members[name] = assignment.replace(member, former_witnesses=())
+
+
+_on_renew = witness.Witness.on_renew
+
+
+def _grants_whatever_version(
+    self: Any, owner: str, ask: Any, record: Any, table_version: int, now: float
+) -> RenewReply:
+    watched = self._watched.get(owner)
+    if watched is None:
+        return _on_renew(self, owner, ask, record, table_version, now)
+    watched.last_heard = now
+    watched.granted_until = now + self._timing.lease_s
+    return RenewReply(ask.cell, ask.nonce, True, record.version)
+
+
+def _one_release_is_enough(self: Any, witness_name: str, reply: ReleaseReply) -> bool:
+    if reply.released:
+        self._ownership.release_confirmed(reply.owner, reply.version)
+    return reply.released
+
+
+def _released_while_running(self: Any) -> None:
+    if self._record is not None:
+        self._released = self._record.version
+
+
+class _SameIdentity(OwnershipMachine):
+    same_identity = True
+
+
+@contextmanager
+def _patched(target: Any, name: str, replacement: Any) -> Iterator[None]:
+    with mock.patch.object(target, name, replacement):
+        yield
+
+
+@contextmanager
+def _no_drift_margin() -> Iterator[None]:
+    with mock.patch.object(lease.LeaseTiming, "held_s", property(lambda self: self.lease_s * 1.1)):
+        yield
+
+
+Mutation = tuple[str, Callable[[], Any], type[OwnershipMachine]]
+
+
+def _mutations() -> list[Mutation]:
+    from pearward_coordination.agent import CellAgent
+
+    draft = assignment._Draft
+    rows: list[tuple[str, Any, str, Any]] = [
+        ("release before expiry", witness.Witness, "on_ask_release", _release_before_expiry),
+        ("no predecessors", draft, "_move", _no_predecessors),
+        ("only the last predecessor", draft, "_move", _no_chain_of_predecessors),
+        ("lease counted from receipt", lease.OwnerLease, "renewal_granted", _counted_from_receipt),
+        ("no joint witness set", draft, "repair_witnesses", _no_joint_set),
+        ("witness grants any version", witness.Witness, "on_renew", _grants_whatever_version),
+        ("one witness's release is enough", CellAgent, "_count_release", _one_release_is_enough),
+        ("released while a request runs", ownership.Ownership, "_update_released",
+         _released_while_running),
+    ]  # fmt: skip
+    made: list[Mutation] = [
+        (name, lambda t=t, n=n, r=r: _patched(t, n, r), OwnershipMachine)  # type: ignore[misc]
+        for name, t, n, r in rows
+    ]
+    made.append(("owner's lease outlasts the witness's", _no_drift_margin, OwnershipMachine))
+    made.append(("witness identity by address", lambda: _patched(assignment, "__doc__", ""),
+                 _SameIdentity))  # fmt: skip
+    return made
+
+
+def _is_found(machine: type[OwnershipMachine]) -> bool:
+    """Return whether the machine fails."""
+    try:
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                max_examples=EXAMPLES,
+                stateful_step_count=STEPS,
+                deadline=None,
+                derandomize=True,
+                database=None,
+                phases=(Phase.generate,),
+                suppress_health_check=list(HealthCheck),
+                print_blob=False,
+            ),
+        )
+    except AssertionError:
+        return True
+    return False
+
+
+def main() -> int:
+    """Try every mutation, or those named on the command line; return the exit code."""
+    wanted = sys.argv[1:]
+    if not wanted and _is_found(OwnershipMachine):
+        print("BROKEN   the rules as they are")
+        return 1
+    if not wanted:
+        print("holds    the rules as they are", flush=True)
+    unfound = 0
+    for name, apply, machine in _mutations():
+        if wanted and name not in wanted:
+            continue
+        with apply():
+            found = _is_found(machine)
+        unfound += not found
+        print(f"{'found   ' if found else 'UNFOUND '} {name}", flush=True)
+    return 1 if unfound else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
