A daemon that is cut off does not take the coordinator's role from a living cell

Cause: cut off from all peers but not from the platform, a daemon heard no coordinator and took the role by compare-and-swap; the former holder never looked, so after the cut was mended both held it, and the one that was cut off sent its heartbeats to itself for ever. Ruled out: the lease core (its machine holds), the fault proxy (links were open again). Change: a holder looks every 2 s who has the role; a daemon without its own lease waits 0.5 s longer before it takes it, one that hears no peer at all 5 s.

--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -31,6 +31,8 @@
     running = Traffic(flows, lambda: _reachable(context))
     running.start()
     context.notes["traffic"] = running
+    names = ("acct-1", "acct-2") if service == "premview" else ()
+    context.notes["owners"] = {key: context.cluster.owner_of(service, key) for key in names}
     # Also ended where a step fails, so that no caller outlives its scenario.
     context.add_cleanup(running.stop)
     wait_until(lambda: len(running.sent) > 30, "traffic")
@@ -52,6 +54,11 @@
 
 
 def _owner(context: Any, key: str) -> Node:
+    """Return the node that owned a key when the scenario began to send requests."""
+    if key in context.notes.get("owners", {}):
+        node = context.notes["owners"][key]
+        context.notes.setdefault("victims", {})[key] = node
+        return node  # type: ignore[no-any-return]
     service = "premview" if key.startswith("acct") else "roster-app"
     node = wait_until(lambda: context.cluster.owner_of(service, key), f"an owner of {key}")
     context.notes.setdefault("victims", {})[key] = node
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -47,6 +47,10 @@
 UNHEALTHY_AFTER = 2
 """Probes in a row without an answer that make the server unhealthy."""
 PROBE_TIMEOUT_S = 1.0
+CONTACT_S = 2.0
+"""A peer that was heard this recently counts as contact."""
+HANDICAP_NO_LEASE_S = 0.5
+HANDICAP_NO_CONTACT_S = 5.0
 
 
 class ControlPlane:
@@ -87,6 +91,7 @@
         self._writer: CellWriter | None = None
         self._pool: PeerPool | None = None
         self._listeners: dict[str, PeerId] = {}
+        self._heard_peer_at = 0.0
         self._peers: tuple[str, ...] = ()
         self._bootstrap_peers: tuple[str, ...] = ()
         self._next_digest = 0.0
@@ -219,6 +224,8 @@
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Act on a peer's message."""
+        if sender.incarnation != self._me.incarnation:
+            self._heard_peer_at = boot_time()
         match message:
             case Heartbeat():
                 self._on_heartbeat(sender, message)
@@ -372,7 +379,7 @@
     def _tick(self) -> None:
         now = boot_time()
         self._act(self._agent.tick(now))
-        self._seeker.tick(self._rank())
+        self._seeker.tick(self._rank(), self._handicap_s(now))
         if self._writer is not None:
             self._writer.tick()
         if now >= self._next_digest:
@@ -389,6 +396,18 @@
         index = record.by_incarnation.get(self._me.incarnation)
         return len(record.members) if index is None else index
 
+    def _handicap_s(self, now: float) -> float:
+        """Return how long this daemon holds back before it takes the coordinator's role.
+
+        One that hears no peer can reach the platform all the same; were it to take the
+        role again and again, the cell's living part would lose its coordinator each time.
+        """
+        if self._agent.record is None or self.lease_held:
+            return 0.0
+        if now - self._heard_peer_at < CONTACT_S:
+            return HANDICAP_NO_LEASE_S
+        return HANDICAP_NO_CONTACT_S
+
     def _notice_change(self) -> None:
         """Let waiting requests look again when what may be served has changed."""
         ownership = self._agent.ownership
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -30,6 +30,8 @@
 
 ROLE_TTL_S = 15
 KEEP_ALIVE_S = 5.0
+ROLE_CHECK_S = 2.0
+"""Between looks at who holds the role, so that a holder that was replaced steps back."""
 INSTANCE_POLL_S = 5.0
 TABLE_POLL_S = 15.0
 """The watch tells of changes at once; polling finds what a broken watch missed."""
@@ -101,6 +103,7 @@
         self._stopped = False
         self._watch: Watch | None = None
         self._next_keep_alive = 0.0
+        self._next_role_check = 0.0
         self._next_poll = 0.0
         self._next_table = 0.0
         self._polling = False
@@ -145,6 +148,9 @@
         if now >= self._next_keep_alive:
             self._next_keep_alive = now + KEEP_ALIVE_S
             spawn(self._keep_alive())
+        if now >= self._next_role_check:
+            self._next_role_check = now + ROLE_CHECK_S
+            spawn(self._check_role())
         if now >= self._next_poll and not self._polling:
             self._next_poll = now + INSTANCE_POLL_S
             spawn(self._poll_instances())
@@ -295,7 +301,7 @@
             eliot.log_message("pearward:platform", call="keep alive", error=str(error))
             return
         if not alive:
-            await self._check_role()
+            self._lose("")
 
     def _lose(self, successor: str) -> None:
         if not self._stopped:
@@ -355,15 +361,16 @@
         self._silent_holder = ""
         self._backoff_s = SEEK_BACKOFF_MIN_S
 
-    def tick(self, rank: int) -> None:
+    def tick(self, rank: int, handicap_s: float) -> None:
         """Look for a coordinator if none has answered for a while.
 
-        *rank* orders the members, so that they do not all ask the platform at once.
+        *rank* orders the members, so that they do not all ask the platform at once;
+        *handicap_s* holds back a daemon that is cut off and would coordinate nobody.
         """
         now = boot_time()
         if self._seeking or now < self._not_before:
             return
-        delay = min(rank, MAX_RANK) * RANK_DELAY_S
+        delay = min(rank, MAX_RANK) * RANK_DELAY_S + handicap_s
         if now - self._last_reply >= COORDINATOR_SILENCE_S + delay:
             self._seeking = True
             spawn(self._seek())
