--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -229,13 +229,6 @@
         context.cluster.start_daemon(node)
 
 
-@when('the command "{command}" is run')
-@then('the command "{command}" succeeds')
-def run_command(context: Any, command: str) -> None:
-    result = run_pearward(context, *command.split())
-    assert result.returncode == 0, result.stderr + result.stdout
-
-
 @then('the command "{command}" fails with exit code {code:d}')
 def command_fails(context: Any, command: str, code: int) -> None:
     result = run_pearward(context, *command.split())
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,58 @@
+"""Steps that check settings."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import yaml
+from behave import given, then, when
+
+VALID: dict[str, Any] = {
+    "failure_domains": ["gyor-hall"],
+    "instance": {"name": "i1", "failure_domain": "gyor-hall"},
+    "listen": {"ip": "127.9.0.1"},
+    "server": {"service": "s", "name": "s-0", "address": "127.9.0.1:8000"},
+    "platform": {"endpoints": ["127.0.0.1:2379"]},
+}
+
+
+def _write(context: Any, text: str) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name) / "settings.yaml"
+    context.path.write_text(text, encoding="utf-8")
+
+
+@given('valid settings with "{path}" set to "{value}"')
+def with_value(context: Any, path: str, value: str) -> None:
+    data = yaml.safe_load(yaml.safe_dump(VALID))
+    section, name = path.split(".")
+    data.setdefault(section, {})[name] = yaml.safe_load(value)
+    _write(context, yaml.safe_dump(data))
+
+
+@given('settings that read "{text}"')
+def raw_settings(context: Any, text: str) -> None:
+    _write(context, text)
+
+
+@when("pearwardd checks them")
+def check(context: Any) -> None:
+    context.result = subprocess.run(
+        [sys.executable, "-m", "pearward_daemon.main", "--settings", str(context.path), "--check"],
+        capture_output=True, text=True, check=False,
+    )  # fmt: skip
+
+
+@then("it ends with exit code {code:d}")
+def exit_code(context: Any, code: int) -> None:
+    assert context.result.returncode == code, context.result.stderr
+
+
+@then('it ends with exit code {code:d} and one line that names the file, "{first}" and "{second}"')
+def names(context: Any, code: int, first: str, second: str) -> None:
+    lines = context.result.stderr.strip().splitlines()
+    assert context.result.returncode == code and len(lines) == 1, context.result.stderr
+    assert str(context.path) in lines[0] and first in lines[0] and second in lines[0], lines[0]
