State machines for streams, retries and table versions; two faults they found

Cause: (1) a repeatable request whose first attempt may have run and whose last was refused was answered not-run: a lie. (2) a daemon that knows nothing never asked a peer that compared fingerprints with it, because an empty full digest looks like a short one. Change: the tally of attempts decides what the caller is told; a digest says whether it lists its entries.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := state coordination protocol transport daemon cli devtools
 EXAMPLES ?= 400
 
-.PHONY: run test lint fuzz bench capacity pins setup
+.PHONY: run test lint fuzz fuzz-teeth bench capacity pins setup
 
 setup: $(STAMP)
 
@@ -27,6 +27,9 @@
 lint: setup
 	$(BIN)/python -m pearward_devtools.check --lint-only
 
+fuzz-teeth: setup
+	$(BIN)/python -m tests.fuzz.teeth
+
 fuzz: setup
 	EXAMPLES=$(EXAMPLES) $(BIN)/behave --tags=fuzz features
 
--- /dev/null
+++ b/features/fuzz.feature
@@ -0,0 +1,13 @@
+@fuzz
+Feature: Stateful fuzzing against simple oracles
+
+  Scenario Outline: <machine>
+    When the "<machine>" machine runs for its examples
+    Then its oracle found nothing
+
+    Examples:
+      | machine   |
+      | ownership |
+      | streams   |
+      | retries   |
+      | table     |
--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,46 @@
+"""Steps that run the state machines; ``EXAMPLES`` makes them run longer."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from behave import then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+sys.path.insert(0, str(Path(__file__).parents[2]))
+
+from tests.fuzz.ownership_machine import OwnershipMachine
+from tests.fuzz.retry_machine import RetryMachine
+from tests.fuzz.stream_machine import StreamMachine
+from tests.fuzz.table_machine import TableMachine
+
+MACHINES = {
+    "ownership": (OwnershipMachine, 25, 20),
+    "streams": (StreamMachine, 120, 40),
+    "retries": (RetryMachine, 120, 40),
+    "table": (TableMachine, 120, 40),
+}
+
+
+@when('the "{name}" machine runs for its examples')
+def run_machine(context: Any, name: str) -> None:
+    machine, examples, steps = MACHINES[name]
+    longer = os.environ.get("EXAMPLES")
+    config = settings(
+        max_examples=int(longer) if longer else examples,
+        stateful_step_count=steps,
+        deadline=None,
+        # The same verdict on every run; a longer run draws anew.
+        derandomize=not longer,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(machine, settings=config)
+    context.notes["machine"] = name
+
+
+@then("its oracle found nothing")
+def found_nothing(context: Any) -> None:
+    assert context.notes["machine"]
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -128,7 +128,9 @@
     """What the sender holds; the receiver answers with what is newer, and asks for the rest."""
 
     fingerprint: int
-    """Hash over the entries; entries are left out while fingerprints are being compared."""
+    """Hash over the entries."""
+    full: bool = False
+    """Whether the entries are listed; while fingerprints are being compared they are not."""
     entries: tuple[VersionedKey, ...] = ()
 
 
--- a/packages/coordination/src/pearward_coordination/retry.py
+++ b/packages/coordination/src/pearward_coordination/retry.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["Attempt", "RetryBudget", "RetryDecision", "decide_retry"]
+__all__ = ["Attempt", "AttemptTally", "RetryBudget", "RetryDecision", "decide_retry"]
 
 MAX_ATTEMPTS = 64
 """Attempts of one request at most; the deadline usually ends it first."""
@@ -91,6 +91,43 @@
     delay_s: float = 0.0
 
 
+class AttemptTally:
+    """What a request's attempts have come to so far."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._moves = 0
+        self._may_have_run = False
+
+    @property
+    def number(self) -> int:
+        """Attempts begun."""
+        return self._number
+
+    @property
+    def moves(self) -> int:
+        """Attempts that were redirected by a newer record."""
+        return self._moves
+
+    def begun(self) -> None:
+        """Count an attempt."""
+        self._number += 1
+
+    def failed(self, outcome: Outcome, reason: Reason) -> None:
+        """Note how an attempt ended without the server's answer."""
+        self._moves += reason is Reason.MOVED
+        self._may_have_run = self._may_have_run or outcome is Outcome.UNKNOWN
+
+    def final(self, outcome: Outcome) -> Outcome:
+        """Return what the caller is told where the last attempt ended as *outcome*.
+
+        A refusal speaks of one attempt only: what an earlier one may have done stands.
+        """
+        if outcome is Outcome.NOT_RUN and self._may_have_run:
+            return Outcome.UNKNOWN
+        return outcome
+
+
 _NO = RetryDecision(False)
 
 
--- a/packages/coordination/src/pearward_coordination/spread.py
+++ b/packages/coordination/src/pearward_coordination/spread.py
@@ -86,7 +86,7 @@
     def full_digest(self) -> Digest:
         """Return the digest that lists every version."""
         entries = tuple(VersionedKey(key, s.version) for key, s in self._values.items())
-        return Digest(self._fingerprint, entries)
+        return Digest(self._fingerprint, True, entries)
 
     def on_digest(self, digest: Digest) -> list[Digest | Push | Pull]:
         """Answer a peer's digest.
@@ -95,7 +95,7 @@
         """
         if digest.fingerprint == self._fingerprint:
             return []
-        if not digest.entries and self._values:
+        if not digest.full:
             return [self.full_digest()]
         theirs = {entry.key: entry.version for entry in digest.entries}
         answers: list[Digest | Push | Pull] = [
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from pearward_coordination.memory import RequestMemory
-from pearward_coordination.retry import Attempt, RetryBudget, decide_retry
+from pearward_coordination.retry import Attempt, AttemptTally, RetryBudget, decide_retry
 from pearward_coordination.routing import NoRoute, Route, Router, UnknownService
 from pearward_protocol.errors import BadHeader
 from pearward_protocol.heads import RequestHead, ResponseHead
@@ -19,6 +19,7 @@
     RequestLimits,
     join_headers,
     read_context,
+    status_for,
 )
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
@@ -155,8 +156,7 @@
         """Whether chunks go straight on and are no longer kept."""
         self._attempt: AttemptStream | None = None
         self._target = ""
-        self._attempts = 0
-        self._moves = 0
+        self._tally = AttemptTally()
         self._avoid: set[str] = set()
         self._refusal: tuple[Reason, str, int] | None = None
         """What to answer once the body has come."""
@@ -232,7 +232,7 @@
             return
         self._body.append(data)
         self._body_size += len(data)
-        if self._attempts or self._body_size <= self._ingress.limits.replay_bytes:
+        if self._tally.number or self._body_size <= self._ingress.limits.replay_bytes:
             return
         if self._attempt is None:
             # Longer than what is kept for another attempt: go on as a stream.
@@ -248,7 +248,7 @@
             self._answer(Outcome.NOT_RUN, reason, detail, status=status)
         elif self._body_forwarded:
             self._forward(b"", ended=True)
-        elif self._attempts == 0:
+        elif not self._tally.number:
             self._try()
 
     def caller_lost(self) -> None:
@@ -297,7 +297,7 @@
         if self._done:
             return
         assert self._context is not None
-        self._attempts += 1
+        self._tally.begun()
         try:
             route = self._ingress.router.route(
                 self._context.service, self._context.key, self._avoid
@@ -475,16 +475,15 @@
         assert context is not None
         ingress = self._ingress
         ingress.metrics.attempt_failed(context.service, outcome, reason)
-        if reason is Reason.MOVED:
-            self._moves += 1
+        self._tally.failed(outcome, reason)
         if self._target:
             self._avoid.add(self._target)
         record = ingress.router.records.get(context.service)
         attempt = Attempt(
             outcome=outcome,
             reason=reason,
-            number=self._attempts,
-            moves=self._moves,
+            number=self._tally.number,
+            moves=self._tally.moves,
             repeatable=context.repeatable,
             replayable=self._body_ended and not self._body_forwarded,
             keyed=self._keyed,
@@ -535,7 +534,10 @@
         """Give the caller an answer of pearward's own."""
         if self._done:
             return
-        status = status or (503 if outcome is Outcome.NOT_RUN else 502)
+        final = self._tally.final(outcome)
+        if final is not outcome:
+            outcome, status = final, 0
+        status = status or status_for(outcome)
         if status == 503 and not retry_s:
             retry_s = LOST_RETRY_S
         fields = {"outcome": outcome.value, "reason": reason.value, "detail": detail}
@@ -604,7 +606,7 @@
         fields = {
             "outcome": outcome.value,
             "reason": reason.value if reason else "",
-            "attempts": self._attempts,
+            "attempts": self._tally.number,
             "took_ms": round(took_s * MS_PER_S, 3),
         }
         if self._action is not None:
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -96,6 +96,7 @@
     }
     digest :group {
       fingerprint @36 :UInt64;
+      full @42 :Bool;
       entries @37 :List(VersionedKey);
     }
     pull :group {
--- a/tests/fuzz/ownership_machine.py
+++ b/tests/fuzz/ownership_machine.py
@@ -105,6 +105,43 @@
         self.world.deliver_replies(node)
         self.world.check()
 
+    @rule(mask=st.integers(1, 30), steps=st.integers(10, 60))
+    def split(self, mask: int, steps: int) -> None:
+        """Part the daemons into two groups for a while."""
+        for a in self.world.nodes:
+            for b in self.world.nodes:
+                if (mask >> a.number) & 1 != (mask >> b.number) & 1:
+                    self.world.cut.add((a.address, b.address))
+        self.pass_time(steps)
+
+    @rule(number=NODES, slot=SLOTS, steps=st.integers(1, 10))
+    def drain_running(self, number: int, slot: int, steps: int) -> None:
+        """Plan a daemon's stop while a request of its runs."""
+        node = self._node(number)
+        if node.dead or node.paused:
+            return
+        positions = self.world.positions
+        for offset in range(len(positions)):
+            self.world.start_request(node, positions[(slot + offset) % len(positions)])
+        node.agent.drain()
+        self.pass_time(steps)
+
+    @rule(number=NODES, mask=st.integers(1, 31))
+    def forget(self, number: int, mask: int) -> None:
+        """Freeze a daemon while others are replaced, and let it return."""
+        frozen = self._node(number)
+        self.slow_towards(number)
+        self.pass_time(1)
+        self.isolate(number)
+        for node in list(self.world.nodes):
+            if node is not frozen and (mask >> node.number) & 1:
+                self.world.restart(node)
+        self.coordinate(number + 1)
+        self.pass_time(12)
+        self.world.cut.clear()
+        self.world.deliver_replies(frozen)
+        self.world.check()
+
     @rule(number=NODES, other=NODES)
     def replace_witness(self, number: int, other: int) -> None:
         """Replace a daemon, and lose another one just as the witness sets change."""
--- a/tests/fuzz/teeth.py
+++ b/tests/fuzz/teeth.py
@@ -19,9 +19,9 @@
 
 from .ownership_machine import OwnershipMachine
 
-EXAMPLES = int(os.environ.get("EXAMPLES", "500"))
-STEPS = 12
-WORKERS = 6
+EXAMPLES = int(os.environ.get("EXAMPLES", "800"))
+STEPS = 16
+WORKERS = 5
 
 
 def _release_before_expiry(self: Any, ask: Any, record: Any, now: float) -> ReleaseReply:
