--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "Announce",
     "AskRelease",
     "ControlMessage",
     "Digest",
@@ -136,6 +137,14 @@
     entries: tuple[VersionedKey, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Tells of a newer version; who is behind pulls it, so that the value travels once."""
+
+    key: str
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Pull:
     """Asks for the values of some keys."""
@@ -161,6 +170,7 @@
     | Heartbeat
     | HeartbeatReply
     | Digest
+    | Announce
     | Pull
     | Push
 )
--- a/packages/coordination/src/pearward_coordination/spread.py
+++ b/packages/coordination/src/pearward_coordination/spread.py
@@ -1,8 +1,8 @@
 """Versions of the table and of cell records, as one daemon holds and spreads them.
 
-A newer version is pushed to a few peers at once, which push it on; a digest exchanged
-with a random peer every so often finds what a push missed. Versions only grow: an
-older one is never applied.
+A newer version is announced to a few peers at once; who is behind pulls the value and
+announces it on. A digest exchanged with a random peer every so often finds what the
+announcements missed. Versions only grow: an older one is never applied.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from .messages import Digest, Pull, Push, VersionedKey
+from .messages import Announce, Digest, Pull, Push, VersionedKey
 
 if TYPE_CHECKING:
     from random import Random
@@ -21,7 +21,9 @@
 __all__ = ["RecordSpread", "Stored"]
 
 FANOUT = 3
-"""Peers that a new version is pushed to at once."""
+"""Peers that a new version is announced to at once."""
+PULL_AGAIN_S = 0.5
+"""Time after which a pull that brought nothing is made again, of another peer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,7 @@
         self._rng = rng
         self._values: dict[str, Stored] = {}
         self._fingerprint = 0
+        self._pulled: dict[str, tuple[int, float]] = {}
 
     @property
     def fingerprint(self) -> int:
@@ -68,12 +71,27 @@
             self._fingerprint ^= _entry_hash(key, known)
         self._fingerprint ^= _entry_hash(key, version)
         self._values[key] = Stored(version, value)
+        self._pulled.pop(key, None)
         return True
 
     def choose_peers(self, addresses: Sequence[str], count: int = FANOUT) -> list[str]:
         """Return up to *count* random ones of *addresses*."""
         return self._rng.sample(list(addresses), min(count, len(addresses)))
 
+    def announce(self, key: str) -> Announce:
+        """Return the message that tells of the version of *key*."""
+        return Announce(key, self._values[key].version)
+
+    def on_announce(self, announce: Announce, now: float) -> list[Pull]:
+        """Answer a peer's announcement: pull what is newer, unless that is under way."""
+        if announce.version <= self.version(announce.key):
+            return []
+        version, asked_at = self._pulled.get(announce.key, (0, 0.0))
+        if version >= announce.version and now - asked_at < PULL_AGAIN_S:
+            return []
+        self._pulled[announce.key] = (announce.version, now)
+        return [Pull((announce.key,))]
+
     def push(self, key: str) -> Push:
         """Return the message that carries *key*."""
         stored = self._values[key]
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -12,6 +12,7 @@
 from pearward_coordination.agent import Abort, Action, CellAgent, GrantServer, Send
 from pearward_coordination.assignment import Joiner
 from pearward_coordination.messages import (
+    Announce,
     ControlMessage,
     Digest,
     Heartbeat,
@@ -251,6 +252,9 @@
             case Digest():
                 for answer in self._spread.on_digest(message):
                     self._send(sender.address, answer)
+            case Announce():
+                for pull in self._spread.on_announce(message, boot_time()):
+                    self._send(sender.address, pull)
             case Pull():
                 for answer in self._spread.on_pull(message):
                     self._send(sender.address, answer)
@@ -316,7 +320,7 @@
             return False
         self._spread.offer(key, version, value)
         for address in self._spread.choose_peers(self._peers):
-            self._send(address, self._spread.push(key))
+            self._send(address, self._spread.announce(key))
         return True
 
     def _take_table(self, table: ServiceTable) -> None:
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -19,7 +19,7 @@
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
-from pearward_state.records import CellRecord
+from pearward_state.records import CellRecord, Instance
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import CasConflict, PlatformUnavailable
@@ -32,7 +32,7 @@
 KEEP_ALIVE_S = 5.0
 ROLE_CHECK_S = 2.0
 """Between looks at who holds the role, so that a holder that was replaced steps back."""
-INSTANCE_POLL_S = 5.0
+INSTANCE_POLL_S = 600.0
 TABLE_POLL_S = 15.0
 """The watch tells of changes at once; polling finds what a broken watch missed."""
 COORDINATOR_SILENCE_S = 0.7
@@ -102,6 +102,8 @@
         self._loaded = False
         self._stopped = False
         self._watch: Watch | None = None
+        self._instances_watch: Watch | None = None
+        self._instances: dict[str, Instance] = {}
         self._next_keep_alive = 0.0
         self._next_role_check = 0.0
         self._next_poll = 0.0
@@ -135,8 +137,9 @@
         if self._stopped:
             return
         self._stopped = True
-        if self._watch is not None:
-            self._watch.stop()
+        for watch in (self._watch, self._instances_watch):
+            if watch is not None:
+                watch.stop()
 
     def tick(self) -> None:
         """Do what is due."""
@@ -153,6 +156,7 @@
             spawn(self._check_role())
         if now >= self._next_poll and not self._polling:
             self._next_poll = now + INSTANCE_POLL_S
+            self._watch_instances()
             spawn(self._poll_instances())
         if now >= self._next_table or self._watch is None:
             self._next_table = now + TABLE_POLL_S
@@ -290,9 +294,36 @@
         finally:
             self._polling = False
         listed = [i for i in map(parse_instance, pairs) if i is not None]
+        self._instances = {instance.name: instance for instance in listed}
+        self._compare_instances()
+
+    def _watch_instances(self) -> None:
+        """Follow the list by a watch: at full size, reading it whole takes megabytes."""
+        if self._instances_watch is None:
+            self._instances_watch = self._platform.watch(
+                INSTANCES, self._instances_changed, self._instances_lost, prefix=True
+            )
+
+    def _instances_lost(self) -> None:
+        self._instances_watch = None
+        self._next_poll = boot_time() + 1.0
+
+    def _instances_changed(self, events: list[WatchEvent]) -> None:
+        for event in events:
+            name = event.key.removeprefix(INSTANCES)
+            value = event.value
+            pair = None if value is None else KeyValue(event.key, value, event.revision)
+            instance = parse_instance(pair) if pair is not None else None
+            if instance is None:
+                self._instances.pop(name, None)
+            else:
+                self._instances[name] = instance
+        self._compare_instances()
+
+    def _compare_instances(self) -> None:
         # An empty list tells of a fault of the list, not of the loss of everything.
-        if listed and self._record is not None:
-            self._core.instances_listed(listed, self._record)
+        if self._instances and self._record is not None:
+            self._core.instances_listed(self._instances.values(), self._record)
 
     async def _keep_alive(self) -> None:
         try:
--- a/packages/devtools/src/pearward_devtools/bench/__main__.py
+++ b/packages/devtools/src/pearward_devtools/bench/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-GROUPS = ("path", "faults", "slopes")
+GROUPS = ("path", "faults", "slopes", "spread")
 
 
 @click.command()
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -10,6 +10,7 @@
 import capnp
 
 from pearward_coordination.messages import (
+    Announce,
     AskRelease,
     ControlMessage,
     Digest,
@@ -38,6 +39,7 @@
     Heartbeat,
     HeartbeatReply,
     Digest,
+    Announce,
     Pull,
     Push,
 )
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -108,5 +108,9 @@
       version @40 :UInt64;
       value @41 :Data;
     }
+    announce :group {
+      key @44 :Text;
+      version @45 :UInt64;
+    }
   }
 }
--- a/tests/fuzz/table_machine.py
+++ b/tests/fuzz/table_machine.py
@@ -9,7 +9,7 @@
 
 from pearward_cli.errors import ConflictingEdits, PlatformDown
 from pearward_cli.tables import TableEditor
-from pearward_coordination.messages import Digest, Pull, Push
+from pearward_coordination.messages import Announce, Digest, Pull, Push
 from pearward_coordination.spread import RecordSpread
 from pearward_protocol.etcd import KeyValue
 from pearward_state.table import ServiceTable
@@ -61,6 +61,7 @@
         self._run(self.editor.apply(SERVICE, ServiceTable.from_mapping(SERVICE, rows).to_mapping()))
         self.spreads = [RecordSpread(Random(seed + i)) for i in range(DAEMONS)]
         self.seen = [0] * DAEMONS
+        self.now = 0.0
         self.expected: dict[str, Any] = dict(self._table().to_mapping()["service"])
         self.versions = [self._table().version]
 
@@ -122,20 +123,32 @@
     @rule(start=st.integers(0, DAEMONS - 1), end=st.integers(0, DAEMONS - 1))
     def exchange(self, start: int, end: int) -> None:
         """Two daemons compare digests; afterwards neither is behind the other."""
-        if start == end:
-            return
-        queue = [(end, start, self.spreads[start].short_digest())]
+        if start != end:
+            self._talk(start, end, self.spreads[start].short_digest())
+            assert self.spreads[start].version(KEY) == self.spreads[end].version(KEY)
+
+    @rule(start=st.integers(0, DAEMONS - 1), end=st.integers(0, DAEMONS - 1))
+    def announce(self, start: int, end: int) -> None:
+        """A daemon announces what it knows; the other one is not behind it afterwards."""
+        if start != end and self.spreads[start].get(KEY) is not None:
+            self.now += 1.0
+            self._talk(start, end, self.spreads[start].announce(KEY))
+            assert self.spreads[end].version(KEY) >= self.spreads[start].version(KEY)
+
+    def _talk(self, start: int, end: int, first: Any) -> None:
+        queue = [(end, start, first)]
         while queue:
             to, back, message = queue.pop(0)
             for answer in self._answers(to, message):
                 queue.append((back, to, answer))
-        assert self.spreads[start].version(KEY) == self.spreads[end].version(KEY)
 
     def _answers(self, to: int, message: Any) -> list[Any]:
         spread = self.spreads[to]
         if isinstance(message, Push):
             spread.offer(message.key, message.version, message.value)
             return []
+        if isinstance(message, Announce):
+            return list(spread.on_announce(message, self.now))
         if isinstance(message, Pull):
             return list(spread.on_pull(message))
         assert isinstance(message, Digest)
