Release of a lost daemon by an operator's word

Cause: when a majority of an owner's witnesses is lost with it, nobody can tell that it has ended, and its keys waited for ever unless a daemon returned to its address. Change: pearward release SERVICE/SERVER --i-am-sure-it-has-ended, taken by the coordinator's operators' port; refused while that daemon answers.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -106,3 +106,9 @@
     When every daemon of "premview" is killed and started again
     Then every key of "premview" is served again
     And the promises hold for "premview"
+
+  Scenario: A release that cannot come is given by an operator's word
+    When the daemons of three servers of "premview" are killed
+    Then the shards that wait for them wait on
+    When the operator releases each of the three
+    Then every key of "premview" is served by the fourth
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -332,3 +332,40 @@
 @then('"{server}" comes to own its share')
 def owns_share(context: Any, server: str) -> None:
     wait_until(lambda: _shards_of(context, server) > 0, f"{server} to own shards")
+
+
+@when('the daemons of three servers of "{service}" are killed')
+def kill_three(context: Any, service: str) -> None:
+    nodes = context.cluster.of(service)
+    context.notes["fourth"] = nodes[-1]
+    for node in nodes[:-1]:
+        _lose(context, node)
+        context.cluster.kill_daemon(node)
+
+
+@then("the shards that wait for them wait on")
+def wait_on(context: Any) -> None:
+    fourth = context.notes["fourth"]
+    wait_until(lambda: context.cluster.status(fourth)["coordinating"], "a coordinator")
+    served = [_serves(context, "premview", f"key-{n}") for n in range(4)]
+    # The fourth has lost two of its three witnesses: it serves nothing, its own keys included.
+    assert not any(served), served
+
+
+@when("the operator releases each of the three")
+def release_three(context: Any) -> None:
+    nodes = [n for n in context.cluster.of("premview") if n is not context.notes["fourth"]]
+    for node in nodes:
+        row = f"premview/{node.server}"
+        refused = run_pearward(context, "release", row)
+        assert refused.returncode == 2, refused
+        done = run_pearward(context, "release", row, "--i-am-sure-it-has-ended")
+        assert done.returncode == 0, done.stderr
+
+
+@then('every key of "{service}" is served by the fourth')
+def fourth_serves(context: Any, service: str) -> None:
+    server = context.notes["fourth"].server
+    for number in range(6):
+        key = f"key-{number}"
+        wait_until(lambda k=key: _serves(context, service, k) == server, key)
--- a/packages/cli/src/pearward_cli/errors.py
+++ b/packages/cli/src/pearward_cli/errors.py
@@ -3,7 +3,14 @@
 from pearward_state.errors import PearwardError
 from pearward_state.tablediff import Conflict
 
-__all__ = ["CliError", "ConflictingEdits", "InvalidInput", "NotConfirmed", "PlatformDown"]
+__all__ = [
+    "CliError",
+    "ConflictingEdits",
+    "DaemonDown",
+    "InvalidInput",
+    "NotConfirmed",
+    "PlatformDown",
+]
 
 
 class CliError(PearwardError):
@@ -24,6 +31,12 @@
     exit_code = 3
 
 
+class DaemonDown(CliError):
+    """A daemon that is needed did not answer."""
+
+    exit_code = 3
+
+
 class ConflictingEdits(CliError):
     """Somebody else changed the same fields meanwhile; nothing of this edit was written."""
 
--- a/packages/cli/src/pearward_cli/fleet.py
+++ b/packages/cli/src/pearward_cli/fleet.py
@@ -12,7 +12,7 @@
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import IpEndpoints, KeyValueService
 
-from .errors import PlatformDown
+from .errors import DaemonDown, PlatformDown
 
 __all__ = ["Fleet", "Report"]
 
@@ -20,6 +20,7 @@
 AT_ONCE = 64
 """Daemons that are asked at the same time."""
 POLL_S = 0.1
+HTTP_OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +73,17 @@
             self._reactor.callLater(POLL_S, waited.callback, None)
             await waited
 
+    async def release(self, instance: Instance, incarnation: str) -> bool:
+        """Tell a coordinator that an incarnation has ended; return whether it took that."""
+        host = instance.admin_address or instance.address
+        url = f"http://{host}:{instance.admin_port}/release?incarnation={incarnation}".encode()
+        exchange = self._agent.request(b"POST", url)
+        exchange.addTimeout(ASK_TIMEOUT_S, self._reactor)
+        try:
+            return bool((await exchange).code == HTTP_OK)
+        except Exception as error:
+            raise DaemonDown(f"{instance.name}: {error or type(error).__name__}") from error
+
     async def _ask(self, instance: Instance) -> Report:
         host = instance.admin_address or instance.address
         url = f"http://{host}:{instance.admin_port}/status".encode()
--- a/packages/cli/src/pearward_cli/main.py
+++ b/packages/cli/src/pearward_cli/main.py
@@ -18,7 +18,7 @@
 from pearward_state.table import Kind
 from pearward_state.tablediff import Edit
 
-from .errors import CliError, InvalidInput, NotConfirmed, PlatformDown
+from .errors import CliError, DaemonDown, InvalidInput, NotConfirmed, PlatformDown
 from .files import parse_value, read_csv, read_declared, write_csv
 from .tables import Applied, TableEditor
 
@@ -318,6 +318,61 @@
     )
 
 
+@main.command()
+@click.argument("row", metavar="SERVICE/SERVER")
+@click.option(
+    "--i-am-sure-it-has-ended",
+    "sure",
+    is_flag=True,
+    help="If the daemon still runs, two servers may own a key: data may be lost or doubled.",
+)
+@pass_session
+def release(session: Session, row: str, sure: bool) -> None:
+    """Give up waiting for a lost server's daemon, on your word that it has ended.
+
+    Needed only where so many witnesses were lost with it that nobody can tell.
+    """
+    from .fleet import Fleet
+
+    service, _, server = row.partition("/")
+    if not server:
+        session.fail(InvalidInput(f"{row!r}: expected SERVICE/SERVER"))
+    if not sure:
+        session.fail(InvalidInput("refused without --i-am-sure-it-has-ended; see --help"))
+
+    async def work(reactor: Any, platform: Any) -> list[str]:
+        record = await _read_record(platform, service)
+        lost = [m.incarnation for m in record.members if m.server == server]
+        if not lost:
+            raise InvalidInput(f"{row}: not in the record")
+        fleet = Fleet(reactor, platform)
+        reports = await fleet.reports(await fleet.instances())
+        running = [r for r in reports if r.status and r.status["service"] == service]
+        for report in running:
+            if report.status and report.status["incarnation"] in lost:
+                raise InvalidInput(f"{row}: refused: its daemon answers")
+        for report in running:
+            if report.status and report.status["coordinating"]:
+                for incarnation in lost:
+                    await fleet.release(report.instance, incarnation)
+                return lost
+        raise DaemonDown(f"{service}: no coordinator answers")
+
+    released = session.run(work)
+    session.show(released, f"released: {', '.join(released)}")
+
+
+async def _read_record(platform: Any, service: str) -> CellRecord:
+    """Return a service's assignment record; raises InvalidInput where there is none."""
+    try:
+        pair = await platform.get(f"cell/{service}")
+    except PearwardError as error:
+        raise PlatformDown(str(error)) from error
+    if pair is None:
+        raise InvalidInput(f"service {service!r} has no servers yet")
+    return CellRecord.from_bytes(pair.value)
+
+
 @main.command()
 @click.argument("service")
 @click.argument("key", default="")
@@ -327,13 +382,7 @@
 
     async def work(reactor: Any, platform: Any) -> Any:
         table = await session.editor(platform).read(service)
-        try:
-            pair = await platform.get(f"cell/{service}")
-        except PearwardError as error:
-            raise PlatformDown(str(error)) from error
-        if pair is None:
-            raise InvalidInput(f"service {service!r} has no servers yet")
-        return table, CellRecord.from_bytes(pair.value)
+        return table, await _read_record(platform, service)
 
     table, record = session.run(work)
     data = _explain(table, record, service, key)
--- a/packages/daemon/src/pearward_daemon/admin.py
+++ b/packages/daemon/src/pearward_daemon/admin.py
@@ -11,6 +11,8 @@
 
 __all__ = ["admin_site"]
 
+CONFLICT = 409
+
 
 class _Text(Resource):  # type: ignore[misc]
     """A page that is made by a function for each request."""
@@ -29,8 +31,28 @@
         return body
 
 
+class _Release(Resource):  # type: ignore[misc]
+    """Takes an operator's word that a member has ended."""
+
+    isLeaf = True
+
+    def __init__(self, release: Callable[[str], bool]) -> None:
+        super().__init__()
+        self._release = release
+
+    def render_POST(self, request: Any) -> bytes:
+        incarnation = request.args.get(b"incarnation", [b""])[0].decode("latin-1")
+        if not self._release(incarnation):
+            request.setResponseCode(CONFLICT)
+            return b"not the coordinator, or no such member\n"
+        return b"released\n"
+
+
 def admin_site(
-    metrics: Metrics, ready: Callable[[], str], status: Callable[[], dict[str, object]]
+    metrics: Metrics,
+    ready: Callable[[], str],
+    status: Callable[[], dict[str, object]],
+    release: Callable[[str], bool],
 ) -> Site:
     """Return the site; *ready* names what is missing, or nothing."""
 
@@ -48,6 +70,7 @@
         b"status",
         _Text(b"application/json", lambda: (200, json.dumps(status()).encode() + b"\n")),
     )
+    root.putChild(b"release", _Release(release))
     site = Site(root)
     site.noisy = False
     return site
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -187,6 +187,15 @@
         """Ask for this daemon's work to be handed over."""
         self._agent.drain()
 
+    def force_release(self, incarnation: str) -> bool:
+        """Take an operator's word that a member has ended; False where this daemon cannot."""
+        record = self._agent.record
+        if self._writer is None or record is None or record.member(incarnation) is None:
+            return False
+        eliot.log_message("pearward:forced-release", incarnation=incarnation)
+        self._writer.core.force_release(incarnation)
+        return True
+
     def stop(self) -> None:
         """End."""
         for loop in (self._loop, self._probe_loop):
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -103,7 +103,7 @@
         listen = self._settings.listen
         reactor = self._reactor
         reactor.listenTCP(listen.peer_port, self._listener, interface=listen.ip, backlog=1024)
-        site = admin_site(self._metrics, self._missing, self.status)
+        site = admin_site(self._metrics, self._missing, self.status, self._control.force_release)
         reactor.listenTCP(listen.admin_port, site, interface=listen.ip)
         self._caller_port = reactor.listenTCP(
             listen.caller_port, self._callers, interface=listen.ip, backlog=1024
