Attempts at a daemon that was given up end at once; a silent coordinator is replaced without a second look

A seeker gave a holder that it had known and lost another 0.4 s; requests to a frozen owner stayed on its open connection until the 1.5 s silence limit, although its lease had lapsed and its keys had moved. Change: the chance to answer is for unknown holders only; a record that retires a member ends the attempts at it: repeatable ones go to the new owner, the others are told unknown.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -109,6 +109,7 @@
         self._on_serving_changed: list[Callable[[], None]] = []
         self._on_abort: list[Callable[[tuple[int, ...]], None]] = []
         self._on_table: list[Callable[[ServiceTable], None]] = []
+        self._on_record: list[Callable[[CellRecord], None]] = []
 
     # -- properties -----------------------------------------------------------
 
@@ -176,6 +177,10 @@
         """Call *callback* with each newer table of any service."""
         self._on_table.append(callback)
 
+    def on_record(self, callback: Callable[[CellRecord], None]) -> None:
+        """Call *callback* with each newer record of any cell."""
+        self._on_record.append(callback)
+
     def start(self, pool: PeerPool) -> None:
         """Begin."""
         self._pool = pool
@@ -350,6 +355,8 @@
             # This daemon holds its own port: whoever is named there has gone before it.
             self._ended |= _listeners_at(record, self._me.address) - {self.incarnation}
             self._act(self._agent.adopt(record, value, boot_time()))
+        for callback in self._on_record:
+            callback(record)
 
     def _update_peers(self) -> None:
         """Derive whom to exchange versions with: members of all cells, and the first list."""
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -381,6 +381,10 @@
         self._on_found = on_found
         self._on_taken = on_taken
         self._silent_holder = ""
+        self._found = ""
+        """Incarnation of the holder that heartbeats go to."""
+        self._answered = False
+        """Whether that one has answered: its silence then needs no second look."""
         self._seeking = False
         self._last_reply = float("-inf")
         self._not_before = 0.0
@@ -390,6 +394,7 @@
         """The coordinator answered a heartbeat."""
         self._last_reply = boot_time()
         self._silent_holder = ""
+        self._answered = True
         self._backoff_s = SEEK_BACKOFF_MIN_S
 
     def tick(self, rank: int, handicap_s: float) -> None:
@@ -410,15 +415,18 @@
         try:
             pair = await self._platform.get(f"coordinator/{self._cell}")
             role = _role_holder(pair)
-            if role is not None and role.incarnation not in ("", self._silent_holder):
+            gone = self._found if self._answered else self._silent_holder
+            if role is not None and role.incarnation not in ("", gone):
                 # Give the named one a chance to answer before it is replaced.
-                self._silent_holder = role.incarnation
+                self._silent_holder = self._found = role.incarnation
+                self._answered = False
                 self._last_reply = boot_time() - COORDINATOR_SILENCE_S + 0.4
                 self._on_found(role.address)
                 return
             await self._take(role.revision if role is not None else 0)
         except CasConflict:
-            self._silent_holder = ""
+            # Somebody else was quicker: look at once who.
+            self._silent_holder, self._answered = "", False
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="seek coordinator", error=str(error))
             self._wait()
@@ -430,6 +438,7 @@
         value = json.dumps({"incarnation": self._me.incarnation, "address": self._me.address})
         await self._platform.swap(f"coordinator/{self._cell}", revision, value.encode(), lease)
         eliot.log_message("pearward:coordinator-taken", cell=self._cell)
+        self._found = self._me.incarnation
         self.heard()
         self._on_taken(lease)
 
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -84,6 +84,7 @@
         self._control.on_serving_changed(self._owner.recheck)
         self._control.on_abort(self._owner.abort)
         self._control.on_table(self._table_changed)
+        self._control.on_record(self._ingress.record_changed)
         self._export_gauges()
 
     @classmethod
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -23,6 +23,7 @@
 )
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
+from pearward_state.records import CellRecord, MemberState
 from pearward_state.table import Kind
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
@@ -110,6 +111,15 @@
         """Forget a request that was answered."""
         self._open.discard(request)
 
+    def record_changed(self, record: CellRecord) -> None:
+        """End attempts at daemons that *record* has given up.
+
+        Such an owner's lease has lapsed, so no answer of its can be valid any more; its
+        connection may stay open for long if it is frozen.
+        """
+        for request in list(self._open):
+            request.record_changed(record)
+
     def draws_action(self) -> bool:
         """Return whether the next request is logged as an action of its own."""
         if self.log_requests not in (LogRequests.ALL, LogRequests.SAMPLED):
@@ -453,6 +463,19 @@
             return
         self._after_failure(outcome, reason, detail, 0.0, 0)
 
+    def record_changed(self, record: CellRecord) -> None:
+        """Give the present attempt up if its daemon is no longer a member that may act."""
+        if self._attempt is None or self._answering or self._context is None:
+            return
+        if record.service != self._context.service:
+            return
+        member = record.member(self._target)
+        if member is None or member.state is MemberState.RETIRED:
+            self._attempt.cancel()
+            self.attempt_failed(
+                Outcome.UNKNOWN, Reason.CONNECTION_LOST, "the owner's daemon has been given up"
+            )
+
     def _refused(self, head: ResponseHead) -> None:
         """The owner's daemon answered in the server's place."""
         reason = head.reason or Reason.SERVER_FAILED
