--- a/packages/coordination/src/pearward_coordination/agent.py
+++ b/packages/coordination/src/pearward_coordination/agent.py
@@ -72,7 +72,8 @@
         self._next_renewal = NEVER
         self._next_heartbeat = NEVER
         self._next_release_poll = NEVER
-        self._granted: tuple[int, frozenset[tuple[int, int, int]]] | None = None
+        self._granted: tuple[int, int] | None = None
+        """Lease term and state of ownership that the server was last told of."""
         self._granting = False
         self._votes: dict[tuple[str, int], set[str]] = {}
         self._told_at = (0, 0)
@@ -318,15 +319,13 @@
             return []
         if self._granting:
             return []
-        shards = tuple(self._ownership.grantable_shards())
-        version = self._ownership.adopted
-        key = (self._lease.term, frozenset((s.start, s.end, s.epoch) for s in shards))
+        key = (self._lease.term, self._ownership.changes)
         if key == self._granted:
-            self._ownership.server_revoked(version)
             return []
         self._granted = key
         self._granting = True
-        return [GrantServer(version, self._lease.term, shards)]
+        shards = tuple(self._ownership.grantable_shards())
+        return [GrantServer(self._ownership.adopted, self._lease.term, shards)]
 
     def _tell_successors(self, now: float) -> list[Action]:
         """Tell the new owners of taken shards, once, that they are given up."""
--- a/packages/coordination/src/pearward_coordination/ownership.py
+++ b/packages/coordination/src/pearward_coordination/ownership.py
@@ -74,6 +74,7 @@
         self._next_run = 0
         self._released = 0
         self._revoked = 0
+        self._changes = 0
 
     # -- properties ---------------------------------------------------------
 
@@ -112,11 +113,17 @@
         """The adopted version if everything it gives this daemon is being served, else 0."""
         return 0 if self.pending_shards() else self.adopted
 
+    @property
+    def changes(self) -> int:
+        """Number that grows whenever what may be granted to the server may have changed."""
+        return self._changes
+
     # -- records and releases -----------------------------------------------
 
     def adopt(self, record: CellRecord) -> None:
         """Act on *record* from now on; shards it takes stop admitting at once."""
         self._record = record
+        self._changes += 1
         mine = {shard.start: shard for shard in record.owned_by(self._incarnation)}
         # A moved, split or merged shard starts over; one that stays keeps its grant.
         self._serving = {
@@ -138,6 +145,7 @@
         """Note that an earlier owner can no longer act on what *version* took."""
         if version > self._released_by.get(incarnation, 0):
             self._released_by[incarnation] = version
+            self._changes += 1
 
     def awaited_releases(self) -> dict[str, int]:
         """Return the earlier owners still waited for, with the version asked of each."""
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -40,7 +40,7 @@
 
 __all__ = ["ControlPlane"]
 
-TICK_S = 0.025
+TICK_S = 0.05
 DIGEST_S = 1.0
 GRANT_TIMEOUT_S = 0.5
 GRANT_PATH = b"/.pearward/grants"
--- a/packages/devtools/src/pearward_devtools/check.py
+++ b/packages/devtools/src/pearward_devtools/check.py
@@ -47,8 +47,8 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         command = [
-            str(BIN / "behave"), "--format", "progress3", "--outfile", "/dev/stdout",
-            "--format", "json", "--outfile", str(report), "--no-skipped", *arguments,
+            str(BIN / "behave"), "--format", "json", "--outfile", str(report),
+            "--format", "progress3", "--no-skipped", *arguments,
         ]  # fmt: skip
         subprocess.run(command, check=False)
         features = json.loads(report.read_text(encoding="utf-8") or "[]")
