One piece where the logic stood twice: waiting, scoped ids, the target member, watched memory

Cause: reading the whole change: a wait on the reactor was written four times, a request id within its tenant and the look-up of an attempt's member twice each, the watch over two daemons' memory twice in the bench; ShardMap.from_shards was dead since assignment works on arrays, and its check of gaps with it. Change: clock.sleep, memory.scoped_id, RoutedRequest._target_member and _watch_memory serve all of them; the dead constructor is gone. Left: a stored record is not checked for arrays of unequal length.

--- a/packages/cli/src/pearward_cli/fleet.py
+++ b/packages/cli/src/pearward_cli/fleet.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.internet.defer import DeferredList, ensureDeferred
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
 from pearward_state.records import Instance, InstanceState
+from pearward_transport.clock import sleep
 from pearward_transport.errors import PlatformUnavailable
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import IpEndpoints, KeyValueService
@@ -69,9 +70,7 @@
             if not behind or self._reactor.seconds() >= deadline:
                 return behind
             missing = [r.instance for r in behind]
-            waited: Deferred[None] = Deferred()
-            self._reactor.callLater(POLL_S, waited.callback, None)
-            await waited
+            await sleep(self._reactor, POLL_S)
 
     async def release(self, instance: Instance, incarnation: str) -> bool:
         """Tell a coordinator that an incarnation has ended; return whether it took that."""
--- a/packages/coordination/src/pearward_coordination/memory.py
+++ b/packages/coordination/src/pearward_coordination/memory.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-__all__ = ["Remembered", "RequestMemory"]
+__all__ = ["Remembered", "RequestMemory", "scoped_id"]
 
 
 @dataclass(slots=True)
@@ -59,3 +59,8 @@
             if oldest.first_seen > horizon:
                 return
             self._seen.popitem(last=False)
+
+
+def scoped_id(tenant: str, request_id: bytes) -> bytes:
+    """Return a request id within its tenant: two tenants may choose the same."""
+    return tenant.encode() + b"\x00" + request_id
--- a/packages/daemon/src/pearward_daemon/caller_request.py
+++ b/packages/daemon/src/pearward_daemon/caller_request.py
@@ -9,6 +9,7 @@
 import eliot
 from twisted.python.failure import Failure
 
+from pearward_coordination.memory import scoped_id
 from pearward_coordination.retry import Attempt, AttemptTally, decide_retry
 from pearward_coordination.routing import NoRoute, Route, UnknownService
 from pearward_protocol.errors import BadHeader
@@ -22,7 +23,7 @@
 )
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
-from pearward_state.records import CellRecord, MemberState
+from pearward_state.records import CellRecord, Member, MemberState
 from pearward_state.table import Kind
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
@@ -187,7 +188,7 @@
         if context.repeatable or not context.request_id:
             return
         memory = self._ingress.memory
-        scoped = context.tenant.encode() + b"\x00" + context.request_id
+        scoped = scoped_id(context.tenant, context.request_id)
         known = memory.find(scoped, self._begun_at)
         if known is not None:
             age_ms = max(1, int((self._begun_at - known.first_seen) * MS_PER_S))
@@ -386,7 +387,8 @@
         service = self._context.service
         known = self._ingress.router.records.get(service)
         if head.version and known is not None and head.version > known.version:
-            address = self._member_peer()
+            member = self._target_member()
+            address = member.peer if member is not None else ""
             self._ingress.control.want_record(service, head.version, address)
         self._attempt_over()
         self._after_failure(
@@ -488,21 +490,19 @@
         if self._ingress.control.draining:
             self._request.close_after()
 
-    def _owner_line(self) -> bytes:
-        """Return the header that names where the owner's daemon takes callers."""
+    def _target_member(self) -> Member | None:
+        """Return the member that the present attempt went to, if the record still names it."""
         assert self._context is not None
         record = self._ingress.router.records.get(self._context.service)
-        member = record.member(self._target) if record is not None else None
+        return record.member(self._target) if record is not None else None
+
+    def _owner_line(self) -> bytes:
+        """Return the header that names where the owner's daemon takes callers."""
+        member = self._target_member()
         if member is None:
             return b""
         return b"%b: %b\r\n" % (HeaderName.OWNER, member.caller.encode())
 
-    def _member_peer(self) -> str:
-        assert self._context is not None
-        record = self._ingress.router.records.get(self._context.service)
-        member = record.member(self._target) if record is not None else None
-        return member.peer if member is not None else ""
-
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import eliot
-from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from pearward_coordination.agent import Abort, Action, CellAgent, GrantServer, Send
@@ -28,7 +27,7 @@
 from pearward_state.records import CellRecord
 from pearward_state.shards import Shard
 from pearward_state.table import ServiceTable
-from pearward_transport.clock import boot_time
+from pearward_transport.clock import boot_time, sleep
 from pearward_transport.errors import PlatformUnavailable, ServerBroke, ServerUnreachable
 from pearward_transport.http_client import ServerClient
 from pearward_transport.instances import INSTANCES, parse_instance
@@ -379,9 +378,7 @@
             if self._bootstrap_peers:
                 self._update_peers()
                 return
-            waited: Deferred[None] = Deferred()
-            self._reactor.callLater(1.0, waited.callback, None)
-            await waited
+            await sleep(self._reactor, 1.0)
 
     # -- the coordinator --------------------------------------------------------
 
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -21,7 +21,7 @@
 from pearward_state.errors import InvalidRecord
 from pearward_state.records import CellRecord, Instance
 from pearward_state.table import ServiceTable
-from pearward_transport.clock import boot_time
+from pearward_transport.clock import boot_time, sleep
 from pearward_transport.errors import CasConflict, PlatformUnavailable
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import KeyValueService, Watch
@@ -176,7 +176,7 @@
                 self._loaded = True
             except PlatformUnavailable as error:
                 eliot.log_message("pearward:platform", call="load", error=str(error))
-                await _sleep(self._reactor, 0.3)
+                await sleep(self._reactor, 0.3)
 
     async def _read_record(self) -> None:
         pair = await self._platform.get(self.key)
@@ -214,7 +214,7 @@
             await self._settle(planned)
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="write record", error=str(error))
-            await _sleep(self._reactor, 0.2)
+            await sleep(self._reactor, 0.2)
             await self._settle(planned)
         finally:
             self._writing = False
@@ -225,7 +225,7 @@
             await self._read_record()
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="read back", error=str(error))
-            await _sleep(self._reactor, 0.3)
+            await sleep(self._reactor, 0.3)
             return
         record = self._record
         if record is None or record.write_id == planned.write_id:
@@ -446,10 +446,3 @@
         """Ask less and less often while the platform is down, and not all at the same time."""
         self._not_before = boot_time() + self._backoff_s * (0.5 + self._rng.random())
         self._backoff_s = min(SEEK_BACKOFF_MAX_S, self._backoff_s * 2)
-
-
-def _sleep(reactor: Any, seconds: float) -> "Deferred[None]":
-    """Return a Deferred that fires after *seconds*."""
-    waited: Deferred[None] = Deferred()
-    reactor.callLater(seconds, waited.callback, None)
-    return waited
--- a/packages/daemon/src/pearward_daemon/owner.py
+++ b/packages/daemon/src/pearward_daemon/owner.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from pearward_coordination.admission import AdmissionLimits, AdmissionQueue, Decision, Shed, Ticket
-from pearward_coordination.memory import RequestMemory
+from pearward_coordination.memory import RequestMemory, scoped_id
 from pearward_coordination.ownership import Admission, Ownership, Permit
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.httpmap import HeaderName
@@ -203,7 +203,7 @@
 
     def first_run(self, head: RequestHead, permit: Permit, now: float) -> ResponseHead | None:
         """Note a not-repeatable request as handed over; return a refusal if it may not be."""
-        request_id = _scoped_id(head)
+        request_id = scoped_id(head.tenant, head.request_id)
         known = self._memory.find(request_id, now)
         if known is not None:
             detail = f"first answer: {known.status}" if known.status else "first answer: none yet"
@@ -220,13 +220,13 @@
 
     def remember_status(self, head: RequestHead, status: int) -> None:
         """Keep the status of a not-repeatable request's answer."""
-        known = self._memory.find(_scoped_id(head), boot_time())
+        known = self._memory.find(scoped_id(head.tenant, head.request_id), boot_time())
         if known is not None:
             known.status = status
 
     def forget_run(self, head: RequestHead) -> None:
         """Forget a not-repeatable request that certainly did not run."""
-        self._memory.forget(_scoped_id(head))
+        self._memory.forget(scoped_id(head.tenant, head.request_id))
 
     def fenced(self) -> None:
         """The server refused an epoch: grant anew."""
@@ -265,8 +265,3 @@
         for ticket in started:
             if (request := self._queued.pop(ticket, None)) is not None:
                 request.slot_given()
-
-
-def _scoped_id(head: RequestHead) -> bytes:
-    """Return the request id within its tenant: two tenants may choose the same."""
-    return head.tenant.encode() + b"\x00" + head.request_id
--- a/packages/devtools/src/pearward_devtools/bench/path.py
+++ b/packages/devtools/src/pearward_devtools/bench/path.py
@@ -178,16 +178,19 @@
             emit(f"{name}_added_{label}_ms", median(values[name]) - direct, "ms", direct)
 
 
-def _streaming(scene: _Scene) -> None:
-    """Stream a gigabyte through two daemons and watch their memory."""
+@dataclass(frozen=True)
+class _Watched:
+    """One load generator's result, and how far each daemon's memory rose meanwhile."""
+
+    row: dict[str, Any]
+    ingress_mb: float
+    owner_mb: float
+
+
+def _watch_memory(scene: _Scene, command: list[str]) -> _Watched:
+    """Run a load generator and watch both daemons' memory."""
     before = (_rss_mb(scene.ingress), _rss_mb(scene.owner))
     peak = list(before)
-    path = f"/download?bytes={STREAM_BYTES}"
-    command = [
-        sys.executable, "-m", "pearward_devtools.loadgen", "--target", scene.ingress.caller,
-        "--path", path, "--workers", "1", "--seconds", "0.01",
-        "--header", scene.headers[0], "--key", scene.keys[0],
-    ]  # fmt: skip
     process = subprocess.Popen(command, stdout=subprocess.PIPE)
     while process.poll() is None:
         peak[0] = max(peak[0], _rss_mb(scene.ingress))
@@ -195,34 +198,38 @@
         time.sleep(0.02)
     assert process.stdout is not None
     row = json.loads(process.stdout.read())
+    return _Watched(row, peak[0] - before[0], peak[1] - before[1])
+
+
+def _one_key_command(scene: _Scene, path: str, workers: int, seconds: float) -> list[str]:
+    """Return the load generator's command for one key through the ingress."""
+    return [
+        sys.executable, "-m", "pearward_devtools.loadgen", "--target", scene.ingress.caller,
+        "--path", path, "--workers", str(workers), "--seconds", str(seconds),
+        "--header", scene.headers[0], "--key", scene.keys[0],
+    ]  # fmt: skip
+
+
+def _streaming(scene: _Scene) -> None:
+    """Stream a gigabyte through two daemons and watch their memory."""
+    command = _one_key_command(scene, f"/download?bytes={STREAM_BYTES}", 1, 0.01)
+    watched = _watch_memory(scene, command)
+    row = watched.row
     command[command.index(scene.ingress.caller)] = scene.owner.server_address
     direct = json.loads(subprocess.run(command, capture_output=True, check=True).stdout)
     emit("stream_bytes_short", STREAM_BYTES - row["bytes"], "bytes", 0)
-    emit("stream_rss_growth_mb", max(peak[0] - before[0], peak[1] - before[1]), "MB", 16)
+    emit("stream_rss_growth_mb", max(watched.ingress_mb, watched.owner_mb), "MB", 16)
     rate = row["bytes"] / row["seconds"] / MIB
     emit("stream_mb_s", rate, "MB/s", direct["bytes"] / direct["seconds"] / MIB)
 
 
 def _open_streams(scene: _Scene) -> None:
     """Hold many requests open at once and see what each costs in memory."""
-    before = (_rss_mb(scene.ingress), _rss_mb(scene.owner))
-    command = [
-        sys.executable, "-m", "pearward_devtools.loadgen", "--target", scene.ingress.caller,
-        "--path", "/work?work_ms=4000", "--workers", str(OPEN_STREAMS), "--seconds", "1",
-        "--header", scene.headers[0], "--key", scene.keys[0],
-    ]  # fmt: skip
-    process = subprocess.Popen(command, stdout=subprocess.PIPE)
-    peak = list(before)
-    while process.poll() is None:
-        peak[0] = max(peak[0], _rss_mb(scene.ingress))
-        peak[1] = max(peak[1], _rss_mb(scene.owner))
-        time.sleep(0.05)
-    assert process.stdout is not None
-    row = json.loads(process.stdout.read())
-    emit("open_streams_errors", row["errors"], "requests", 0)
+    watched = _watch_memory(scene, _one_key_command(scene, "/work?work_ms=4000", OPEN_STREAMS, 1.0))
+    emit("open_streams_errors", watched.row["errors"], "requests", 0)
     per = 1000 / OPEN_STREAMS
-    emit("rss_ingress_per_1000_streams_mb", (peak[0] - before[0]) * per, "MB")
-    emit("rss_owner_per_1000_streams_mb", (peak[1] - before[1]) * per, "MB")
+    emit("rss_ingress_per_1000_streams_mb", watched.ingress_mb * per, "MB")
+    emit("rss_owner_per_1000_streams_mb", watched.owner_mb * per, "MB")
 
 
 def run() -> None:
--- a/packages/devtools/src/pearward_devtools/loadgen.py
+++ b/packages/devtools/src/pearward_devtools/loadgen.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 
+from pearward_transport.clock import sleep
 from pearward_transport.errors import TransportError
 from pearward_transport.http_client import ServerClient
 
@@ -62,7 +63,7 @@
                 return
             if self._interval:
                 if due > now:
-                    await _sleep(due - now)
+                    await sleep(reactor, due - now)
                 began, due = due, due + self._interval
             else:
                 began = now
@@ -109,12 +110,6 @@
         """There is no body."""
 
 
-def _sleep(seconds: float) -> "Deferred[None]":
-    waited: Deferred[None] = Deferred()
-    reactor.callLater(seconds, waited.callback, None)
-    return waited
-
-
 def _percentile(values: list[float], share: float) -> float:
     return values[min(len(values) - 1, int(len(values) * share))] if values else 0.0
 
--- a/packages/state/src/pearward_state/shards.py
+++ b/packages/state/src/pearward_state/shards.py
@@ -6,10 +6,9 @@
 
 from array import array
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from .errors import InvalidRecord
 from .keys import HASH_SPACE
 
 __all__ = ["NO_OWNER", "Shard", "ShardMap"]
@@ -52,24 +51,6 @@
             array("Q", [0] * count),
         )
 
-    @classmethod
-    def from_shards(cls, shards: Iterable[Shard]) -> "ShardMap":
-        """Build a map from shards in order; raises InvalidRecord on a gap or an overlap."""
-        rows = list(shards)
-        expected = 0
-        for shard in rows:
-            if shard.start != expected or shard.end <= shard.start:
-                raise InvalidRecord(f"shard {shard.start:x}-{shard.end:x}: expected {expected:x}")
-            expected = shard.end
-        if rows and expected != HASH_SPACE:
-            raise InvalidRecord(f"shards end at {expected:x}")
-        return cls(
-            array("Q", [s.start for s in rows]),
-            array("H", [s.owner for s in rows]),
-            array("Q", [s.epoch for s in rows]),
-            {s.start: s.predecessors for s in rows if s.predecessors},
-        )
-
     def __len__(self) -> int:
         return len(self.starts)
 
--- a/packages/transport/src/pearward_transport/clock.py
+++ b/packages/transport/src/pearward_transport/clock.py
@@ -5,8 +5,11 @@
 """
 
 import time
+from typing import Any
 
-__all__ = ["boot_time", "unix_time"]
+from twisted.internet.defer import Deferred
+
+__all__ = ["boot_time", "sleep", "unix_time"]
 
 
 def boot_time() -> float:
@@ -17,3 +20,10 @@
 def unix_time() -> float:
     """Return seconds since the epoch, for times that leave the process."""
     return time.time()
+
+
+def sleep(reactor: Any, seconds: float) -> "Deferred[None]":
+    """Return a Deferred that fires after *seconds* by *reactor*'s clock."""
+    waited: Deferred[None] = Deferred()
+    reactor.callLater(seconds, waited.callback, None)
+    return waited
