--- a/Makefile
+++ b/Makefile
@@ -4,18 +4,19 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := state coordination protocol transport daemon cli devtools
+PACKAGES := packages/state packages/coordination packages/protocol packages/transport \
+	packages/daemon packages/cli packages/devtools platform
 EXAMPLES ?= 400
 
 .PHONY: run test lint fuzz fuzz-teeth bench capacity pins setup
 
 setup: $(STAMP)
 
-$(STAMP): requirements/dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(STAMP): requirements/dev.txt $(foreach p,$(PACKAGES),$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements/dev.txt
 	$(BIN)/uv pip install --quiet --python $(BIN)/python --no-deps --no-build-isolation \
-		$(foreach p,$(PACKAGES),-e packages/$(p))
+		$(foreach p,$(PACKAGES),-e $(p))
 	touch $(STAMP)
 
 run: setup
@@ -42,3 +43,5 @@
 pins: setup
 	$(BIN)/uv pip compile --quiet --generate-hashes --no-header --no-emit-index-url \
 		requirements/dev.in -o requirements/dev.txt
+	$(BIN)/uv pip compile --quiet --generate-hashes --no-header --no-emit-index-url \
+		-c requirements/dev.txt requirements/run.in -o requirements/run.txt
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -0,0 +1,170 @@
+"""Which targets there are, where their daemons are reached, and how they do.
+
+Fed by the members' entries in the platform's store and by what daemons see of each
+other. An entry that went because a lease lapsed says nothing of a daemon that can still be
+reached, so such a member stays until it proves unreachable. No I/O and no clock.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from pearward_state.members import Member, TargetState
+
+from .selection import Candidate, LoadView
+
+__all__ = ["Directory"]
+
+LAPSED_KEPT_S = 12.0
+"""Seconds for which a member whose entry went is still tried: the longest outage of the
+store that a daemon's authority outlasts, and some for its entry to return."""
+UNREACHABLE_S = 0.7
+"""Seconds for which a daemon that could not be reached gets no request while others can."""
+
+
+@dataclass(slots=True)
+class _Known:
+    """A member and what was seen of it."""
+
+    member: Member
+    lapsed_at: float | None = None
+    unreachable_until: float = 0.0
+    refused: bool = False
+    """Its daemon said that the target takes no new work, sooner than its entry did."""
+    view: LoadView = field(default_factory=LoadView)
+
+
+class Directory:
+    """The members that this daemon knows."""
+
+    def __init__(self, failure_domain: str) -> None:
+        self._failure_domain = failure_domain
+        self._by_instance: dict[str, _Known] = {}
+        self._by_target: dict[str, _Known] = {}
+
+    # -- what becomes known -----------------------------------------------------
+
+    def entries_read(self, members: Iterable[Member], now: float) -> None:
+        """Take all entries at once, as after a start or a gap in the changes."""
+        present = {member.instance: member for member in members}
+        for instance in list(self._by_instance):
+            if instance not in present:
+                self.entry_gone(instance, now)
+        for member in present.values():
+            self.entry_written(member)
+
+    def entry_written(self, member: Member) -> None:
+        """Take a new or changed entry."""
+        known = self._by_instance.get(member.instance)
+        if known is not None and known.member.target == member.target:
+            same_process = known.member.incarnation == member.incarnation
+            known.member = member
+            known.lapsed_at = None
+            known.refused = known.refused and same_process
+            if not same_process:
+                known.unreachable_until = 0.0
+        else:
+            if known is not None:
+                self._by_target.pop(known.member.target, None)
+            known = self._by_instance[member.instance] = _Known(member)
+        if member.target:
+            self._by_target[member.target] = known
+
+    def entry_gone(self, instance: str, now: float) -> None:
+        """An entry lapsed or was taken away."""
+        known = self._by_instance.get(instance)
+        if known is not None and known.lapsed_at is None:
+            known.lapsed_at = now
+
+    def unreachable(self, target: str, now: float) -> None:
+        """The daemon beside a target could not be reached."""
+        known = self._by_target.get(target)
+        if known is None:
+            return
+        known.unreachable_until = now + UNREACHABLE_S
+        if known.lapsed_at is not None:
+            self._forget(known)
+
+    def refused(self, target: str) -> None:
+        """The daemon beside a target said that it takes no new work."""
+        known = self._by_target.get(target)
+        if known is not None:
+            known.refused = True
+
+    def expire(self, now: float) -> None:
+        """Forget members whose entries have been gone for long."""
+        for known in list(self._by_instance.values()):
+            if known.lapsed_at is not None and now - known.lapsed_at > LAPSED_KEPT_S:
+                self._forget(known)
+
+    def _forget(self, known: _Known) -> None:
+        member = known.member
+        if self._by_instance.get(member.instance) is known:
+            del self._by_instance[member.instance]
+        if self._by_target.get(member.target) is known:
+            del self._by_target[member.target]
+
+    # -- questions ------------------------------------------------------------------
+
+    @property
+    def members(self) -> list[Member]:
+        """All members, those included whose entries lapsed a short while ago."""
+        return [known.member for known in self._by_instance.values()]
+
+    @property
+    def registered(self) -> list[Member]:
+        """Members that have an entry now."""
+        return [k.member for k in self._by_instance.values() if k.lapsed_at is None]
+
+    def member_of(self, target: str) -> Member | None:
+        """Return the member beside which a target runs."""
+        known = self._by_target.get(target)
+        return known.member if known is not None else None
+
+    def instance(self, name: str) -> Member | None:
+        """Return the member on an instance."""
+        known = self._by_instance.get(name)
+        return known.member if known is not None else None
+
+    def is_registered(self, target: str) -> bool:
+        """Return whether a target's entry is there now."""
+        known = self._by_target.get(target)
+        return known is not None and known.lapsed_at is None
+
+    def lapsed_since(self, target: str) -> float | None:
+        """Return when a target's entry went, or None while it is there or unknown."""
+        known = self._by_target.get(target)
+        return known.lapsed_at if known is not None else None
+
+    def reachable(self, target: str, now: float) -> bool:
+        """Return whether the daemon beside a target has not just failed to answer."""
+        known = self._by_target.get(target)
+        return known is not None and known.unreachable_until <= now
+
+    def view(self, target: str) -> LoadView | None:
+        """Return the load of a target as this daemon sees it."""
+        known = self._by_target.get(target)
+        return known.view if known is not None else None
+
+    def candidates(
+        self, service: str, now: float, unix_now: float, tried: frozenset[str]
+    ) -> list[Candidate]:
+        """Return the targets of a service that may get a request; best effort comes last.
+
+        Unreachable, draining or already tried ones are left out while others are there.
+        """
+        usual: list[Candidate] = []
+        rest: list[Candidate] = []
+        for known in self._by_instance.values():
+            member = known.member
+            if member.service != service or not member.target or member.target in tried:
+                continue
+            if member.state is TargetState.DRAINING or known.refused:
+                continue
+            candidate = Candidate(
+                member.target,
+                member.failure_domain == self._failure_domain,
+                known.view,
+                cold=member.cold_until > unix_now,
+            )
+            (usual if known.unreachable_until <= now else rest).append(candidate)
+        return usual or rest
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -0,0 +1,391 @@
+"""What the target beside this daemon may hold of its service's keys, and for how long.
+
+A target enforces its own lease: it counts a hold from the moment it sent the heartbeat, on
+a clock that may run slow. The daemon beside it grants a hold only
+
+* for ranges that the key map gives to exactly this incarnation of the target,
+* after every predecessor of the range has let it go, and
+* for a time that ends within the daemon's authority, which is renewed by the platform's
+  store and which a writer of the map waits out before it gives the keys of a silent
+  target to another one.
+
+No I/O and no clock: times are seconds of one steady clock, handed in.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from pearward_state.keymap import KeyMap, KeyRange, Predecessor, covered
+
+__all__ = [
+    "AUTHORITY_S",
+    "CLOCK_SLACK",
+    "HOLD_S",
+    "GrantKeeper",
+    "GrantTiming",
+    "GrantedRow",
+    "HeldRow",
+    "ReleasedRow",
+]
+
+AUTHORITY_S = 10.0
+"""Seconds after the sending of a renewal for which a daemon may grant holds.
+
+Long enough to outlast an outage of the store of 9 s; the keys of an instance that is lost
+for good wait as long. Measured in docs/design/platform.md.
+"""
+HOLD_S = 3.5
+"""Seconds of one hold: a daemon that is killed stands again after 1.5 s and hears the
+target's next heartbeat up to 0.9 s later; a target that leaves without notice keeps its
+keys as long."""
+CLOCK_SLACK = 1.02
+"""Factor by which a target's clock may run slow. Source: the interface of the targets."""
+DRIFT_MARGIN_S = 0.1
+"""Seconds kept between the end of the last hold and the end of the authority."""
+SHORTEST_HOLD_S = 0.3
+"""A hold that would be shorter is not granted."""
+BEAT_TRANSIT_S = 0.1
+"""A hold is taken to have begun this long before its heartbeat was received."""
+GRANT_TRANSIT_S = 0.008
+"""Requests follow a grant after this pause: the two travel on different connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantTiming:
+    """Times of the holds that a daemon grants."""
+
+    authority_s: float = AUTHORITY_S
+    hold_s: float = HOLD_S
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRow:
+    """Keys that a target says it holds, or still works on."""
+
+    first: int
+    last: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasedRow:
+    """Keys that a target has let go, with the token that hands its warm state over."""
+
+    first: int
+    last: int
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedRow:
+    """Keys that a target is to hold."""
+
+    first: int
+    last: int
+    fence: int
+    token: str
+    """Hand-over token of the former holder; empty where there is none."""
+
+
+@dataclass(slots=True)
+class _Given:
+    """Keys that this daemon has granted, or found held, and when that ends at the latest."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+    """Latest end of the hold."""
+    sure_until: float
+    """Earliest end, for a heartbeat that was under way for BEAT_TRANSIT_S at most."""
+    begins: float = 0.0
+
+    def overlaps(self, first: int, last: int) -> bool:
+        return self.first <= last and first <= self.last
+
+
+class GrantKeeper:
+    """Grants to one target, one incarnation of it after the other."""
+
+    def __init__(self, service: str, started: float, timing: GrantTiming) -> None:
+        self._service = service
+        self._timing = timing
+        self._started = started
+        self._target = ""
+        self._map: KeyMap | None = None
+        self._authority_until = 0.0
+        self._given: list[_Given] = []
+        self._released_by: dict[Predecessor, list[ReleasedRow]] = {}
+        self._tokens: list[ReleasedRow] = []
+        self._begun: set[HeldRow] = set()
+        self._heard = False
+        self._ended: set[str] = set()
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def service(self) -> str:
+        """Service that the target belongs to."""
+        return self._service
+
+    @property
+    def target(self) -> str:
+        """Id of the target's incarnation; empty before its first heartbeat."""
+        return self._target
+
+    @property
+    def key_map(self) -> KeyMap | None:
+        """The key map that is acted on."""
+        return self._map
+
+    @property
+    def authority_until(self) -> float:
+        """Time at which the last hold must have ended."""
+        return self._authority_until
+
+    # -- what becomes known -------------------------------------------------------
+
+    def target_changed(self, target: str) -> None:
+        """Another incarnation beats: what the former one held ended with it."""
+        if target == self._target:
+            return
+        if self._target:
+            self._ended.add(self._target)
+        self._target = target
+        self._given.clear()
+        self._begun.clear()
+        self._tokens.clear()
+        self._heard = False
+
+    def target_ended(self) -> None:
+        """The target's process is known to be gone."""
+        self.target_changed("")
+
+    def note_ended(self, target: str) -> None:
+        """An incarnation that an earlier life of this daemon served is known to be gone."""
+        if target != self._target:
+            self._ended.add(target)
+
+    def has_ended(self, target: str) -> bool:
+        """Return whether an incarnation beside this daemon is known to be gone."""
+        return target in self._ended
+
+    def adopt(self, key_map: KeyMap) -> bool:
+        """Act on a newer map; return whether it was newer."""
+        if self._map is not None and key_map.version <= self._map.version:
+            return False
+        self._map = key_map
+        self._begun = {
+            HeldRow(r.first, r.last, r.fence)
+            for r in key_map.owned_by(self._target)
+            if self._has_begun(r)
+        }
+        return True
+
+    def renewed(self, sent_at: float) -> None:
+        """The store confirmed this daemon's lease by a call that was sent at *sent_at*."""
+        self._authority_until = max(
+            self._authority_until, sent_at + self._timing.authority_s - DRIFT_MARGIN_S
+        )
+
+    def authority_lost(self) -> None:
+        """The daemon's lease is over: nothing more may be granted under it."""
+        self._authority_until = 0.0
+
+    def heartbeat(
+        self, now: float, held: Iterable[HeldRow], released: Iterable[ReleasedRow]
+    ) -> None:
+        """Take what the target says it holds and has let go."""
+        for row in released:
+            self._tokens.append(row)
+            self._cut(row.first, row.last)
+        if not self._heard:
+            # Granted by an earlier life of this daemon, whose grants ended before it did.
+            self._heard = True
+            until = now + self._timing.hold_s * CLOCK_SLACK
+            for row_held in held:
+                self._given.append(
+                    _Given(row_held.first, row_held.last, row_held.fence, until, now)
+                )
+                self._begun.add(row_held)
+
+    def released(self, predecessor: Predecessor, row: ReleasedRow) -> None:
+        """A predecessor's daemon confirmed that the target there let keys go."""
+        self._released_by.setdefault(predecessor, []).append(row)
+
+    def _has_begun(self, owned: KeyRange) -> bool:
+        """Whether the target was granted all keys of a range under its present fence."""
+        spans = ((b.first, b.last) for b in self._begun if b.fence == owned.fence)
+        return covered(owned.first, owned.last, spans)
+
+    def _cut(self, first: int, last: int) -> None:
+        """Forget that the target may hold the keys from *first* to *last*."""
+        kept: list[_Given] = []
+        for given in self._given:
+            if not given.overlaps(first, last):
+                kept.append(given)
+                continue
+            if given.first < first:
+                kept.append(replace(given, last=first - 1))
+            if given.last > last:
+                kept.append(replace(given, first=last + 1))
+        self._given = kept
+
+    # -- grants -----------------------------------------------------------------------
+
+    def hold_s(self, received: float) -> float:
+        """Return the hold in seconds that a heartbeat received at *received* may be given.
+
+        The target counts from its own, earlier sending, so its hold ends by
+        ``received + hold * CLOCK_SLACK`` however late the answer is.
+        """
+        within_authority = (self._authority_until - received) / CLOCK_SLACK
+        return min(self._timing.hold_s, within_authority)
+
+    def grant(self, received: float, now: float) -> tuple[list[GrantedRow], float] | None:
+        """Return the rows to hold and the hold in seconds; None renews nothing."""
+        hold = self.hold_s(received)
+        if self._map is None or not self._target or received + hold < now + SHORTEST_HOLD_S:
+            return None
+        until = received + hold * CLOCK_SLACK
+        sure_until = received - BEAT_TRANSIT_S + hold
+        rows: list[GrantedRow] = []
+        for owned in self._map.owned_by(self._target):
+            if not self._ready(owned, now):
+                continue
+            begun = self._has_begun(owned)
+            rows.extend(self._continued(owned) if begun else self._first_rows(owned))
+            self._begun.add(HeldRow(owned.first, owned.last, owned.fence))
+            self._cut(owned.first, owned.last)
+            begins = now if begun else now + GRANT_TRANSIT_S
+            self._given.append(
+                _Given(owned.first, owned.last, owned.fence, until, sure_until, begins)
+            )
+        return rows, hold
+
+    def _continued(self, owned: KeyRange) -> list[GrantedRow]:
+        return [GrantedRow(owned.first, owned.last, owned.fence, "")]
+
+    def _first_rows(self, owned: KeyRange) -> list[GrantedRow]:
+        """Return the rows of a range that the target gets anew, one for each token."""
+        rows: list[GrantedRow] = []
+        start = owned.first
+        for released in self._tokens_for(owned):
+            first, last = max(released.first, start), min(released.last, owned.last)
+            if first > last:
+                continue
+            if first > start:
+                rows.append(GrantedRow(start, first - 1, owned.fence, ""))
+            rows.append(GrantedRow(first, last, owned.fence, released.token))
+            start = last + 1
+        if start <= owned.last:
+            rows.append(GrantedRow(start, owned.last, owned.fence, ""))
+        return rows
+
+    def _tokens_for(self, owned: KeyRange) -> list[ReleasedRow]:
+        """Return the tokens that the last holder of a range gave, in the order of the keys."""
+        for predecessor in sorted(owned.predecessors, key=lambda p: -p.fence):
+            rows = [row for row in self._released_by.get(predecessor, ()) if row.token]
+            if rows:
+                return sorted(rows, key=lambda row: row.first)
+        return []
+
+    def _ready(self, owned: KeyRange, now: float) -> bool:
+        """Whether nobody else can hold the range any more."""
+        return self._has_begun(owned) or all(
+            self._let_go(p, owned, now) for p in owned.predecessors
+        )
+
+    def _let_go(self, predecessor: Predecessor, owned: KeyRange, now: float) -> bool:
+        if predecessor.target == self._target:
+            return not self.may_hold(owned.first, owned.last, now, below=owned.fence)
+        spans = ((row.first, row.last) for row in self._released_by.get(predecessor, ()))
+        return covered(owned.first, owned.last, spans)
+
+    # -- questions -----------------------------------------------------------------------
+
+    def serves(self, key: int, now: float) -> int:
+        """Return the fence under which the target surely holds *key* now, or 0.
+
+        Keys that the map has given away are not served, though they may be held yet.
+        """
+        owned = self._map.range_of(key) if self._map is not None else None
+        if owned is None or owned.owner != self._target:
+            return 0
+        for given in self._given:
+            if given.first <= key <= given.last and given.begins <= now < given.sure_until:
+                return given.fence if given.fence == owned.fence else 0
+        return 0
+
+    def may_hold(self, first: int, last: int, now: float, below: int = 2**62) -> bool:
+        """Return whether the target may hold any of these keys, under a fence below *below*."""
+        return any(
+            g.overlaps(first, last) and g.until > now and g.fence < below for g in self._given
+        )
+
+    def pending(self, now: float) -> list[KeyRange]:
+        """Return the ranges that the map gives to the target and a predecessor still has."""
+        if self._map is None or not self._target:
+            return []
+        return [r for r in self._map.owned_by(self._target) if not self._ready(r, now)]
+
+    def ready_to_begin(self, now: float) -> bool:
+        """Return whether a range could be granted now that the target does not hold yet."""
+        if self._map is None or not self._target or self._authority_until <= now:
+            return False
+        return any(
+            not self._has_begun(r) and self._ready(r, now) for r in self._map.owned_by(self._target)
+        )
+
+    def must_let_go(self, now: float) -> bool:
+        """Return whether the target may hold keys that the map no longer gives to it."""
+        if self._map is None:
+            return False
+        for given in self._given:
+            if given.until <= now:
+                continue
+            for r in self._map.ranges:
+                if r.first > given.last:
+                    break
+                if given.overlaps(r.first, r.last) and (
+                    r.owner != self._target or r.fence != given.fence
+                ):
+                    return True
+        return False
+
+    def release_of(
+        self, target: str, first: int, last: int, fence: int, now: float
+    ) -> list[ReleasedRow] | None:
+        """Answer whether *target*, once beside this daemon, has let keys go.
+
+        Returns rows that together hold the keys from *first* to *last*, with the tokens
+        where there are some, or None while the target may still hold one of the keys.
+        """
+        if target == self._target:
+            if not self._heard or self.may_hold(first, last, now, below=fence + 1):
+                return None
+            return self._tokens_between(first, last)
+        run_out = now >= self._started + self._timing.hold_s * CLOCK_SLACK
+        if target in self._ended or run_out:
+            # Not heard of in this life: what an earlier one granted has run out.
+            return [ReleasedRow(first, last, "")]
+        return None
+
+    def _tokens_between(self, first: int, last: int) -> list[ReleasedRow]:
+        """Cut the keys from *first* to *last* by the newest tokens they were let go with."""
+        rows: list[ReleasedRow] = []
+        start = first
+        while start <= last:
+            token, end = "", last
+            for row in self._tokens:
+                if row.first <= start <= row.last:
+                    token, end = row.token, min(row.last, last)
+                elif start < row.first <= end:
+                    end = row.first - 1
+            rows.append(ReleasedRow(start, end, token))
+            start = end + 1
+        return rows
+
+    def confirmed(self) -> list[HeldRow]:
+        """Return the ranges of the present map that the target was granted."""
+        return sorted(self._begun, key=lambda row: row.first)
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -0,0 +1,290 @@
+"""Which target is to own which keys: sizing by measured load, moving as little as helps.
+
+Works on whole key maps: from the present map, the targets that can own keys, and the
+load that their daemons measured, it makes the next map, or none where nothing is gained.
+No I/O; the caller writes the result by compare-and-swap.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, covered
+
+from .grants import HeldRow
+
+__all__ = ["KeyLoad", "OwnerLoad", "PlanLimits", "first_map", "plan_moves", "without_targets"]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLoad:
+    """Requests a second for consecutive keys."""
+
+    first: int
+    last: int
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLoad:
+    """A target that can own keys, and the requests for those that it owns."""
+
+    target: str
+    capacity: float
+    """Requests a second that it can run: slots over mean time of one."""
+    loads: tuple[KeyLoad, ...] = ()
+    confirmed: tuple[HeldRow, ...] = ()
+    """Keys that it was granted."""
+
+    def was_granted(self, key_range: KeyRange) -> bool:
+        """Return whether the target holds, or held, a range under its present fence."""
+        spans = ((c.first, c.last) for c in self.confirmed if c.fence == key_range.fence)
+        return covered(key_range.first, key_range.last, spans)
+
+
+@dataclass(frozen=True, slots=True)
+class PlanLimits:
+    """When a move is worth its price: the keys rest for some tenths of a second."""
+
+    tolerance: float = 0.12
+    """Utilisation above the mean that is put up with; a queue forms well above 0.85."""
+    idle: float = 0.35
+    """Utilisation under which no imbalance is worth a move."""
+    moves: int = 48
+    """Pieces that change hands in one plan, at most."""
+
+
+def first_map(service: str, owners: Sequence[OwnerLoad]) -> KeyMap:
+    """Return the first map: consecutive keys by capacity."""
+    ranges = _dealt(0, KEY_SPACE - 1, owners, fence=1)
+    return KeyMap(service, 1, tuple(ranges), 1)
+
+
+def _dealt(first: int, last: int, owners: Sequence[OwnerLoad], fence: int) -> list[KeyRange]:
+    """Divide consecutive keys among *owners* by capacity."""
+    total = sum(o.capacity for o in owners) or 1.0
+    ranges: list[KeyRange] = []
+    start = first
+    taken = 0.0
+    for number, owner in enumerate(owners):
+        taken += owner.capacity
+        end = first + round((last - first + 1) * taken / total) - 1
+        if number == len(owners) - 1:
+            end = last
+        if end >= start:
+            ranges.append(KeyRange(start, end, owner.target, fence))
+            start = end + 1
+    return ranges
+
+
+@dataclass(slots=True)
+class _Piece:
+    """Part of a range that can change hands."""
+
+    range: KeyRange
+    first: int
+    last: int
+    rate: float
+    owner: str
+
+
+def without_targets(key_map: KeyMap, ended: Iterable[str]) -> KeyMap | None:
+    """Return the map without the ended predecessors that nobody needs to wait for."""
+    gone = frozenset(ended)
+    if not any(p.target in gone for r in key_map.ranges for p in r.predecessors):
+        return None
+    ranges = tuple(
+        replace(r, predecessors=tuple(p for p in r.predecessors if p.target not in gone))
+        for r in key_map.ranges
+    )
+    return replace(key_map, version=key_map.version + 1, ranges=merged(ranges))
+
+
+def plan_moves(
+    key_map: KeyMap,
+    owners: Sequence[OwnerLoad],
+    ended: frozenset[str],
+    limits: PlanLimits,
+    fixed: frozenset[str] = frozenset(),
+) -> KeyMap | None:
+    """Return the next map, or None where the present one is good enough.
+
+    Keys of a target that is not among *owners* go to those that have room, whatever the
+    limits say. *ended* names targets that surely hold nothing any more, *fixed* those
+    that keep what they have and get nothing.
+    """
+    if not owners:
+        return None
+    by_target = {owner.target: owner for owner in owners}
+    pieces = _pieces(key_map, by_target)
+    rates = {owner.target: 0.0 for owner in owners}
+    for piece in pieces:
+        if piece.owner in rates:
+            rates[piece.owner] += piece.rate
+    moved = _place_orphans(pieces, by_target, rates, fixed)
+    moved = _level(pieces, by_target, rates, limits) or moved
+    if not moved:
+        return None
+    return _with_pieces(key_map, pieces, by_target, ended)
+
+
+def _pieces(key_map: KeyMap, by_target: Mapping[str, OwnerLoad]) -> list[_Piece]:
+    """Cut all ranges where their owners measured load separately."""
+    loads = sorted((load for o in by_target.values() for load in o.loads), key=lambda x: x.first)
+    pieces: list[_Piece] = []
+    for r in key_map.ranges:
+        inside = [x for x in loads if x.first >= r.first and x.last <= r.last]
+        start = r.first
+        for number, load in enumerate(inside):
+            end = inside[number + 1].first - 1 if number + 1 < len(inside) else r.last
+            if end < start:
+                continue
+            pieces.append(_Piece(r, start, end, load.rate, r.owner))
+            start = end + 1
+        if start <= r.last:
+            pieces.append(_Piece(r, start, r.last, 0.0, r.owner))
+    return pieces
+
+
+def _utilisation(target: str, by_target: Mapping[str, OwnerLoad], rates: dict[str, float]) -> float:
+    return rates[target] / max(by_target[target].capacity, 1e-6)
+
+
+def _place_orphans(
+    pieces: list[_Piece],
+    by_target: Mapping[str, OwnerLoad],
+    rates: dict[str, float],
+    fixed: frozenset[str],
+) -> bool:
+    """Give the keys of targets that cannot own any more to the least used ones."""
+    orphans = [p for p in pieces if p.owner not in by_target and p.owner not in fixed]
+    if not orphans:
+        return False
+    # Where nothing was measured, keys stand for load, at the others' mean rate a key.
+    known = sum(p.rate for p in pieces)
+    keys = sum(p.last - p.first + 1 for p in pieces if p.owner in by_target) or KEY_SPACE
+    a_key = max(known, 1.0) / keys
+    for piece in _split_large(orphans, pieces, len(by_target)):
+        if piece.rate == 0.0:
+            piece.rate = a_key * (piece.last - piece.first + 1)
+        target = min(
+            by_target,
+            key=lambda t: (rates[t] + piece.rate) / max(by_target[t].capacity, 1e-6),
+        )
+        piece.owner = target
+        rates[target] += piece.rate
+    return True
+
+
+def _split_large(orphans: list[_Piece], pieces: list[_Piece], parts: int) -> list[_Piece]:
+    """Cut pieces without a measured load so that several targets can share them."""
+    result: list[_Piece] = []
+    for piece in orphans:
+        size = piece.last - piece.first + 1
+        count = min(parts, size // 256) if piece.rate == 0.0 else 1
+        if count <= 1:
+            result.append(piece)
+            continue
+        pieces.remove(piece)
+        step = -(-size // count)
+        for first in range(piece.first, piece.last + 1, step):
+            last = min(first + step - 1, piece.last)
+            part = _Piece(piece.range, first, last, 0.0, piece.owner)
+            pieces.append(part)
+            result.append(part)
+    pieces.sort(key=lambda p: p.first)
+    return result
+
+
+def _level(
+    pieces: list[_Piece],
+    by_target: Mapping[str, OwnerLoad],
+    rates: dict[str, float],
+    limits: PlanLimits,
+) -> bool:
+    """Move pieces from the busiest targets to the least used ones; return whether any moved."""
+    mean = sum(rates.values()) / max(sum(o.capacity for o in by_target.values()), 1e-6)
+
+    def used(target: str) -> float:
+        return _utilisation(target, by_target, rates)
+
+    if max(map(used, rates)) <= max(mean + limits.tolerance, limits.idle):
+        return False
+    by_owner: dict[str, list[_Piece]] = {target: [] for target in by_target}
+    for piece in pieces:
+        if piece.owner in by_owner:
+            by_owner[piece.owner].append(piece)
+    for own in by_owner.values():
+        own.sort(key=lambda p: -p.rate)
+    moved = 0
+    while moved < limits.moves:
+        busiest = max(rates, key=used)
+        idlest = min(rates, key=used)
+        excess = rates[busiest] - mean * by_target[busiest].capacity
+        room = mean * by_target[idlest].capacity - rates[idlest]
+        if used(busiest) - mean <= limits.tolerance / 3:
+            break
+        fitting = _best_fit(by_owner[busiest], min(excess, room))
+        if fitting is None:
+            break
+        by_owner[busiest].remove(fitting)
+        by_owner[idlest].append(fitting)
+        fitting.owner = idlest
+        rates[busiest] -= fitting.rate
+        rates[idlest] += fitting.rate
+        moved += 1
+    return moved > 0
+
+
+def _best_fit(own: list[_Piece], amount: float) -> _Piece | None:
+    """Return the heaviest piece that does not turn the imbalance round."""
+    for piece in own:
+        if 0.0 < piece.rate <= amount * 1.15:
+            return piece
+    return None
+
+
+def _with_pieces(
+    key_map: KeyMap,
+    pieces: list[_Piece],
+    by_target: Mapping[str, OwnerLoad],
+    ended: frozenset[str],
+) -> KeyMap:
+    """Return the next version with the pieces' owners."""
+    fence = key_map.fence + 1
+    ranges: list[KeyRange] = []
+    for piece in pieces:
+        old = piece.range
+        if piece.owner == old.owner:
+            kept = tuple(p for p in old.predecessors if p.target not in ended)
+            ranges.append(replace(old, first=piece.first, last=piece.last, predecessors=kept))
+            continue
+        before = _predecessors(old, by_target, ended)
+        ranges.append(KeyRange(piece.first, piece.last, piece.owner, fence, before))
+    return replace(key_map, version=key_map.version + 1, ranges=merged(tuple(ranges)), fence=fence)
+
+
+def _predecessors(
+    old: KeyRange, by_target: Mapping[str, OwnerLoad], ended: frozenset[str]
+) -> tuple[Predecessor, ...]:
+    """Return who may still hold keys of a range that changes hands."""
+    owner = by_target.get(old.owner)
+    begun = owner is not None and owner.was_granted(old)
+    # An owner that was granted the range shows that all before it had let go.
+    before = () if begun else old.predecessors
+    if old.owner:
+        before = (*before, Predecessor(old.owner, old.fence))
+    return tuple(p for p in before if p.target not in ended)
+
+
+def merged(ranges: Sequence[KeyRange]) -> tuple[KeyRange, ...]:
+    """Join neighbours that differ in nothing but their keys."""
+    result: list[KeyRange] = []
+    for r in ranges:
+        last = result[-1] if result else None
+        if last is not None and (last.owner, last.fence, last.predecessors) == (
+            r.owner, r.fence, r.predecessors,
+        ):  # fmt: skip
+            result[-1] = replace(last, last=r.last)
+        else:
+            result.append(r)
+    return tuple(result)
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -2,13 +2,19 @@
 
 from dataclasses import dataclass
 
+from .grants import HeldRow, ReleasedRow
+from .keyplan import KeyLoad
+
 __all__ = [
     "Announce",
+    "AskKeys",
     "AskRelease",
     "ControlMessage",
     "Digest",
     "Heartbeat",
     "HeartbeatReply",
+    "KeyReport",
+    "KeysLetGo",
     "PeerId",
     "Pull",
     "Push",
@@ -161,6 +167,48 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class KeyReport:
+    """The daemon beside a target of a keyed service tells the planner what it sees."""
+
+    service: str
+    target: str
+    """Id of the target's incarnation; empty while there is none."""
+    version: int
+    """Version of the key map that is acted on."""
+    capacity: float
+    """Requests a second that the target can run."""
+    draining: bool
+    ended: tuple[str, ...]
+    """Targets, once beside this daemon, that surely hold nothing any more."""
+    confirmed: tuple[HeldRow, ...]
+    loads: tuple[KeyLoad, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskKeys:
+    """A new owner's daemon asks a predecessor's whether keys were let go."""
+
+    service: str
+    target: str
+    """The predecessor."""
+    fence: int
+    first: int
+    last: int
+    version: int
+    """Version of the key map that the sender acts on."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeysLetGo:
+    """Confirms that a predecessor holds keys no longer."""
+
+    service: str
+    target: str
+    fence: int
+    rows: tuple[ReleasedRow, ...]
+
+
 ControlMessage = (
     Renew
     | RenewReply
@@ -173,4 +221,7 @@
     | Announce
     | Pull
     | Push
+    | KeyReport
+    | AskKeys
+    | KeysLetGo
 )
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/retry_window.py
@@ -0,0 +1,53 @@
+"""How many repeats of requests this daemon may send: its part of a budget of all daemons.
+
+Over any window the whole fleet may send a service a share of its requests once more, plus
+a fixed allowance. Each daemon keeps to that share of its own requests and to an equal part
+of the allowance, so the sum holds without a word between them. No I/O and no clock.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+__all__ = ["RetryRule", "RetryWindow"]
+
+SAFE_SHARE = 0.55
+"""Part of the budget that is used: calls made by repeated runs count as repeats as well,
+and another daemon's restart forgets what it has sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRule:
+    """The budget of the whole fleet."""
+
+    ratio: float
+    allowance: float
+    window_s: float
+
+
+class RetryWindow:
+    """Requests and repeats of one service in the last window."""
+
+    def __init__(self, rule: RetryRule) -> None:
+        self._rule = rule
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def request(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def take(self, now: float, daemons: int) -> bool:
+        """Count a repeat and return True, or return False where the budget is used up."""
+        self._forget(now)
+        allowed = self._rule.ratio * len(self._requests) + self._rule.allowance / max(1, daemons)
+        if len(self._repeats) + 1 > allowed * SAFE_SHARE:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        since = now - self._rule.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < since:
+                times.popleft()
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -0,0 +1,134 @@
+"""Which target of a service that is not divided by key gets the next request.
+
+Every answer of a target's daemon carries that target's load, so the requester's picture
+is as old as its last exchange; what it has sent since is added. No I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+    from random import Random
+
+    from pearward_state.routes import WeightedService
+
+__all__ = ["Candidate", "LoadView", "TargetLoad", "WeightedTurns", "choose_target"]
+
+LOAD_FADES_S = 1.0
+"""Time in which a load that was not reported again counts for half: measured queues of
+these targets empty in less."""
+CROSS_DOMAIN_S = 0.012
+"""Seconds of expected latency that staying in the own failure domain is worth: its bytes
+are priced, and the way there and back takes 3 ms."""
+FAILURE_PENALTY_S = 0.6
+"""Seconds of expected latency that a recent failure counts for; fades by half each second."""
+CROWDED = 0.6
+"""Part of the slots above which a target is expected to slow down or to queue."""
+UNKNOWN_SERVICE_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """What the daemon beside a target said of it."""
+
+    running: int
+    waiting: int
+    slots: int
+    service_s: float
+    """Mean running time of a request in seconds."""
+
+
+@dataclass(slots=True)
+class LoadView:
+    """What a requester knows of one target."""
+
+    load: TargetLoad = TargetLoad(0, 0, 12, UNKNOWN_SERVICE_S)
+    reported_at: float = 0.0
+    in_flight: int = 0
+    """Own requests that are not answered."""
+    in_flight_then: int = 0
+    """Of those, the ones that the report already counted."""
+    failures: float = 0.0
+    failed_at: float = 0.0
+
+    def reported(self, load: TargetLoad, now: float) -> None:
+        """Take a report that came with an answer."""
+        self.load = load
+        self.reported_at = now
+        self.in_flight_then = self.in_flight
+
+    def failed(self, now: float) -> None:
+        """Note an answer that was a failure, or none."""
+        self.failures = self.recent_failures(now) + 1.0
+        self.failed_at = now
+
+    def recent_failures(self, now: float) -> float:
+        """Return the failures, fading by half each second."""
+        return float(self.failures * 0.5 ** (now - self.failed_at))
+
+    def busy(self, now: float) -> float:
+        """Return the requests that the target is expected to run and queue now."""
+        reported = self.load.running + self.load.waiting
+        faded = float(reported * 0.5 ** ((now - self.reported_at) / LOAD_FADES_S))
+        return max(0.0, faded + self.in_flight - self.in_flight_then, float(self.in_flight))
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that may be chosen."""
+
+    target: str
+    near: bool
+    """Whether it is in the requester's failure domain."""
+    view: LoadView
+    cold: bool = False
+
+
+def expected_latency(candidate: Candidate, now: float) -> float:
+    """Return the seconds that a request sent now is expected to take, penalties included."""
+    view = candidate.view
+    load = view.load
+    slots = max(1, load.slots)
+    busy = view.busy(now) + 1.0
+    crowd = max(0.0, busy / slots - CROWDED)
+    queue = max(0.0, busy - slots) / slots
+    service_s = load.service_s * (1.6 if candidate.cold else 1.0)
+    latency = service_s * (1.0 + crowd + queue)
+    latency += view.recent_failures(now) * FAILURE_PENALTY_S
+    return latency if candidate.near else latency + CROSS_DOMAIN_S
+
+
+def choose_target(candidates: Iterable[Candidate], now: float, rng: Random) -> Candidate | None:
+    """Return the candidate with the least expected latency; near ties are broken at random.
+
+    The random part keeps requesters with the same picture from all choosing the same one.
+    """
+    best: Candidate | None = None
+    best_cost = 0.0
+    for candidate in candidates:
+        cost = expected_latency(candidate, now) * (0.9 + 0.2 * rng.random())
+        if best is None or cost < best_cost:
+            best, best_cost = candidate, cost
+    return best
+
+
+class WeightedTurns:
+    """Shares one route's requests among services exactly by their weights."""
+
+    def __init__(self, parts: Sequence[WeightedService], rng: Random) -> None:
+        self._parts = tuple(parts)
+        total = sum(part.weight for part in self._parts) or 1.0
+        # A random start: many daemons with few requests each must not all begin alike.
+        self._credit = [rng.random() * part.weight / total for part in self._parts]
+        self._shares = [part.weight / total for part in self._parts]
+
+    def next(self) -> str:
+        """Return the service that the next request goes to."""
+        for number, share in enumerate(self._shares):
+            self._credit[number] += share
+        chosen = max(range(len(self._parts)), key=lambda n: self._credit[n])
+        self._credit[chosen] -= 1.0
+        return self._parts[chosen].service
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -0,0 +1,174 @@
+"""Which requests the target beside this daemon runs now, which wait, and which are refused.
+
+All work of a target passes the daemon beside it, so slots are counted exactly. Waiting
+requests are ordered by rank, then by deadline. A request that could not be answered in
+time is refused at once, while the caller still has time to try again.
+
+No I/O and no clock.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+
+__all__ = ["Refused", "SlotLimits", "SlotQueue", "SlotTicket"]
+
+FIRST_GUESS_S = 0.15
+"""Running time in seconds assumed before any request has ended."""
+TIME_WEIGHT = 0.06
+"""Weight of the newest request in the moving mean of running times."""
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class SlotLimits:
+    """Limits of one target."""
+
+    slots: int
+    queue: int = 96
+    """Requests that may wait; by default eight for each slot of a usual target."""
+    objective_share: float = 1.25
+    """Part of the latency objective within which an answer must be expected."""
+
+
+@dataclass(slots=True, eq=False)
+class SlotTicket:
+    """One request's place."""
+
+    rank: int
+    deadline: float
+    """Time in s of the steady clock after which nobody waits for the answer."""
+    objective: float
+    """Time in s by which the answer is worth most."""
+    arrived: float
+    key: int = -1
+    started: float = 0.0
+    waiting: bool = False
+    gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was not run; it may come back after a while."""
+
+    retry_after_s: float
+
+
+@dataclass(order=True, slots=True)
+class _Entry:
+    order: tuple[int, float, int]
+    ticket: SlotTicket = field(compare=False)
+
+
+class SlotQueue:
+    """Slots and waiting requests of one target."""
+
+    def __init__(self, limits: SlotLimits) -> None:
+        self._limits = limits
+        self._heap: list[_Entry] = []
+        self._running = 0
+        self._waiting = 0
+        self._mean_s = FIRST_GUESS_S
+        self._number = 0
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def slots(self) -> int:
+        """Requests that the target works on at once."""
+        return self._limits.slots
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for one."""
+        return self._waiting
+
+    @property
+    def mean_s(self) -> float:
+        """Moving mean of the seconds that a request runs."""
+        return self._mean_s
+
+    # -- changes ------------------------------------------------------------------
+
+    def set_limits(self, limits: SlotLimits) -> None:
+        """Apply other limits; running requests are never cut for lower ones."""
+        self._limits = limits
+
+    def offer(self, ticket: SlotTicket, now: float) -> bool | Refused:
+        """Start a request (True), let it wait (False) or refuse it."""
+        if self._running < self._limits.slots and not self._waiting:
+            self._start(ticket, now)
+            return True
+        wait_s = self.expected_wait(ticket)
+        end = now + wait_s + self._mean_s
+        limit = min(
+            ticket.deadline,
+            now + (ticket.objective - ticket.arrived) * self._limits.objective_share,
+        )
+        if self._waiting >= self._limits.queue or end > limit:
+            return Refused(self._retry_after(wait_s))
+        self._number += 1
+        ticket.waiting = True
+        self._waiting += 1
+        heapq.heappush(self._heap, _Entry((ticket.rank, ticket.deadline, self._number), ticket))
+        return False
+
+    def finish(self, ticket: SlotTicket, now: float, *, measured: bool) -> None:
+        """Free a slot, or the place of a request that waited.
+
+        *measured* says that the running time is one of the target's own whole answers.
+        """
+        if ticket.gone:
+            return
+        ticket.gone = True
+        if ticket.waiting:
+            ticket.waiting = False
+            self._waiting -= 1
+            return
+        self._running -= 1
+        if measured:
+            self._mean_s += TIME_WEIGHT * ((now - ticket.started) - self._mean_s)
+
+    def next_starts(self, now: float) -> tuple[list[SlotTicket], list[SlotTicket]]:
+        """Return the waiting requests that start now, and those that are too late to start."""
+        started: list[SlotTicket] = []
+        late: list[SlotTicket] = []
+        while self._heap and (
+            self._running < self._limits.slots or not self._heap[0].ticket.waiting
+        ):
+            ticket = heapq.heappop(self._heap).ticket
+            if not ticket.waiting:
+                continue
+            ticket.waiting = False
+            self._waiting -= 1
+            if now + self._mean_s * 0.5 > ticket.deadline:
+                ticket.gone = True
+                late.append(ticket)
+                continue
+            self._start(ticket, now)
+            started.append(ticket)
+        return started, late
+
+    def expected_wait(self, ticket: SlotTicket) -> float:
+        """Return the seconds until a request that comes now would start."""
+        ahead = sum(
+            1
+            for entry in self._heap
+            if entry.ticket.waiting and entry.order[:2] <= (ticket.rank, ticket.deadline)
+        )
+        if self._running < self._limits.slots:
+            return 0.0
+        return (ahead + 1) * self._mean_s / max(1, self._limits.slots)
+
+    def _start(self, ticket: SlotTicket, now: float) -> None:
+        ticket.started = now
+        self._running += 1
+
+    def _retry_after(self, wait_s: float) -> float:
+        """Return when a slot is likely to be free for a request that is refused now."""
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s * 0.5))
--- a/packages/daemon/src/pearward_daemon/attempts.py
+++ b/packages/daemon/src/pearward_daemon/attempts.py
@@ -1,15 +1,22 @@
 """The requester's end of an attempt: at a peer's server, or at the one beside this daemon."""
 
+from typing import Protocol
+
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.streams import ResetCode
 from pearward_state.outcome import Outcome, Reason
-from pearward_transport.peer import PeerConnection
+from pearward_transport.peer import InboundHandler, PeerConnection
+
+from .exchange import AttemptListener, ReplySink
+
+__all__ = ["LocalAttempt", "OwnerSide", "RemoteAttempt"]
+
 
-from .exchange import AttemptListener
-from .owned_request import OwnedRequest
-from .owner import OwnerService
+class OwnerSide(Protocol):
+    """What takes requests for the server beside this daemon."""
 
-__all__ = ["LocalAttempt", "RemoteAttempt"]
+    def take(self, head: RequestHead, ended: bool, body: bytes, reply: ReplySink) -> InboundHandler:
+        """Take a request; begin() starts it."""
 
 
 class RemoteAttempt:
@@ -80,13 +87,11 @@
     def __init__(self, listener: AttemptListener, window: int) -> None:
         self._listener: AttemptListener | None = listener
         self._window = window
-        self._request: OwnedRequest | None = None
+        self._request: InboundHandler | None = None
         self._body_pending = 0
         self._answer_pending = 0
 
-    def open(
-        self, owner: OwnerService, head: RequestHead, *, ended: bool, body: bytes = b""
-    ) -> None:
+    def open(self, owner: OwnerSide, head: RequestHead, *, ended: bool, body: bytes = b"") -> None:
         """Give the request to this daemon's own owner side."""
         request = self._request = owner.take(head, ended, body, _LocalReply(self))
         request.begin()
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -0,0 +1,110 @@
+"""What the daemon needs of a platform's way of speaking: the words are the adapter's.
+
+Callers, targets and daemons mean the same by these types whatever headers and documents
+carry them; everything that decides works on them alone.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
+from pearward_coordination.selection import TargetLoad
+from pearward_state.members import TargetState
+from pearward_state.routes import RoutingTable
+
+__all__ = [
+    "AnswerFacts",
+    "BeatAnswer",
+    "CallerIntent",
+    "Dialect",
+    "TargetBeat",
+    "TargetLeave",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerIntent:
+    """What a caller's headers say of its request."""
+
+    request_id: bytes
+    host: str
+    deadline_ms: int | None
+    """Milliseconds that the caller waits; None where it does not say."""
+    key: int | None
+    """Key of the request; None where it has none."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What a target's answer says beside its status and body."""
+
+    request_id: bytes
+    not_run: bool
+    """The target says that it did not run the request."""
+    other_target: bool
+    """Another incarnation has the address, or the key is not the target's."""
+    signed: bool
+    encoded: bool
+    """The body was encoded on the way: it is not the target's own."""
+    load: TargetLoad | None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetBeat:
+    """A heartbeat of the target beside this daemon."""
+
+    target: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    state: TargetState
+    cold_s: float
+    """Seconds for which the target, newly started, stays slow."""
+    sequence: int
+    """Rises with each call of one incarnation; a late one has a lower number."""
+    held: tuple[HeldRow, ...]
+    released: tuple[ReleasedRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLeave:
+    """The target beside this daemon says that it leaves, now or in a moment."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class BeatAnswer:
+    """What a target is told: all that it is to hold, or nothing about that."""
+
+    rows: tuple[GrantedRow, ...] | None = None
+    """None renews nothing; what a row list leaves out, the target lets go."""
+    hold_s: float = 0.0
+
+
+class Dialect(Protocol):
+    """One way of speaking HTTP with callers and targets."""
+
+    def intent(self, headers: dict[bytes, bytes]) -> CallerIntent:
+        """Read a caller's headers; raises BadHeader."""
+
+    def forwarded(self, headers: list[tuple[bytes, list[bytes]]], request_id: bytes) -> bytes:
+        """Return the header lines that are passed on to the target."""
+
+    def target_headers(
+        self, forwarded: bytes, target: str, caller_service: str, left_ms: int
+    ) -> bytes:
+        """Return the header lines of a request to a target."""
+
+    def answer_facts(self, headers: bytes) -> AnswerFacts:
+        """Read a target's answer's headers."""
+
+    def answer_headers(self, headers: bytes) -> bytes:
+        """Return the header lines of a target's answer that go back to the caller."""
+
+    def refusal_headers(self, request_id: bytes, retry_after_s: float) -> bytes:
+        """Return the header lines of an answer that pearward makes itself."""
+
+    def configuration(self, document: bytes) -> RoutingTable:
+        """Read a configuration document; raises InvalidRecord, naming what is wrong."""
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -0,0 +1,309 @@
+"""The callers' side: routes, targets to choose from, and what all requests share."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+
+from pearward_coordination.directory import Directory
+from pearward_coordination.retry_window import RetryWindow
+from pearward_coordination.selection import TargetLoad, WeightedTurns, choose_target
+from pearward_protocol.errors import BadHeader
+from pearward_state.routes import Route, RoutingTable
+from pearward_transport.clock import boot_time, unix_time
+from pearward_transport.http_server import BodySink, CallerRequest
+from pearward_transport.peer import PeerConnection, PeerPool
+
+from .dialect import Dialect
+from .key_maps import KeyMaps
+from .log import DecisionLog
+from .routed_request import RoutedRequest
+from .settings import MeshSettings
+from .target_side import TargetSide
+
+__all__ = ["MeshIngress", "Placement", "RequestMetrics"]
+
+WINDOW = 128 * 1024
+"""Bytes of one stream that may be under way between two daemons."""
+BAD_REQUEST, NOT_FOUND, TOO_LARGE, UNAVAILABLE = 400, 404, 413, 503
+NO_CONFIGURATION_RETRY_S = 0.5
+
+
+class RequestMetrics(Protocol):
+    """Takes what is counted of requests."""
+
+    def request_ended(self, route: str, service: str, how: str, took_s: float) -> None:
+        """Count a caller's request that ended."""
+
+
+class Placement:
+    """The target that one attempt goes to."""
+
+    __slots__ = ("_directory", "address", "local", "map_version", "target")
+
+    def __init__(
+        self, directory: Directory, target: str, address: str, local: bool, map_version: int
+    ) -> None:
+        self._directory = directory
+        self.target = target
+        self.address = address
+        self.local = local
+        self.map_version = map_version
+
+    def begun(self) -> None:
+        """Count the attempt as under way."""
+        view = self._directory.view(self.target)
+        if view is not None:
+            view.in_flight += 1
+
+    def over(self) -> None:
+        """Stop counting the attempt."""
+        view = self._directory.view(self.target)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+
+
+class _Answered:
+    """Takes the rest of a request that was answered at once."""
+
+    def body_received(self, data: bytes) -> None:
+        """Nobody needs it."""
+
+    def body_ended(self) -> None:
+        """Nobody needs it."""
+
+    def caller_lost(self) -> None:
+        """The answer was sent."""
+
+    def resume(self) -> None:
+        """The answer was sent whole."""
+
+    def pause(self) -> None:
+        """The answer was sent whole."""
+
+
+class MeshIngress:
+    """All requests of the callers on this instance."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: MeshSettings,
+        dialect: Dialect,
+        directory: Directory,
+        key_maps: KeyMaps,
+        side: TargetSide,
+        pool: PeerPool,
+        log: DecisionLog,
+        metrics: RequestMetrics,
+        rng: Random,
+        want_map: Callable[[str, str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._dialect = dialect
+        self._maps = key_maps
+        self._pool = pool
+        self._metrics = metrics
+        self._rng = rng
+        self._want_map = want_map
+        self._table: RoutingTable | None = None
+        self._turns: dict[tuple[str, tuple[Any, ...]], WeightedTurns] = {}
+        self._budgets: dict[str, RetryWindow] = {}
+        self._open: set[RoutedRequest] = set()
+        self._stopping = False
+        self.directory = directory
+        self.side = side
+        self.log = log
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force; None before one was read."""
+        return self._table
+
+    @property
+    def open_requests(self) -> int:
+        """Callers' requests that are not answered yet."""
+        return len(self._open)
+
+    @property
+    def caller_service(self) -> str:
+        """Service on whose instance the requests begin."""
+        return self._settings.service
+
+    @property
+    def window(self) -> int:
+        """Bytes that may be under way to the target beside this daemon."""
+        return WINDOW
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Put a newer configuration in force; routes that did not change keep their turns."""
+        self._table = table
+        present = {(route.name, route.services) for route in table.routes}
+        self._turns = {key: turns for key, turns in self._turns.items() if key in present}
+
+    def stop(self) -> None:
+        """Let callers' connections end with their next answer."""
+        self._stopping = True
+
+    # -- requests ---------------------------------------------------------------------
+
+    def request_begun(self, request: CallerRequest, body_length: int | None) -> BodySink:
+        """Take a request whose headers are in."""
+        if self._stopping:
+            request.close_after()
+        try:
+            intent = self._dialect.intent(request.header_values())
+        except BadHeader as error:
+            return self._answer(request, BAD_REQUEST, b"", str(error))
+        table = self._table
+        if table is None:
+            return self._answer(request, UNAVAILABLE, intent.request_id, "no configuration yet")
+        if body_length is not None and body_length > table.limits.body_bytes:
+            return self._answer(request, TOO_LARGE, intent.request_id, f"{body_length} bytes")
+        path = request.uri.partition(b"?")[0].decode("latin-1")
+        route = table.match(intent.host, path)
+        if route is None:
+            detail = f"{intent.host} {path} in version {table.version}"
+            return self._answer(request, NOT_FOUND, intent.request_id, detail)
+        routed = RoutedRequest(self, request, route, intent, body_length)
+        self._open.add(routed)
+        self._budget(routed.service).request(boot_time())
+        routed.begin()
+        return routed
+
+    def _answer(
+        self, request: CallerRequest, status: int, request_id: bytes, detail: str
+    ) -> BodySink:
+        """Answer at once, without any target."""
+        retry_after_s = NO_CONFIGURATION_RETRY_S if status == UNAVAILABLE else 0.0
+        headers = self._dialect.refusal_headers(request_id, retry_after_s)
+        self.log.decided(
+            "refused_at_once", failure=True, id=request_id.decode("latin-1"), status=status,
+            detail=detail,
+        )  # fmt: skip
+        request.answer_whole(status, headers, b"")
+        return _Answered()
+
+    def ended(self, request: RoutedRequest, how: str, status: int, took_s: float) -> None:
+        """A request was answered, or its caller has left."""
+        self._open.discard(request)
+        outcome = how if status < 500 or how != "answered" else "target_failed"
+        self._metrics.request_ended(request.route.name, request.service, outcome, took_s)
+
+    # -- what requests ask ----------------------------------------------------------
+
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> Any:
+        """Run *call* after *delay_s* seconds."""
+        return self._reactor.callLater(delay_s, call)
+
+    def service_for(self, route: Route) -> str:
+        """Return the service that a route's next request goes to."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        key = (route.name, route.services)
+        turns = self._turns.get(key)
+        if turns is None:
+            turns = self._turns[key] = WeightedTurns(route.services, self._rng)
+        return turns.next()
+
+    def is_keyed(self, service: str) -> bool:
+        """Return whether a service is divided by key."""
+        rules = self._table.rules(service) if self._table is not None else None
+        return rules is not None and rules.keyed
+
+    def place(self, service: str, key: int | None, tried: frozenset[str]) -> Placement | None:
+        """Return where the next attempt goes; None where nobody may be asked now."""
+        if key is not None:
+            return self._owner_of(service, key)
+        now = boot_time()
+        candidates = self.directory.candidates(service, now, unix_time(), tried)
+        chosen = choose_target(candidates, now, self._rng)
+        return self._placement(chosen.target, 0) if chosen is not None else None
+
+    def _owner_of(self, service: str, key: int) -> Placement | None:
+        key_map = self._maps.of(service)
+        if key_map is None:
+            return None
+        owned = key_map.range_of(key)
+        if owned is None or not owned.owner:
+            return None
+        return self._placement(owned.owner, key_map.version)
+
+    def _placement(self, target: str, map_version: int) -> Placement | None:
+        member = self.directory.member_of(target)
+        if member is None:
+            return None
+        local = member.instance == self._settings.instance
+        return Placement(self.directory, target, member.peer_address, local, map_version)
+
+    def has_other(self, service: str, tried: set[str]) -> bool:
+        """Return whether a service has a target that was not tried."""
+        return bool(self.directory.candidates(service, boot_time(), unix_time(), frozenset(tried)))
+
+    def connection(self, address: str) -> PeerConnection | None:
+        """Return the connection to another daemon if it is up."""
+        return self._pool.ready(address)
+
+    def connect(self, address: str) -> "Deferred[PeerConnection]":
+        """Connect to another daemon; fails with PeerUnreachable."""
+        return self._pool.connect(address)
+
+    def take_repeat(self, service: str) -> bool:
+        """Take one repeat from the budget of a service; return whether there was one."""
+        daemons = len(self.directory.members)
+        return self._budget(service).take(boot_time(), daemons)
+
+    def _budget(self, service: str) -> RetryWindow:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryWindow(self._settings.retries)
+        return budget
+
+    # -- what requests learn -------------------------------------------------------------
+
+    def loaded(self, target: str, load: TargetLoad) -> None:
+        """An answer told a target's load."""
+        view = self.directory.view(target)
+        if view is not None:
+            view.reported(load, boot_time())
+
+    def failed_at(self, target: str) -> None:
+        """A target failed a request."""
+        view = self.directory.view(target)
+        if view is not None:
+            view.failed(boot_time())
+
+    def answered_well(self, target: str) -> None:
+        """A target answered as it should: half of what it failed lately is forgiven."""
+        view = self.directory.view(target)
+        if view is not None and view.failures:
+            view.failures = view.recent_failures(boot_time()) * 0.7
+            view.failed_at = boot_time()
+
+    def not_reached(self, target: str, detail: str) -> None:
+        """The daemon beside a target could not be reached."""
+        self.directory.unreachable(target, boot_time())
+        self.log.decided("peer_unreachable", failure=True, target=target, detail=detail)
+
+    def learned(self, service: str, map_version: int, placement: Placement) -> None:
+        """A daemon answered by a key map of *map_version*: ask it for that if it is newer."""
+        if map_version > self._maps.version(service) and not placement.local:
+            self._want_map(service, placement.address)
+
+    # -- headers -------------------------------------------------------------------------
+
+    def forwarded(self, request: CallerRequest, request_id: bytes) -> bytes:
+        """Return the header lines that are passed on to the target."""
+        return self._dialect.forwarded(list(request.requestHeaders.getAllRawHeaders()), request_id)
+
+    def answer_headers(self, headers: bytes) -> bytes:
+        """Return the header lines of an answer that go back to the caller."""
+        return self._dialect.answer_headers(headers)
+
+    def refusal_headers(self, request_id: bytes, retry_after_s: float) -> bytes:
+        """Return the header lines of an answer of pearward's own."""
+        return self._dialect.refusal_headers(request_id, retry_after_s)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -0,0 +1,415 @@
+"""The duty of one daemon: to decide who owns which keys, from what all owners report.
+
+The member with the lowest name has the duty. Two that both believe so do no harm: the
+store takes only one of two writes for the same version of a key map. Everything that the
+duty needs to remember is in the store or is told again by the owners' reports.
+"""
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from pearward_coordination.directory import Directory
+from pearward_coordination.grants import CLOCK_SLACK
+from pearward_coordination.keyplan import (
+    KeyLoad,
+    OwnerLoad,
+    PlanLimits,
+    first_map,
+    plan_moves,
+    without_targets,
+)
+from pearward_coordination.messages import KeyReport
+from pearward_protocol.entries import (
+    decode_holder,
+    decode_key_map,
+    encode_holder,
+    encode_key_map,
+    holder_key,
+    key_map_key,
+)
+from pearward_state.keymap import KeyMap
+from pearward_state.members import Holder, Member, TargetState
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import CasConflict, PlatformError
+from pearward_transport.store import Expectation, FleetStore, Put
+
+from .key_maps import KeyMaps
+from .log import DecisionLog
+from .settings import MeshSettings
+
+__all__ = ["REPORT_INTERVAL_S", "KeyPlanner"]
+
+TICK_S = 0.2
+REPORT_INTERVAL_S = 0.4
+REPORT_AGE_S = 2.0
+"""A report is used this long: five intervals."""
+SETTLE_S = 1.0
+"""Seconds after the first owner is known before the first map is made: targets beat within."""
+MOVE_PAUSE_S = 1.0
+"""Seconds between two plans that only level load: the former one must show in the reports."""
+ASSUMED_S = 2.5
+"""Seconds for which moved keys are taken to have the load that they had before: their new
+owner has just begun to count."""
+SILENT_S = 2.5
+"""Seconds without a report after which an owner whose entry has lapsed loses its keys."""
+AUTHORITY_MARGIN = 1.05
+"""Two steady clocks are taken to differ by less than this."""
+GRACE_S = 1.5
+"""Seconds after the duty began before anybody is found silent: reports have to arrive first."""
+
+
+@dataclass(slots=True)
+class _Service:
+    """What is known of one keyed service."""
+
+    reports: dict[str, tuple[KeyReport, float]] = field(default_factory=dict)
+    ended: set[str] = field(default_factory=set)
+    waited_out: dict[str, float] = field(default_factory=dict)
+    """Targets that were taken off the map, and when no hold of theirs can last any more."""
+    assumed: list[tuple[KeyLoad, float]] = field(default_factory=list)
+    moved_at: float = 0.0
+    owners_since: float | None = None
+    working: bool = False
+    revision: int = 0
+    """Revision of the map's entry in the store; 0 while it is not known."""
+
+
+class KeyPlanner:
+    """Plans and writes key maps while this daemon has the duty."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        store: FleetStore,
+        directory: Directory,
+        key_maps: KeyMaps,
+        log: DecisionLog,
+        spread: Callable[[KeyMap], None],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._directory = directory
+        self._maps = key_maps
+        self._log = log
+        self._spread = spread
+        self._services: dict[str, _Service] = {}
+        self._on_duty_since: float | None = None
+        self._limits = PlanLimits()
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def on_duty(self) -> bool:
+        """Whether this daemon has the duty."""
+        return self._on_duty_since is not None
+
+    def duty_holder(self) -> Member | None:
+        """Return the member that has the duty, as this daemon sees it; leaving ones come last."""
+        return min(
+            self._directory.registered,
+            key=lambda m: (m.state is TargetState.DRAINING, m.instance),
+            default=None,
+        )
+
+    # -- what becomes known ------------------------------------------------------
+
+    def reported(self, report: KeyReport) -> int:
+        """Take an owner's report; return the version of the map that it should know."""
+        now = boot_time()
+        service = self._service(report.service)
+        if report.target:
+            service.reports[report.target] = (report, now)
+        for target in report.ended:
+            service.ended.add(target)
+            service.reports.pop(target, None)
+        return self._maps.version(report.service)
+
+    def _service(self, name: str) -> _Service:
+        return self._services.setdefault(name, _Service())
+
+    # -- the duty -----------------------------------------------------------------
+
+    def tick(self, keyed_services: tuple[str, ...], stopping: bool) -> None:
+        """Look whether this daemon has the duty, and do what is due."""
+        holder = self.duty_holder()
+        mine = holder is not None and holder.instance == self._settings.instance and not stopping
+        now = boot_time()
+        if mine and self._on_duty_since is None:
+            self._on_duty_since = now
+            for service in self._services.values():
+                service.revision = 0
+                service.owners_since = None
+            self._log.decided("planner_duty_begun", members=len(self._directory.registered))
+        elif not mine and self._on_duty_since is not None:
+            self._on_duty_since = None
+            self._log.decided("planner_duty_ended", holder=holder.instance if holder else "")
+        if not mine:
+            return
+        for name in keyed_services:
+            service = self._service(name)
+            if not service.working:
+                service.working = True
+                self._run(self._plan(name, service), service)
+
+    def _run(self, work: Coroutine[Any, Any, None], service: _Service) -> None:
+        def finished(result: Any) -> None:
+            service.working = False
+            if result is not None:
+                self._log.decided(
+                    "planning_failed", failure=True, error=result.getTraceback()[-2000:]
+                )
+
+        Deferred.fromCoroutine(work).addBoth(finished)
+
+    async def _plan(self, name: str, service: _Service) -> None:
+        now = boot_time()
+        try:
+            key_map = await self._current(name, service)
+            if key_map is None:
+                await self._write_first(name, service, now)
+                return
+            silent = self._silent_targets(key_map, service, now)
+            if silent:
+                await self._take_over(key_map, service, silent)
+                return
+            if await self._drop_waited_out(key_map, service, now):
+                return
+            await self._level(key_map, service, now)
+        except CasConflict as error:
+            service.revision = 0
+            self._log.decided("key_map_write_lost", service=name, error=str(error))
+        except PlatformError as error:
+            service.revision = 0
+            self._log.decided("planning_delayed", service=name, error=str(error))
+
+    async def _current(self, name: str, service: _Service) -> KeyMap | None:
+        """Return the map as the store has it; read once, then known by its revision."""
+        known = self._maps.of(name)
+        if service.revision and known is not None:
+            return known
+        item = await self._store.get(key_map_key(name))
+        if item is None:
+            return None
+        key_map = decode_key_map(item.value)
+        self._maps.adopt(key_map)
+        service.revision = item.revision
+        self._spread(key_map)
+        return key_map
+
+    async def _write_first(self, name: str, service: _Service, now: float) -> None:
+        """Make the first map once the owners that are there have had time to appear."""
+        owners = self._owners(name, service, now)
+        if not owners:
+            return
+        if service.owners_since is None:
+            service.owners_since = now
+        if now - service.owners_since >= SETTLE_S:
+            await self._write(first_map(name, owners), service, [], "first")
+
+    # -- owners ------------------------------------------------------------------------
+
+    def _owners(self, name: str, service: _Service, now: float) -> list[OwnerLoad]:
+        """Return the targets that can own keys, in a fixed order."""
+        mean_s = self._mean_capacity(service, now)
+        owners: list[OwnerLoad] = []
+        for member in sorted(self._directory.members, key=lambda m: m.instance):
+            if member.service != name or not member.target or member.target in service.ended:
+                continue
+            if member.state is TargetState.DRAINING:
+                continue
+            report, age = self._report(service, member.target, now)
+            if report is None or age > REPORT_AGE_S:
+                if self._directory.is_registered(member.target):
+                    owners.append(OwnerLoad(member.target, mean_s or float(member.slots)))
+                continue
+            if report.draining:
+                continue
+            capacity = report.capacity
+            if mean_s:
+                capacity = min(max(capacity, mean_s * 0.4), mean_s * 2.5)
+            owners.append(
+                OwnerLoad(
+                    member.target,
+                    capacity,
+                    self._loads(service, report.loads, now),
+                    report.confirmed,
+                )
+            )
+        return owners
+
+    def _report(self, service: _Service, target: str, now: float) -> tuple[KeyReport | None, float]:
+        found = service.reports.get(target)
+        if found is None:
+            return None, 0.0
+        return found[0], now - found[1]
+
+    def _mean_capacity(self, service: _Service, now: float) -> float:
+        fresh = [r.capacity for r, at in service.reports.values() if now - at <= REPORT_AGE_S]
+        return sum(fresh) / len(fresh) if fresh else 0.0
+
+    def _loads(
+        self, service: _Service, loads: tuple[KeyLoad, ...], now: float
+    ) -> tuple[KeyLoad, ...]:
+        """Put what moved keys had before in the place of what their new owner counted so far."""
+        service.assumed = [entry for entry in service.assumed if entry[1] > now]
+        result: list[KeyLoad] = []
+        for load in loads:
+            if not any(a.first <= load.last and load.first <= a.last for a, _ in service.assumed):
+                result.append(load)
+        return tuple(result)
+
+    def _with_assumed(
+        self, key_map: KeyMap, owners: list[OwnerLoad], service: _Service
+    ) -> list[OwnerLoad]:
+        """Add the assumed load of moved keys to their present owners."""
+        extra: dict[str, list[KeyLoad]] = {}
+        for load, _ in service.assumed:
+            owned = key_map.range_of(load.first)
+            if owned is not None and owned.last >= load.last:
+                extra.setdefault(owned.owner, []).append(load)
+        return [
+            OwnerLoad(o.target, o.capacity, (*o.loads, *extra.get(o.target, ())), o.confirmed)
+            for o in owners
+        ]
+
+    # -- plans -----------------------------------------------------------------------------
+
+    async def _level(self, key_map: KeyMap, service: _Service, now: float) -> None:
+        """Move keys where a target cannot own any more, or where load is uneven."""
+        owners = self._with_assumed(key_map, self._owners(key_map.service, service, now), service)
+        present = {owner.target for owner in owners}
+        unheard = self._unheard(key_map, service, present, now)
+        orphaned = any(r.owner not in present | unheard for r in key_map.ranges)
+        if not orphaned and now - service.moved_at < MOVE_PAUSE_S:
+            return
+        planned = plan_moves(key_map, owners, frozenset(service.ended), self._limits, fixed=unheard)
+        if planned is None:
+            return
+        service.moved_at = now
+        self._assume(key_map, planned, owners, service, now)
+        await self._write(planned, service, [], "orphaned" if orphaned else "uneven")
+
+    def _unheard(
+        self, key_map: KeyMap, service: _Service, present: set[str], now: float
+    ) -> frozenset[str]:
+        """Return owners of which nothing is known yet: they may be about to report."""
+        unheard: set[str] = set()
+        for target in key_map.targets - present - service.ended:
+            if target in service.waited_out:
+                continue
+            member = self._directory.member_of(target)
+            report, age = self._report(service, target, now)
+            fresh = report is not None and age <= REPORT_AGE_S
+            if member is not None and member.state is TargetState.DRAINING:
+                continue
+            if not (fresh and report is not None and report.draining):
+                unheard.add(target)
+        return frozenset(unheard)
+
+    def _assume(
+        self,
+        before: KeyMap,
+        after: KeyMap,
+        owners: list[OwnerLoad],
+        service: _Service,
+        now: float,
+    ) -> None:
+        """Remember the load of the keys that change hands."""
+        for owner in owners:
+            for load in owner.loads:
+                old, new = before.range_of(load.first), after.range_of(load.first)
+                if old is not None and new is not None and old.owner != new.owner:
+                    service.assumed.append((load, now + ASSUMED_S))
+
+    async def _drop_waited_out(self, key_map: KeyMap, service: _Service, now: float) -> bool:
+        """Take targets off the predecessors whose last hold is over; return whether any."""
+        for target, until in list(service.waited_out.items()):
+            if now >= until:
+                del service.waited_out[target]
+                service.ended.add(target)
+        planned = without_targets(key_map, service.ended)
+        if planned is None:
+            return False
+        await self._write(planned, service, [], "ended")
+        return True
+
+    # -- targets that were lost --------------------------------------------------------
+
+    def _silent_targets(self, key_map: KeyMap, service: _Service, now: float) -> list[str]:
+        """Return targets of the map whose daemons neither report nor have an entry."""
+        assert self._on_duty_since is not None
+        if now - self._on_duty_since < GRACE_S + SILENT_S:
+            return []
+        silent: list[str] = []
+        for target in key_map.targets:
+            if target in service.ended or target in service.waited_out:
+                continue
+            report, age = self._report(service, target, now)
+            if report is not None and age < SILENT_S:
+                continue
+            if not self._directory.is_registered(target):
+                silent.append(target)
+        return silent
+
+    async def _take_over(self, key_map: KeyMap, service: _Service, silent: list[str]) -> None:
+        """Take the keys of silent targets away, and wait out what they may have been granted.
+
+        Order matters: the map and the holders' entries change in one transaction, then the
+        leases end, then a full authority passes. A daemon that comes back writes its
+        holder's entry first and reads the map after that, so it finds the change.
+        """
+        owners = [
+            o for o in self._owners(key_map.service, service, boot_time()) if o.target not in silent
+        ]
+        present = {owner.target for owner in owners}
+        unheard = self._unheard(key_map, service, present, boot_time()) - frozenset(silent)
+        planned = plan_moves(key_map, owners, frozenset(service.ended), self._limits, fixed=unheard)
+        expected: list[Expectation] = []
+        puts: list[Put] = []
+        leases: list[int] = []
+        for target in silent:
+            item = await self._store.get(holder_key(target))
+            holder = decode_holder(item.value) if item is not None else Holder(target, "", 0)
+            revoked = Holder(target, holder.instance, holder.lease, revoked=True)
+            expected.append(Expectation(holder_key(target), item.revision if item else 0))
+            puts.append(Put(holder_key(target), encode_holder(revoked)))
+            if holder.lease:
+                leases.append(holder.lease)
+        if planned is not None:
+            await self._write(planned, service, list(zip(expected, puts, strict=True)), "lost")
+        elif any(r.owner in silent for r in key_map.ranges):
+            # Nobody is there to take the keys.
+            return
+        for lease in leases:
+            await self._store.revoke(lease)
+        until = boot_time() + self._settings.holds.authority_s * AUTHORITY_MARGIN * CLOCK_SLACK
+        for target in silent:
+            service.waited_out[target] = until
+        self._log.decided(
+            "targets_given_up", service=key_map.service, targets=silent,
+            waited_out_in_s=round(until - boot_time(), 3),
+        )  # fmt: skip
+
+    # -- writing ------------------------------------------------------------------------
+
+    async def _write(
+        self,
+        planned: KeyMap,
+        service: _Service,
+        others: list[tuple[Expectation, Put]],
+        why: str,
+    ) -> None:
+        """Write a map by compare-and-swap, act on it and tell the others."""
+        key = key_map_key(planned.service)
+        expected = [Expectation(key, service.revision), *(e for e, _ in others)]
+        puts = [Put(key, encode_key_map(planned)), *(p for _, p in others)]
+        service.revision = await self._store.commit(expected, puts)
+        self._log.decided(
+            "key_map_written", service=planned.service, version=planned.version, why=why,
+            ranges=len(planned.ranges), targets=len(planned.targets),
+        )  # fmt: skip
+        self._maps.adopt(planned)
+        self._spread(planned)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/metrics.py
@@ -0,0 +1,71 @@
+"""Counters and latency histograms by route, by OpenTelemetry, imported after the start.
+
+The libraries take a good part of a start's time to import, and a start is time in which
+keys rest: what happens before they are there is kept and counted then.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["LateMetrics"]
+
+KEPT = 5_000
+"""Requests that are kept until the libraries are there; further ones are not counted."""
+LATENCY_BUCKETS_S = (
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0,
+)  # fmt: skip
+
+
+class LateMetrics:
+    """What one daemon counts and times."""
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._kept: list[tuple[float, dict[str, str]]] = []
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+        self._duration: Any = None
+
+    def request_ended(self, route: str, service: str, how: str, took_s: float) -> None:
+        """Time a caller's request, by route and by how it ended."""
+        labels = {"route": route, "service": service, "outcome": how}
+        if self._duration is not None:
+            self._duration.record(took_s, labels)
+        elif len(self._kept) < KEPT:
+            self._kept.append((took_s, labels))
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Export a value that is read when metrics are."""
+        self._gauges.append((name, description, read))
+
+    def exposition(self) -> bytes:
+        """Return everything in Prometheus's text format; imports the libraries at first."""
+        if self._duration is None:
+            self._load()
+        from prometheus_client import REGISTRY, generate_latest
+
+        return generate_latest(REGISTRY)
+
+    def _load(self) -> None:
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from opentelemetry.metrics import CallbackOptions, Observation
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+
+        view = View(
+            instrument_name="pearward.request.duration",
+            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S),
+        )
+        provider = MeterProvider(metric_readers=[PrometheusMetricReader()], views=[view])
+        meter = provider.get_meter("pearward", attributes={"instance": self._instance})
+        self._duration = meter.create_histogram(
+            "pearward.request.duration", unit="s", description="From a caller's headers to the end"
+        )
+        kept, self._kept = self._kept, []
+        for took_s, labels in kept:
+            self._duration.record(took_s, labels)
+        for name, description, read in self._gauges:
+
+            def observe(_: CallbackOptions, read: Callable[[], float] = read) -> list[Observation]:
+                return [Observation(read())]
+
+            meter.create_observable_gauge(name, callbacks=[observe], description=description)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -0,0 +1,510 @@
+"""One caller's request: which target it goes to, what is tried next, what the caller is told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.python.failure import Failure
+
+from pearward_coordination.retry import AttemptTally
+from pearward_protocol.heads import RequestHead, ResponseHead
+from pearward_protocol.streams import SHORT_BODY
+from pearward_state.outcome import Outcome, Reason, RequestClass
+from pearward_state.routes import Route
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import PeerUnreachable
+from pearward_transport.http_server import CallerRequest
+from pearward_transport.peer import PeerConnection
+
+from ..attempts import LocalAttempt, RemoteAttempt
+from .dialect import CallerIntent
+
+if TYPE_CHECKING:
+    from .ingress import MeshIngress, Placement
+
+__all__ = ["RoutedRequest"]
+
+MS_PER_S = 1000
+REPLAYABLE = 65_536
+"""A request body up to this length is kept, so that it can be sent again."""
+BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
+OWNER_WAIT_S = 0.03
+"""Pause before the owner of a key is looked up again."""
+OWNER_WAIT_SHARE = 0.6
+"""Part of the latency objective for which a key without an owner is waited for; a refusal
+after that leaves the caller time for another attempt."""
+CONNECT_WAIT_S = 0.25
+"""Seconds for a connection to a daemon in the same region; another one is tried after it."""
+FULL_TRIES = 3
+"""Targets that are asked for a slot before a request is refused as too much."""
+RETRY_AFTER_S = 0.1
+"""Seconds after which a caller may come back where nothing better is known."""
+ANSWER_BACK_S = 0.02
+"""The owner's daemon stops this long before the caller does: it alone knows whether the
+request was still waiting, and its word must be here in time."""
+LATEST_RETRY_S = 0.05
+"""Time left in s under which no further attempt is made."""
+_ELSEWHERE = frozenset(
+    {Reason.DRAINING, Reason.MOVED, Reason.UNREACHABLE, Reason.NOT_READY, Reason.OVERLOADED}
+)
+"""Refusals that cost no target anything: another one may be asked without a budget."""
+
+
+class RoutedRequest:
+    """One request of a caller that has a route."""
+
+    def __init__(
+        self,
+        ingress: MeshIngress,
+        request: CallerRequest,
+        route: Route,
+        intent: CallerIntent,
+        body_length: int | None,
+    ) -> None:
+        self._ingress = ingress
+        self._request = request
+        self._route = route
+        self._intent = intent
+        self._body_length = -1 if body_length is None else body_length
+        self._began = boot_time()
+        limit_ms = route.timeout_ms
+        if intent.deadline_ms is not None:
+            limit_ms = min(limit_ms, intent.deadline_ms)
+        self._deadline = self._began + limit_ms / MS_PER_S
+        self._objective = self._began + route.objective_ms / MS_PER_S
+        self._service = ingress.service_for(route)
+        self._keyed = intent.key is not None and ingress.is_keyed(self._service)
+        self._forwarded = b""
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._body_ended = body_length == 0
+        self._streaming = False
+        self._attempt: LocalAttempt | RemoteAttempt | None = None
+        self._placement: Placement | None = None
+        self._tally = AttemptTally()
+        self._arrivals = 0
+        """Attempts of which a target has, or may have, received the request."""
+        self._tried: set[str] = set()
+        self._full = 0
+        self._retry_after_s = 0.0
+        self._last_reason: Reason | None = None
+        self._offered = False
+        self._answering = False
+        self._done = False
+        self._timer: Any = None
+        self._wait: Any = None
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def service(self) -> str:
+        """Service that is asked."""
+        return self._service
+
+    @property
+    def route(self) -> Route:
+        """Route that was chosen."""
+        return self._route
+
+    @property
+    def done(self) -> bool:
+        """Whether it was answered or its caller has left."""
+        return self._done
+
+    # -- the caller's side ----------------------------------------------------------
+
+    def begin(self) -> None:
+        """Start, once a short body is whole."""
+        self._forwarded = self._ingress.forwarded(self._request, self._intent.request_id)
+        left_s = max(0.0, self._deadline - boot_time())
+        self._timer = self._ingress.call_later(left_s, self._deadline_passed)
+        if self._body_ended or self._body_length > REPLAYABLE:
+            self._next_attempt()
+
+    def body_received(self, data: bytes) -> None:
+        """Take a chunk of the request's body."""
+        if self._done:
+            return
+        if self._streaming:
+            if self._attempt is not None and not self._attempt.send_data(data):
+                self._request.pause_body()
+            return
+        self._body.append(data)
+        self._body_size += len(data)
+        if self._body_size > REPLAYABLE and self._attempt is None and self._wait is None:
+            # Too long to keep: from here on it can be sent only once.
+            self._next_attempt()
+
+    def body_ended(self) -> None:
+        """The request's body is whole."""
+        if self._done:
+            return
+        self._body_ended = True
+        if self._streaming:
+            if self._attempt is not None:
+                self._attempt.send_data(b"", ended=True)
+        elif self._attempt is None and self._wait is None:
+            self._next_attempt()
+
+    def caller_lost(self) -> None:
+        """The caller has left: nobody needs the work any more."""
+        if self._done:
+            return
+        self._cancel_attempt()
+        self._finish("caller_left", 0, Reason.CANCELLED)
+
+    def pause(self) -> None:
+        """The caller takes no more for now; the window to the owner fills up by itself."""
+
+    def resume(self) -> None:
+        """The caller takes more: let the owner send it."""
+        if self._attempt is not None and self._unconsumed:
+            count, self._unconsumed = self._unconsumed, 0
+            self._attempt.consumed(count)
+
+    _unconsumed = 0
+
+    # -- attempts ----------------------------------------------------------------------
+
+    def _next_attempt(self) -> None:
+        """Send the request to the owner of its key, or to the best target."""
+        self._wait = None
+        if self._done:
+            return
+        placement = self._ingress.place(self._service, self._key, frozenset(self._tried))
+        if placement is None:
+            self._no_target()
+            return
+        self._placement = placement
+        if placement.local:
+            self._open_local(placement)
+            return
+        connection = self._ingress.connection(placement.address)
+        if connection is not None:
+            self._open_remote(connection, placement)
+        else:
+            self._connect(placement)
+
+    @property
+    def _key(self) -> int | None:
+        return self._intent.key if self._keyed else None
+
+    def _no_target(self) -> None:
+        """No target may be asked now: wait a little for one, or refuse."""
+        now = boot_time()
+        limit = self._began + (self._objective - self._began) * OWNER_WAIT_SHARE
+        if self._full or now + OWNER_WAIT_S > min(limit, self._deadline):
+            reason = self._last_reason or Reason.NO_ROUTE
+            self._give_up(Outcome.NOT_RUN, reason, self._retry_after_s or RETRY_AFTER_S)
+            return
+        self._tried.clear()
+        self._last_reason = self._last_reason or Reason.NO_ROUTE
+        self._wait = self._ingress.call_later(OWNER_WAIT_S, self._next_attempt)
+
+    def _connect(self, placement: Placement) -> None:
+        """Wait a short while for a connection to another daemon."""
+        waiting = [True]
+
+        def connected(connection: PeerConnection) -> None:
+            if waiting:
+                waiting.clear()
+                self._cancel_wait()
+                if not self._done:
+                    self._open_remote(connection, placement)
+
+        def failed(failure: Failure) -> None:
+            failure.trap(PeerUnreachable)
+            if waiting:
+                waiting.clear()
+                self._cancel_wait()
+                self._not_reached(placement, failure.getErrorMessage())
+
+        def too_long() -> None:
+            self._wait = None
+            if waiting:
+                waiting.clear()
+                self._not_reached(placement, "no connection in time")
+
+        self._wait = self._ingress.call_later(CONNECT_WAIT_S, too_long)
+        self._ingress.connect(placement.address).addCallbacks(connected, failed)
+
+    def _not_reached(self, placement: Placement, detail: str) -> None:
+        if self._done:
+            return
+        self._ingress.not_reached(placement.target, detail)
+        self._failed(Outcome.NOT_RUN, Reason.UNREACHABLE, 0.0, detail)
+
+    def _head(self, placement: Placement) -> RequestHead:
+        now = boot_time()
+        key = b"" if self._key is None else b"%d" % self._key
+        return RequestHead(
+            service=self._service,
+            key=key,
+            request_id=self._intent.request_id,
+            method=self._request.method,
+            path=self._request.uri,
+            headers=self._forwarded,
+            deadline_ms=max(1, int((self._deadline - now - ANSWER_BACK_S) * MS_PER_S)),
+            request_class=RequestClass.INTERACTIVE,
+            tenant="",
+            repeatable=self._route.kind.repeatable,
+            prior_age_ms=0,
+            version=placement.map_version,
+            task_id="",
+            position=self._key or 0,
+            body_length=self._body_length if not self._body_ended else self._body_size,
+            target=placement.target,
+            rank=self._route.rank,
+            objective_ms=max(0, int((self._objective - now) * MS_PER_S)),
+            caller_service=self._ingress.caller_service,
+        )
+
+    def _open_local(self, placement: Placement) -> None:
+        self._note_attempt(placement)
+        attempt = self._attempt = LocalAttempt(self, self._ingress.window)
+        body, ended, rest = self._first_part()
+        attempt.open(self._ingress.side, self._head(placement), ended=ended, body=body)
+        self._send_rest(attempt, rest)
+
+    def _open_remote(self, connection: PeerConnection, placement: Placement) -> None:
+        self._note_attempt(placement)
+        attempt = self._attempt = RemoteAttempt(connection, self)
+        body, ended, rest = self._first_part()
+        attempt.open(self._head(placement), ended=ended, body=body)
+        self._send_rest(attempt, rest)
+
+    def _note_attempt(self, placement: Placement) -> None:
+        self._tally.begun()
+        placement.begun()
+        self._ingress.log.decided(
+            "attempt", id=self._id, number=self._tally.number, service=self._service,
+            target=placement.target, key=self._key, map=placement.map_version,
+            left_ms=round((self._deadline - boot_time()) * MS_PER_S),
+        )  # fmt: skip
+
+    def _first_part(self) -> tuple[bytes, bool, bytes]:
+        """Return what goes with the head, whether that is all, and what follows."""
+        data = b"".join(self._body)
+        if self._body_ended and len(data) <= SHORT_BODY:
+            return data, True, b""
+        return b"", False, data
+
+    def _send_rest(self, attempt: LocalAttempt | RemoteAttempt, rest: bytes) -> None:
+        if self._done or self._attempt is not attempt or not rest:
+            return
+        attempt.send_data(rest, ended=self._body_ended)
+        if not self._body_ended:
+            self._streaming = True
+            self._body = []
+
+    def _cancel_attempt(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.cancel()
+            self._attempt_over()
+
+    def _attempt_over(self) -> None:
+        if self._placement is not None:
+            self._placement.over()
+            self._placement = None
+
+    # -- what comes back --------------------------------------------------------------
+
+    def answer_head(self, head: ResponseHead, ended: bool, body: bytes) -> None:
+        """The attempt's answer begins, or is whole."""
+        if self._done or self._placement is None:
+            return
+        if head.load is not None:
+            self._ingress.loaded(self._placement.target, head.load)
+        if head.outcome is not Outcome.SERVED:
+            self._refused(head)
+            return
+        if self._try_again_after(head):
+            return
+        headers = self._ingress.answer_headers(head.headers)
+        if ended:
+            self._over()
+            self._request.answer_whole(head.status, headers, body)
+            self._finish("answered", head.status, None)
+            return
+        self._answering = True
+        self._cancel_timer()
+        self._request.begin_answer(head.status, headers, head.body_length)
+
+    def answer_data(self, data: bytes, ended: bool) -> None:
+        """A chunk of the answer."""
+        if self._done or not self._answering:
+            return
+        self._request.answer_chunk(data)
+        if self._attempt is not None and data:
+            self._attempt.consumed(len(data))
+        if ended:
+            self._over()
+            self._request.end_answer()
+            self._finish("answered", 200, None)
+
+    def attempt_failed(self, outcome: Outcome, reason: Reason, detail: str) -> None:
+        """The attempt ended without an answer, or in the middle of one."""
+        if self._done:
+            return
+        if self._placement is not None and reason is Reason.CONNECTION_LOST:
+            self._ingress.not_reached(self._placement.target, detail)
+        if self._answering:
+            self._over()
+            self._request.abort_answer()
+            self._finish("broken_off", 0, reason, detail)
+            return
+        self._failed(outcome, reason, 0.0, detail)
+
+    def attempt_writable(self) -> None:
+        """More of the body may be sent."""
+        self._request.resume_body()
+
+    def _over(self) -> None:
+        """The attempt is finished: expect nothing more of it."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.detach()
+        self._attempt_over()
+
+    def _refused(self, head: ResponseHead) -> None:
+        """The owner's daemon, or the target, turned the request down or failed."""
+        assert self._placement is not None
+        reason = head.reason or Reason.SERVER_FAILED
+        self._ingress.learned(self._service, head.version, self._placement)
+        if reason is Reason.DRAINING:
+            self._ingress.directory.refused(self._placement.target)
+        self._failed(head.outcome, reason, head.retry_after_ms / MS_PER_S, head.detail)
+
+    def _try_again_after(self, head: ResponseHead) -> bool:
+        """Ask once more where the target's own failure may be another one's success."""
+        assert self._placement is not None
+        if head.status < 500:
+            self._ingress.answered_well(self._placement.target)
+            return False
+        self._ingress.failed_at(self._placement.target)
+        if not self._route.kind.repeatable or not self._may_repeat():
+            return False
+        self._tried.add(self._placement.target)
+        if not self._keyed and not self._ingress.has_other(self._service, self._tried):
+            return False
+        self._over()
+        self._arrivals += 1
+        self._tally.failed(Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        self._next_attempt()
+        return True
+
+    # -- decisions ------------------------------------------------------------------------
+
+    def _failed(self, outcome: Outcome, reason: Reason, retry_after_s: float, detail: str) -> None:
+        """An attempt brought no answer: try another, or tell the caller."""
+        target = self._placement.target if self._placement is not None else ""
+        self._over()
+        self._tally.failed(outcome, reason)
+        self._last_reason = reason
+        self._retry_after_s = retry_after_s
+        again = self._goes_on(outcome, reason, target)
+        self._ingress.log.decided(
+            "attempt_failed", failure=True, id=self._id, target=target, outcome=outcome.value,
+            reason=reason.value, detail=detail, again=again,
+            left_ms=round((self._deadline - boot_time()) * MS_PER_S),
+        )  # fmt: skip
+        if not again:
+            self._give_up(outcome, reason, retry_after_s)
+        elif self._keyed:
+            self._wait = self._ingress.call_later(OWNER_WAIT_S, self._next_attempt)
+        else:
+            self._next_attempt()
+
+    def _goes_on(self, outcome: Outcome, reason: Reason, target: str) -> bool:
+        """Decide whether the request is sent again."""
+        now = boot_time()
+        if self._streaming or self._deadline - now < LATEST_RETRY_S:
+            return False
+        if outcome is Outcome.NOT_RUN and reason in _ELSEWHERE:
+            return self._asks_elsewhere(reason, target, now)
+        if outcome is not Outcome.NOT_RUN:
+            self._ingress.failed_at(target)
+            if not self._route.kind.repeatable:
+                return False
+        elif reason is not Reason.TARGET_REFUSED:
+            return False
+        self._arrivals += 1
+        self._tried.add(target)
+        return self._may_repeat()
+
+    def _asks_elsewhere(self, reason: Reason, target: str, now: float) -> bool:
+        if reason is Reason.OVERLOADED:
+            self._offered = True
+            self._full += 1
+            if self._keyed or self._full >= FULL_TRIES:
+                return False
+        if self._keyed:
+            limit = self._began + (self._objective - self._began) * OWNER_WAIT_SHARE
+            return now + OWNER_WAIT_S < min(limit, self._deadline)
+        self._tried.add(target)
+        return True
+
+    def _may_repeat(self) -> bool:
+        """Whether one more target may receive the request; takes from the budget."""
+        left_s = self._deadline - boot_time()
+        if self._streaming or left_s < LATEST_RETRY_S:
+            return False
+        if self._arrivals + 1 >= self._route.max_attempts + (1 if self._keyed else 0):
+            return False
+        return self._ingress.take_repeat(self._service)
+
+    def _deadline_passed(self) -> None:
+        """The caller, or the route, allows no more time."""
+        self._timer = None
+        if self._done:
+            return
+        unknown = self._attempt is not None
+        self._cancel_attempt()
+        outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
+        self._give_up(outcome, Reason.DEADLINE, RETRY_AFTER_S, GATEWAY_TIMEOUT)
+
+    def _give_up(
+        self,
+        outcome: Outcome,
+        reason: Reason,
+        retry_after_s: float,
+        status: int = BAD_GATEWAY,
+    ) -> None:
+        """Tell the caller that there is no answer, and whether the request may have run."""
+        final = self._tally.final(outcome)
+        if final is Outcome.NOT_RUN:
+            status = UNAVAILABLE
+        else:
+            retry_after_s = 0.0
+        headers = self._ingress.refusal_headers(self._intent.request_id, retry_after_s)
+        self._request.answer_whole(status, headers, b"")
+        self._finish("given_up", status, reason)
+
+    # -- ends -----------------------------------------------------------------------------
+
+    @property
+    def _id(self) -> str:
+        return self._intent.request_id.decode("latin-1")
+
+    def _cancel_timer(self) -> None:
+        timer, self._timer = self._timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _cancel_wait(self) -> None:
+        wait, self._wait = self._wait, None
+        if wait is not None and wait.active():
+            wait.cancel()
+
+    def _finish(self, how: str, status: int, reason: Reason | None, detail: str = "") -> None:
+        self._done = True
+        self._cancel_timer()
+        self._cancel_wait()
+        self._ingress.ended(self, how, status, boot_time() - self._began)
+        self._ingress.log.decided(
+            how, failure=how != "answered", id=self._id, route=self._route.name,
+            service=self._service, status=status, reason=reason.value if reason else "",
+            detail=detail, attempts=self._tally.number,
+            ms=round((boot_time() - self._began) * MS_PER_S),
+        )  # fmt: skip
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -0,0 +1,158 @@
+"""Settings of a daemon on a users' platform: one YAML file, checked as a whole."""
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+
+import yaml
+
+from pearward_coordination.grants import AUTHORITY_S, HOLD_S, GrantTiming
+from pearward_coordination.retry_window import RetryRule
+from pearward_state.errors import InvalidField
+from pearward_state.fields import FieldReader
+
+from ..errors import SettingsError
+
+__all__ = ["Address", "MeshSettings", "StoreSettings"]
+
+LEASE_TTL_S = 3.0
+"""Seconds after which a silent daemon's entry goes: peers find out sooner by themselves."""
+KEEP_INTERVAL_S = 0.8
+"""Seconds between renewals: two may be lost before the entry goes."""
+STOP_MARGIN_S = 0.5
+"""Seconds before the platform's SIGKILL by which the daemon has ended by itself."""
+LOG_LINES_PER_S = 200
+"""Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port to listen on."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The platform's store, and how often it is spoken to."""
+
+    address: str
+    lease_ttl_s: float
+    keep_interval_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """All settings of one daemon."""
+
+    instance: str
+    failure_domain: str
+    service: str
+    """Service of the target beside this daemon."""
+    target_address: str
+    callers: Address
+    heartbeats: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    store: StoreSettings
+    holds: GrantTiming
+    retries: RetryRule
+    drain_s: float
+    """Seconds after its leave is acknowledged in which a target may get new requests."""
+    stop_s: float
+    """Seconds from SIGTERM to the platform's SIGKILL."""
+    log_lines_per_s: int
+
+    @classmethod
+    def from_file(cls, path: Path) -> "MeshSettings":
+        """Read and check a file; raises SettingsError that names the field and the value."""
+        try:
+            data = yaml.load(path.read_bytes(), Loader=_LOADER)
+        except (OSError, yaml.YAMLError) as error:
+            raise SettingsError(f"{path}: {error}") from error
+        try:
+            return cls.from_config(data)
+        except InvalidField as error:
+            raise SettingsError(f"{path}: {error}") from error
+
+    @classmethod
+    def from_config(cls, data: object) -> "MeshSettings":
+        """Check settings; raises InvalidField."""
+        root = FieldReader(data, "")
+        target = root.section("target")
+        listen = root.section("listen")
+        limits = root.section("limits")
+        settings = cls(
+            instance=root.text("instance"),
+            failure_domain=root.text("failure_domain"),
+            service=target.text("service"),
+            target_address=str(_address(target, "address")),
+            callers=_address(listen, "callers"),
+            heartbeats=_address(listen, "heartbeats"),
+            readiness=_address(listen, "readiness"),
+            peers=_address(listen, "peers"),
+            metrics=_address(listen, "metrics"),
+            store=_store(root.section("store")),
+            holds=_holds(root.section("holds")),
+            retries=_retries(root.section("retries")),
+            drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
+            stop_s=limits.number("stop_s", 6, low=1),
+            log_lines_per_s=root.section("log").integer("lines_per_s", LOG_LINES_PER_S, low=1),
+        )
+        for reader in (target, listen, limits, root):
+            reader.finish()
+        return settings
+
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def _address(reader: FieldReader, name: str) -> Address:
+    """Return an IP address and port."""
+    value = reader.text(name)
+    ip, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(ip)
+        number = int(port)
+    except ValueError:
+        raise InvalidField(reader.path(name), value, "expected IP:port") from None
+    if not 0 < number < 65_536:
+        raise InvalidField(reader.path(name), value, "expected a port in 1..65535")
+    return Address(ip, number)
+
+
+def _store(reader: FieldReader) -> StoreSettings:
+    ttl_s = reader.number("lease_ttl_ms", LEASE_TTL_S * 1000, low=1000) / 1000
+    shortest_s = reader.number("shortest_ttl_ms", 1000, low=0) / 1000
+    settings = StoreSettings(
+        address=str(_address(reader, "address")),
+        lease_ttl_s=max(ttl_s, shortest_s),
+        keep_interval_s=reader.number("keep_interval_ms", KEEP_INTERVAL_S * 1000, low=50) / 1000,
+    )
+    reader.finish()
+    return settings
+
+
+def _holds(reader: FieldReader) -> GrantTiming:
+    longest_s = reader.number("longest_ms", HOLD_S * 1000, low=500) / 1000
+    timing = GrantTiming(
+        authority_s=reader.number("authority_ms", AUTHORITY_S * 1000, low=1000) / 1000,
+        hold_s=min(reader.number("hold_ms", HOLD_S * 1000, low=500) / 1000, longest_s),
+    )
+    reader.finish()
+    return timing
+
+
+def _retries(reader: FieldReader) -> RetryRule:
+    rule = RetryRule(
+        ratio=reader.number("ratio", 0.2, high=10),
+        allowance=reader.number("allowance", 50),
+        window_s=reader.number("window_s", 10, low=0.1),
+    )
+    reader.finish()
+    return rule
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -0,0 +1,359 @@
+"""This daemon's dealings with the platform's store: its lease, its entries, what it reads.
+
+Three loops run side by side: one keeps the lease, which is the authority to grant keys;
+one follows the configuration, one the members. Each goes on through outages with what is
+known, and reads anew what it may have missed.
+"""
+
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+
+from pearward_protocol.entries import (
+    HOLDERS,
+    KEY_MAPS,
+    MEMBERS,
+    decode_holder,
+    decode_key_map,
+    decode_member,
+    encode_holder,
+    encode_member,
+    holder_key,
+    member_key,
+)
+from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_state.errors import InvalidRecord
+from pearward_state.keymap import KeyMap
+from pearward_state.members import Holder, Member
+from pearward_transport.clock import boot_time, sleep
+from pearward_transport.errors import CasConflict, PlatformError
+from pearward_transport.store import (
+    Changes,
+    Expectation,
+    FleetStore,
+    HistoryGone,
+    LeaseGone,
+    Put,
+)
+
+from .log import DecisionLog
+from .settings import MeshSettings
+
+__all__ = ["SessionListener", "StoreSession"]
+
+WATCH_S = 20.0
+"""Seconds that one call waits for changes: each is priced, and the store allows 30."""
+GATHER_S = 0.1
+"""Seconds after a change before the next call, so that changes in a row cost one."""
+FIRST_RETRY_S = 0.1
+LAST_RETRY_S = 0.8
+"""Pauses after a failed call double up to this: what lapsed is to be back within 2 s."""
+
+
+class SessionListener(Protocol):
+    """What is told of the store."""
+
+    def configuration_read(self, document: bytes) -> None:
+        """A configuration document was read, perhaps an old one again."""
+
+    def members_read(self, members: list[Member]) -> None:
+        """All members' entries were read."""
+
+    def member_written(self, member: Member) -> None:
+        """A member's entry is new or has changed."""
+
+    def member_gone(self, instance: str) -> None:
+        """A member's entry went."""
+
+    def key_maps_read(self, key_maps: list[KeyMap]) -> None:
+        """The key maps of all services were read."""
+
+    def former_targets(self, targets: list[str]) -> None:
+        """Targets that earlier lives of this daemon granted keys to, the newest last."""
+
+    def authority_renewed(self, sent_at: float) -> None:
+        """The store confirmed the lease by a call that was sent at *sent_at*."""
+
+    def authority_lost(self) -> None:
+        """Nothing more may be granted until authority_renewed()."""
+
+
+class StoreSession:
+    """The lease, the entries and the watches of one daemon."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: MeshSettings,
+        store: FleetStore,
+        log: DecisionLog,
+        listener: SessionListener,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._store = store
+        self._log = log
+        self._listener = listener
+        self._lease = 0
+        self._member: Member | None = None
+        self._written: Member | None = None
+        self._keyed = False
+        self._held_for: tuple[str, int] | None = None
+        """Target and lease that the holder's entry names, once the map was read after it."""
+        self._renewed_at = 0.0
+        self._available = True
+        self._stopped = False
+        self._round = 0
+        self._writing = False
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def lease(self) -> int:
+        """The lease; 0 while there is none."""
+        return self._lease
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call to the store was answered."""
+        return self._available
+
+    # -- life --------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Begin all loops."""
+        self._run(self._keep_lease())
+        self._start_watches()
+
+    def stop(self) -> "Deferred[None]":
+        """End the loops and the lease, so that the entry goes at once."""
+        self._stopped = True
+        return Deferred.fromCoroutine(self._end_lease())
+
+    def publish(self, member: Member | None, keyed: bool) -> None:
+        """Write *member* as this daemon's entry; None keeps what is there."""
+        if member is not None and (self._member is None or member.target != self._member.target):
+            self._listener.authority_lost()
+        self._member = member
+        self._keyed = keyed
+        if self._lease and not self._writing:
+            self._run(self._write_entries())
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a loop; what it did not expect is logged and never swallowed."""
+        Deferred.fromCoroutine(work).addErrback(
+            lambda failure: self._log.decided(
+                "store_loop_failed", failure=True, error=failure.getTraceback()[-2000:]
+            )
+        )
+
+    async def _end_lease(self) -> None:
+        if not self._lease:
+            return
+        lease, self._lease = self._lease, 0
+        try:
+            await self._store.revoke(lease)
+        except PlatformError as error:
+            self._log.decided("lease_not_ended", failure=True, lease=lease, error=str(error))
+
+    # -- the lease ------------------------------------------------------------------
+
+    async def _keep_lease(self) -> None:
+        while not self._stopped:
+            began = boot_time()
+            try:
+                if self._lease:
+                    await self._renew()
+                else:
+                    await self._begin_lease()
+                self._answered()
+            except PlatformError as error:
+                self._failed(error)
+            pause = self._settings.store.keep_interval_s - (boot_time() - began)
+            await sleep(self._reactor, max(FIRST_RETRY_S, pause) if self._lease else FIRST_RETRY_S)
+
+    async def _renew(self) -> None:
+        sent_at = boot_time()
+        lease = self._lease
+        if not await self._store.keep_alive(lease):
+            self._log.decided("lease_lost", failure=True, lease=lease)
+            self._lease = 0
+            self._held_for = None
+            self._written = None
+            self._listener.authority_lost()
+            return
+        self._renewed_at = sent_at
+        self._tell_renewed()
+        if self._member != self._written and not self._writing:
+            await self._write_entries()
+
+    async def _begin_lease(self) -> None:
+        sent_at = boot_time()
+        self._lease = await self._store.grant_lease(self._settings.store.lease_ttl_s)
+        self._renewed_at = sent_at
+        self._log.decided("lease_begun", lease=self._lease)
+        await self._write_entries()
+
+    def _tell_renewed(self) -> None:
+        member = self._member
+        if member is not None and self._held_for == (member.target, self._lease):
+            self._listener.authority_renewed(self._renewed_at)
+
+    # -- entries ------------------------------------------------------------------------
+
+    async def _write_entries(self) -> None:
+        """Write this daemon's entries until they are as they should be."""
+        if self._writing:
+            return
+        self._writing = True
+        try:
+            while self._member is not None and self._member != self._written and self._lease:
+                await self._write_once(self._member, self._lease)
+        except LeaseGone:
+            # The renewal finds out as well, and begins a new lease.
+            self._log.decided("entry_refused", failure=True, lease=self._lease)
+        except PlatformError as error:
+            self._failed(error)
+        finally:
+            self._writing = False
+
+    async def _write_once(self, member: Member, lease: int) -> None:
+        puts = [Put(member_key(member.instance), encode_member(member), lease)]
+        needs_holder = self._keyed and self._held_for != (member.target, lease)
+        expected: list[Expectation] = []
+        if needs_holder:
+            holder = await self._store.get(holder_key(member.target))
+            revision = holder.revision if holder is not None else 0
+            expected.append(Expectation(holder_key(member.target), revision))
+            entry = Holder(member.target, member.instance, lease)
+            puts.append(Put(holder_key(member.target), encode_holder(entry)))
+        try:
+            await self._store.commit(expected, puts)
+        except CasConflict:
+            return
+        self._written = member
+        self._log.decided(
+            "entry_written", target=member.target, state=member.state.value, lease=lease
+        )
+        if needs_holder:
+            # Only a map that was read after the holder's entry was written may be acted on:
+            # whoever took the keys away before is in it, whoever does so later sees the entry.
+            await self._read_key_maps()
+            if self._lease == lease:
+                self._held_for = (member.target, lease)
+                self._tell_renewed()
+
+    async def _read_key_maps(self) -> None:
+        snapshot = await self._store.scan(KEY_MAPS)
+        self._listener.key_maps_read(self._decoded(snapshot.items, decode_key_map))
+
+    async def _read_holders(self) -> None:
+        """Find the targets that an earlier life of this daemon granted keys to."""
+        snapshot = await self._store.scan(HOLDERS)
+        ordered = sorted(snapshot.items, key=lambda item: item.revision)
+        holders = self._decoded(ordered, decode_holder)
+        self._listener.former_targets(
+            [h.target for h in holders if h.instance == self._settings.instance]
+        )
+
+    def _decoded(self, items: Any, decode: Callable[[bytes], Any]) -> list[Any]:
+        """Decode entries; one that cannot be read is logged and left out."""
+        result = []
+        for item in items:
+            try:
+                result.append(decode(item.value))
+            except InvalidRecord as error:
+                self._log.decided("entry_unreadable", failure=True, key=item.key, error=str(error))
+        return result
+
+    # -- watches ---------------------------------------------------------------------------
+
+    def _start_watches(self) -> None:
+        """Begin the watches, or begin them anew: older rounds end by themselves."""
+        self._round += 1
+        self._run(self._follow_configuration(self._round))
+        self._run(self._follow_members(self._round))
+
+    async def _follow_configuration(self, number: int) -> None:
+        async def read() -> int:
+            item = await self._store.configuration()
+            if item is None:
+                return 0
+            self._listener.configuration_read(item.value)
+            return item.revision
+
+        def changed(event: WatchEvent) -> None:
+            if event.value is not None:
+                self._listener.configuration_read(event.value)
+
+        await self._follow(number, read, self._store.configuration_changes, changed)
+
+    async def _follow_members(self, number: int) -> None:
+        async def read() -> int:
+            snapshot = await self._store.scan(MEMBERS)
+            self._listener.members_read(self._decoded(snapshot.items, decode_member))
+            if number == 1:
+                await self._read_holders()
+            if not self._keyed or number > 1:
+                await self._read_key_maps()
+            return snapshot.revision
+
+        def changed(event: WatchEvent) -> None:
+            if event.value is None:
+                self._listener.member_gone(event.key.removeprefix(MEMBERS))
+                return
+            item = KeyValue(event.key, event.value, event.revision)
+            for member in self._decoded([item], decode_member):
+                self._listener.member_written(member)
+
+        async def wait(after: int, wait_s: float) -> Changes:
+            return await self._store.changes(MEMBERS, after, wait_s)
+
+        await self._follow(number, read, wait, changed)
+
+    async def _follow(
+        self,
+        number: int,
+        read: Callable[[], Awaitable[int]],
+        wait: Callable[[int, float], Awaitable[Changes]],
+        changed: Callable[[WatchEvent], None],
+    ) -> None:
+        """Read once, then take changes as they come; read again after a gap."""
+        after: int | None = None
+        retry_s = FIRST_RETRY_S
+        while not self._stopped and number == self._round:
+            try:
+                if after is None:
+                    after = await read()
+                changes = await wait(after, WATCH_S)
+                if number != self._round:
+                    return
+                for event in changes.events:
+                    changed(event)
+                after = max(after, changes.revision)
+                retry_s = FIRST_RETRY_S
+                await sleep(self._reactor, GATHER_S if changes.events else 0.0)
+            except HistoryGone:
+                self._log.decided("store_history_gone", after=after)
+                after = None
+            except PlatformError as error:
+                # Something may have been missed where a watch was cut: the store tells
+                # by HistoryGone if it has forgotten what came since.
+                self._log.decided("watch_cut", after=after, error=str(error))
+                await sleep(self._reactor, retry_s)
+                retry_s = min(LAST_RETRY_S, retry_s * 2)
+
+    # -- availability ---------------------------------------------------------------------
+
+    def _answered(self) -> None:
+        if not self._available:
+            self._available = True
+            self._log.decided("store_regained", lease=self._lease)
+            # Watches that were cut without a word would go on waiting.
+            self._start_watches()
+
+    def _failed(self, error: PlatformError) -> None:
+        if self._available:
+            self._available = False
+            self._log.decided("store_lost", failure=True, error=str(error))
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -0,0 +1,414 @@
+"""One request at the daemon beside its target: admission, the exchange, a whole answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.python.failure import Failure
+
+from pearward_coordination.slots import Refused, SlotTicket
+from pearward_protocol.heads import RequestHead, ResponseHead
+from pearward_protocol.streams import SHORT_BODY, ResetCode
+from pearward_state.outcome import Outcome, Reason
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import ServerUnreachable
+from pearward_transport.http_client import ServerConnection
+
+from ..exchange import ReplySink, refusal
+from .dialect import AnswerFacts
+
+if TYPE_CHECKING:
+    from .target_side import TargetSide
+
+__all__ = ["TargetRequest"]
+
+MS_PER_S = 1000
+WHOLE_BODY = 65_536
+"""A request body up to this length is waited for before the target is troubled with it."""
+HELD_ANSWER = 65_536
+"""An answer up to this length is passed on only when it is whole."""
+BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
+_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run."""
+MOVED_RETRY_S = 0.05
+
+
+class TargetRequest:
+    """One request for the target beside this daemon."""
+
+    def __init__(
+        self,
+        side: TargetSide,
+        head: RequestHead,
+        ended: bool,
+        body: bytes,
+        reply: ReplySink,
+    ) -> None:
+        self._side = side
+        self._head = head
+        self._reply = reply
+        self._arrived = boot_time()
+        self._deadline = self._arrived + head.deadline_ms / MS_PER_S
+        self._body = [body] if body else []
+        self._body_ended = ended
+        self._streaming = False
+        self._body_paused = False
+        self._uncredited = 0
+        self._ticket: SlotTicket | None = None
+        self._connection: ServerConnection | None = None
+        self._sent = False
+        self._answered = False
+        self._done = False
+        self._held_head: ResponseHead | None = None
+        self._held_body: list[bytes] = []
+        self._verdict: Reason | None = None
+        """Why the answer that is coming in will not be passed on."""
+        self._timer: Any = None
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def head(self) -> RequestHead:
+        """What is asked for."""
+        return self._head
+
+    @property
+    def deadline(self) -> float:
+        """Time in s of the steady clock until which the requester waits."""
+        return self._deadline
+
+    @property
+    def done(self) -> bool:
+        """Whether it was answered or given up."""
+        return self._done
+
+    # -- admission ------------------------------------------------------------------
+
+    def begin(self) -> None:
+        """Check and admit the request, once a short body is whole."""
+        self._timer = self._side.call_later(
+            max(0.0, self._deadline - boot_time()), self._deadline_passed
+        )
+        if self._body_ended or not 0 <= self._head.body_length <= WHOLE_BODY:
+            self.admit()
+
+    def admit(self) -> None:
+        """Ask whether the target may run the request now, then for a slot."""
+        if self._done:
+            return
+        barred = self._side.barred(self._head)
+        if barred is Reason.NOT_READY and self._side.park(self):
+            return
+        if barred is not None:
+            self._refuse(barred, retry_after_s=MOVED_RETRY_S)
+            return
+        if self._ticket is not None:
+            self.start()
+            return
+        ticket = SlotTicket(
+            rank=self._head.rank,
+            deadline=self._deadline,
+            objective=self._arrived + self._head.objective_ms / MS_PER_S,
+            arrived=self._arrived,
+        )
+        offered = self._side.offer(self, ticket)
+        if isinstance(offered, Refused):
+            self._refuse(Reason.OVERLOADED, retry_after_s=offered.retry_after_s)
+            return
+        self._ticket = ticket
+        if offered:
+            self.start()
+
+    def start(self) -> None:
+        """A slot is free: get a connection, if the target may still run the request."""
+        barred = self._side.barred(self._head)
+        if barred is not None:
+            self._give_slot_back()
+            self._ticket = None
+            self.admit()
+            return
+        connection = self._side.client.take()
+        if connection is not None:
+            self._send(connection)
+        else:
+            self._side.client.connect().addCallbacks(self._send, self._no_connection)
+
+    def too_late(self) -> None:
+        """The request waited so long that it could not be answered any more."""
+        self._ticket = None
+        self._refuse(Reason.DEADLINE)
+
+    def _send(self, connection: ServerConnection) -> None:
+        """Hand the request over, if at this last moment it still may be."""
+        if self._done:
+            connection.abort()
+            return
+        barred = self._side.barred(self._head)
+        if barred is not None:
+            connection.abort()
+            self._refuse(barred, retry_after_s=MOVED_RETRY_S)
+            return
+        left_ms = int((self._deadline - boot_time()) * MS_PER_S)
+        if left_ms <= 0:
+            connection.abort()
+            self._refuse(Reason.DEADLINE)
+            return
+        self._connection = connection
+        self._sent = True
+        self._side.sent(self._head, left_ms)
+        headers = self._side.headers(self._head, left_ms)
+        data = b"".join(self._body)
+        self._body = []
+        if self._body_ended:
+            connection.send(self._head.method, self._head.path, headers, data, self)
+        else:
+            self._streaming = True
+            connection.send_head(
+                self._head.method, self._head.path, headers, self._head.body_length, self
+            )
+            connection.send_chunk(data)
+        self._credit(len(data))
+
+    def _no_connection(self, failure: Failure) -> None:
+        failure.trap(ServerUnreachable)
+        self._side.unreachable(failure.value)
+        self._refuse(Reason.UNREACHABLE, detail=failure.getErrorMessage())
+
+    # -- what the requester sends --------------------------------------------------
+
+    def response_received(self, head: ResponseHead, ended: bool, body: bytes) -> None:
+        """Never happens at this end of a stream."""
+
+    def data_received(self, data: bytes, ended: bool) -> None:
+        """Take a chunk of the request's body."""
+        if self._done:
+            return
+        self._body_ended = self._body_ended or ended
+        if self._streaming and self._connection is not None:
+            self._connection.send_chunk(data)
+            self._credit(len(data))
+            if ended:
+                self._connection.send_end()
+            return
+        if data:
+            self._body.append(data)
+        if ended and 0 <= self._head.body_length <= WHOLE_BODY:
+            self.admit()
+
+    def reset_received(self, code: ResetCode) -> None:
+        """The requester gave up."""
+        self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, Reason.CANCELLED)
+
+    def connection_lost(self) -> None:
+        """Nobody is left to answer to."""
+        self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, Reason.CANCELLED)
+
+    def writable(self) -> None:
+        """The requester can take more of the answer."""
+        if self._connection is not None and self._answered and not self._done:
+            self._connection.resume()
+
+    def _credit(self, count: int) -> None:
+        """Let the requester send more, unless the target is behind."""
+        self._uncredited += count
+        if not self._body_paused and self._uncredited:
+            count, self._uncredited = self._uncredited, 0
+            self._reply.consumed(count)
+
+    # -- the target ---------------------------------------------------------------------
+
+    def body_paused(self) -> None:
+        """The target takes no more of the body for now."""
+        self._body_paused = True
+
+    def body_resumed(self) -> None:
+        """The target takes more of the body."""
+        self._body_paused = False
+        self._credit(0)
+
+    def accepts(self, headers: bytes) -> bool:
+        """Return whether an answer is to this request, and not a surplus one to another."""
+        answered_id = self._side.facts(headers).request_id
+        return not answered_id or answered_id == self._head.request_id
+
+    def answer_head(self, status: int, headers: bytes, length: int) -> None:
+        """The target answers: what is not its own whole answer goes no further."""
+        if self._done:
+            return
+        facts = self._side.facts(headers)
+        self._verdict = _verdict(status, facts)
+        if self._verdict is not None:
+            return
+        head = ResponseHead(
+            status,
+            Outcome.SERVED,
+            headers=headers,
+            version=self._side.map_version,
+            body_length=length,
+            load=self._side.load(),
+        )
+        if length <= HELD_ANSWER:
+            # Also where the length is unknown: the part that fits is held back.
+            self._held_head = head
+            return
+        self._begin_answer(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """Take a chunk of the answer's body."""
+        if self._done or self._verdict is not None:
+            return
+        if self._held_head is not None:
+            self._held_body.append(data)
+            if sum(map(len, self._held_body)) > HELD_ANSWER:
+                self._stop_holding()
+            return
+        if not self._reply.send_data(data) and self._connection is not None:
+            self._connection.pause()
+
+    def answer_ended(self) -> None:
+        """The target's answer is whole."""
+        if self._done:
+            return
+        if self._verdict is not None:
+            self._turned_down(self._verdict)
+            return
+        if self._held_head is not None:
+            self._answer_whole(self._held_head, b"".join(self._held_body))
+        else:
+            self._reply.send_data(b"", ended=True)
+        self._finish(Outcome.SERVED, None)
+
+    def exchange_failed(self, detail: str) -> None:
+        """The connection ended, or broke the protocol, before the answer was whole."""
+        if not self._done:
+            self._fail_after_sent(Reason.SERVER_FAILED, detail)
+
+    def _begin_answer(self, head: ResponseHead) -> None:
+        self._cancel_timer()
+        self._answered = True
+        self._reply.respond(head, ended=False)
+
+    def _stop_holding(self) -> None:
+        """The answer is longer than what is held back: pass on what is here."""
+        head, self._held_head = self._held_head, None
+        assert head is not None
+        data, self._held_body = b"".join(self._held_body), []
+        self._begin_answer(head)
+        if not self._reply.send_data(data) and self._connection is not None:
+            self._connection.pause()
+
+    def _answer_whole(self, head: ResponseHead, body: bytes) -> None:
+        whole = ResponseHead(
+            head.status,
+            head.outcome,
+            headers=head.headers,
+            version=head.version,
+            body_length=len(body),
+            load=head.load,
+        )
+        if len(body) <= SHORT_BODY:
+            self._reply.respond(whole, ended=True, body=body)
+        else:
+            self._reply.respond(whole, ended=False)
+            self._reply.send_data(body, ended=True)
+
+    def _turned_down(self, verdict: Reason) -> None:
+        """The target's whole answer says that it is not the caller's."""
+        if verdict is Reason.TARGET_REFUSED:
+            self._sent = False
+            self._refuse(verdict, retry_after_s=MOVED_RETRY_S)
+        else:
+            self._fail_after_sent(verdict)
+
+    # -- endings ----------------------------------------------------------------------
+
+    def _deadline_passed(self) -> None:
+        self._timer = None
+        if self._sent:
+            self._fail_after_sent(Reason.DEADLINE, status=GATEWAY_TIMEOUT)
+        else:
+            self._refuse(Reason.DEADLINE)
+
+    def _refuse(self, reason: Reason, *, detail: str = "", retry_after_s: float = 0.0) -> None:
+        """Answer that the request has not run and will not."""
+        if self._done:
+            return
+        self._respond(
+            refusal(
+                Outcome.NOT_RUN,
+                reason,
+                status=UNAVAILABLE,
+                detail=detail,
+                retry_after_s=retry_after_s,
+                version=self._side.map_version,
+            )
+        )
+        self._finish(Outcome.NOT_RUN, reason, detail)
+
+    def _fail_after_sent(self, reason: Reason, detail: str = "", status: int = BAD_GATEWAY) -> None:
+        """Say that the request may have run, or break off an answer that was begun."""
+        if self._done:
+            return
+        if self._answered:
+            self._reply.reset(ResetCode.BROKEN)
+        else:
+            self._respond(refusal(Outcome.UNKNOWN, reason, status=status, detail=detail))
+        self._finish(Outcome.UNKNOWN, reason, detail)
+
+    def _respond(self, head: ResponseHead) -> None:
+        """Send an answer of this daemon's own, with the target's load."""
+        self._reply.respond(
+            ResponseHead(
+                head.status,
+                head.outcome,
+                head.reason,
+                retry_after_ms=head.retry_after_ms,
+                version=head.version,
+                detail=head.detail,
+                body_length=0,
+                load=self._side.load(),
+            ),
+            ended=True,
+        )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _give_slot_back(self, *, measured: bool = False) -> None:
+        if self._ticket is not None:
+            self._side.finished(self._ticket, measured=measured)
+            self._ticket = None
+
+    def _finish(self, outcome: Outcome, reason: Reason | None, detail: str = "") -> None:
+        """Give back everything that the request held."""
+        if self._done:
+            return
+        self._done = True
+        self._cancel_timer()
+        self._side.unpark(self)
+        whole = outcome is Outcome.SERVED or (
+            reason in (Reason.TARGET_REFUSED, Reason.TARGET_FAILED)
+        )
+        if self._connection is not None and not whole:
+            self._connection.abort()
+        self._connection = None
+        if not self._body_ended:
+            self._reply.reset(ResetCode.CANCELLED)
+        self._give_slot_back(measured=outcome is Outcome.SERVED)
+        self._side.ended(self, outcome, reason, detail, boot_time() - self._arrived)
+
+
+def _verdict(status: int, facts: AnswerFacts) -> Reason | None:
+    """Return why an answer cannot be passed on as it is, or None."""
+    if facts.not_run or (facts.other_target and status == 421):
+        return Reason.TARGET_REFUSED
+    if status in _PROMISES:
+        # Without the target's word the promise in this status may be false.
+        return Reason.TARGET_FAILED
+    if not facts.request_id or facts.encoded:
+        return Reason.SPOILT
+    if 200 <= status < 300 and not facts.signed:
+        return Reason.SPOILT
+    return None
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -0,0 +1,475 @@
+"""The target beside this daemon: its heartbeats, its keys, its slots and its requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred, succeed
+
+from pearward_coordination.grants import GrantKeeper, ReleasedRow
+from pearward_coordination.key_load import KeyLoadMeter
+from pearward_coordination.messages import KeyReport
+from pearward_coordination.selection import TargetLoad
+from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
+from pearward_protocol.heads import RequestHead
+from pearward_state.keymap import KeyMap, Predecessor
+from pearward_state.members import TargetState
+from pearward_state.outcome import Outcome, Reason
+from pearward_transport.clock import boot_time, unix_time
+from pearward_transport.errors import ServerUnreachable
+from pearward_transport.http_client import ServerClient
+
+from ..exchange import ReplySink
+from .dialect import AnswerFacts, BeatAnswer, Dialect, TargetBeat, TargetLeave
+from .log import DecisionLog
+from .settings import MeshSettings
+from .target_request import TargetRequest
+
+__all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
+
+HOLD_BACK_S = 0.55
+"""Seconds for which a heartbeat's answer waits for a change of the target's keys: targets
+take an answer within a second, and a change that finds a waiting answer takes effect at once."""
+LATE_S = 4.0
+"""Seconds without a heartbeat after which a target counts as leaving: they may be late by
+seconds, and a target that is gone is found out sooner by its connections."""
+END_CHECK_S = 0.25
+"""Seconds between looks for the end of a target that leaves, or whose port was closed."""
+DRAIN_SHARE = 0.6
+"""Part of the drain time in which a leaving target still gets requests that are on their way."""
+PARKED_LIMIT = 512
+"""Requests that wait for the target's keys, at most; further ones are refused."""
+DEFAULT_SLOTS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class TargetInfo:
+    """What this daemon tells the others of its target."""
+
+    target: str
+    slots: int
+    state: TargetState
+    cold_until: float
+
+
+class TargetSideListener(Protocol):
+    """What is told of the target beside this daemon."""
+
+    def target_info_changed(self, info: TargetInfo | None) -> None:
+        """The target began, changed or ended (None)."""
+
+    def keys_changed(self) -> None:
+        """The target let keys go, or its keys can be asked for anew."""
+
+    def keys_wanted(self) -> None:
+        """Predecessors have to be asked for keys."""
+
+
+@dataclass(slots=True)
+class _WaitingAnswer:
+    """A heartbeat whose answer is held back."""
+
+    received: float
+    answer: "Deferred[BeatAnswer]"
+    timer: Any
+
+
+class TargetSide:
+    """Everything that concerns the target beside this daemon."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: MeshSettings,
+        dialect: Dialect,
+        log: DecisionLog,
+        client: ServerClient,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._dialect = dialect
+        self._log = log
+        self._client = client
+        self._keeper = GrantKeeper(settings.service, boot_time(), settings.holds)
+        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS))
+        self._meter = KeyLoadMeter()
+        self._requests: dict[SlotTicket, TargetRequest] = {}
+        self._open: set[TargetRequest] = set()
+        self._parked: dict[TargetRequest, None] = {}
+        self._waiting: _WaitingAnswer | None = None
+        self._sequences: dict[str, int] = {}
+        self._info: TargetInfo | None = None
+        self._keyed = False
+        self._last_beat = 0.0
+        self._leaving_since: float | None = None
+        self._silent = False
+        self._refused_at: float | None = None
+        self._stopping = False
+        self._listener: TargetSideListener | None = None
+        self._reported_ended: list[str] = []
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def client(self) -> ServerClient:
+        """Connections to the target."""
+        return self._client
+
+    @property
+    def keeper(self) -> GrantKeeper:
+        """What the target may hold."""
+        return self._keeper
+
+    @property
+    def info(self) -> TargetInfo | None:
+        """What the others are told; None while there is no target."""
+        return self._info
+
+    @property
+    def map_version(self) -> int:
+        """Version of the key map that is acted on; 0 before there is one."""
+        key_map = self._keeper.key_map
+        return key_map.version if key_map is not None else 0
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that are not answered yet."""
+        return len(self._open)
+
+    def listen(self, listener: TargetSideListener) -> None:
+        """Tell *listener* of changes from now on."""
+        self._listener = listener
+        self._reactor.callLater(END_CHECK_S, self._watch_target)
+
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> Any:
+        """Run *call* after *delay_s* seconds."""
+        return self._reactor.callLater(delay_s, call)
+
+    def load(self) -> TargetLoad:
+        """Return the target's load as this daemon counts it."""
+        queue = self._queue
+        return TargetLoad(queue.running, queue.waiting, queue.slots, queue.mean_s)
+
+    # -- heartbeats -------------------------------------------------------------------
+
+    def beat(self, beat: TargetBeat) -> "Deferred[BeatAnswer]":
+        """Take a heartbeat; its answer may wait for a change of the target's keys."""
+        now = boot_time()
+        if beat.sequence <= self._sequences.get(beat.target, -1):
+            return succeed(BeatAnswer())
+        self._sequences[beat.target] = beat.sequence
+        if self._keeper.has_ended(beat.target):
+            self._log.decided("late_heartbeat_ignored", target=beat.target)
+            return succeed(BeatAnswer())
+        self._last_beat = now
+        self._silent = False
+        self._refused_at = None
+        if beat.target != self._keeper.target:
+            self._target_began(beat)
+        self._keeper.heartbeat(now, beat.held, beat.released)
+        self._note_state(beat, now)
+        if beat.released and self._listener is not None:
+            self._listener.keys_changed()
+        return self._answer_beat(now, at_once=bool(beat.released))
+
+    def leave(self, leave: TargetLeave) -> None:
+        """The target says that it ends soon, without heartbeats from now on."""
+        if self._info is None or leave.target != self._info.target:
+            return
+        self._log.decided("target_leaves", target=leave.target, how="without notice")
+        if self._leaving_since is None:
+            self._leaving_since = boot_time()
+        self._publish_state()
+
+    def _target_began(self, beat: TargetBeat) -> None:
+        former = self._keeper.target
+        self._keeper.target_changed(beat.target)
+        if former:
+            self._reported_ended.append(former)
+        self._client.close()
+        self._leaving_since = None
+        self._queue.set_limits(SlotLimits(max(1, beat.slots), queue=max(1, beat.slots) * 8))
+        self._log.decided(
+            "target_began", target=beat.target, former=former, slots=beat.slots,
+            sequence=beat.sequence,
+        )  # fmt: skip
+
+    def _note_state(self, beat: TargetBeat, now: float) -> None:
+        """Publish what the heartbeat changed."""
+        if beat.state is TargetState.DRAINING and self._leaving_since is None:
+            self._log.decided("target_leaves", target=beat.target, how="draining")
+            self._leaving_since = now
+        if self._info is not None and self._info.target == beat.target:
+            # The first estimate stays: clocks and rounding must not look like a change.
+            cold_until = self._info.cold_until
+        else:
+            cold_until = unix_time() + beat.cold_s if beat.cold_s > 0.0 else 0.0
+        self._publish(TargetInfo(beat.target, beat.slots, self._state(), cold_until))
+
+    def _state(self) -> TargetState:
+        leaving = self._leaving_since is not None or self._silent or self._stopping
+        return TargetState.DRAINING if leaving else TargetState.READY
+
+    def _publish(self, info: TargetInfo | None) -> None:
+        if info == self._info:
+            return
+        self._info = info
+        if self._listener is not None:
+            self._listener.target_info_changed(info)
+
+    def _publish_state(self) -> None:
+        info = self._info
+        if info is not None:
+            self._publish(TargetInfo(info.target, info.slots, self._state(), info.cold_until))
+
+    def stop(self) -> None:
+        """This daemon stops: let others have the target's work, though it lives on."""
+        self._stopping = True
+        self._publish_state()
+        self.reconsider()
+
+    # -- the answer of a heartbeat ---------------------------------------------------
+
+    def _answer_beat(self, received: float, *, at_once: bool) -> "Deferred[BeatAnswer]":
+        self._answer_waiting()
+        answer: Deferred[BeatAnswer] = Deferred()
+        timer = self._reactor.callLater(HOLD_BACK_S, self._answer_waiting)
+        self._waiting = _WaitingAnswer(received, answer, timer)
+        if at_once or not self._keyed or self._leaving_since is not None:
+            self._answer_waiting()
+        else:
+            self.reconsider()
+        return answer
+
+    def reconsider(self) -> None:
+        """Answer a waiting heartbeat now if the target's keys are to change."""
+        now = boot_time()
+        keeper = self._keeper
+        if keeper.must_let_go(now) or keeper.ready_to_begin(now) or self._stopping:
+            self._answer_waiting()
+        if keeper.pending(now) and self._listener is not None:
+            self._listener.keys_wanted()
+        self._admit_parked()
+
+    def _answer_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is None:
+            return
+        if waiting.timer.active():
+            waiting.timer.cancel()
+        now = boot_time()
+        granted = self._keeper.grant(waiting.received, now) if self._keyed else None
+        if granted is None:
+            if self._keyed:
+                self._log.decided(
+                    "hold_not_renewed", target=self._keeper.target, map=self.map_version,
+                    authority_left_s=round(self._keeper.authority_until - now, 3),
+                )  # fmt: skip
+            waiting.answer.callback(BeatAnswer())
+            return
+        rows, hold_s = granted
+        waiting.answer.callback(BeatAnswer(tuple(rows), hold_s))
+        # The target takes the rows a moment later than they are written.
+        self._reactor.callLater(0.01, self._admit_parked)
+
+    # -- keys ------------------------------------------------------------------------
+
+    def set_keyed(self, keyed: bool) -> None:
+        """Take from the configuration whether the target's service is divided by key."""
+        self._keyed = keyed
+
+    def adopt(self, key_map: KeyMap) -> None:
+        """Act on a newer key map."""
+        if not self._keeper.adopt(key_map):
+            return
+        owned = key_map.owned_by(self._keeper.target)
+        self._log.decided(
+            "key_map_adopted", service=key_map.service, version=key_map.version,
+            ranges=len(owned), keys=sum(r.size for r in owned),
+            pending=len(self._keeper.pending(boot_time())),
+        )  # fmt: skip
+        self.reconsider()
+        if self._listener is not None:
+            self._listener.keys_changed()
+
+    def released_elsewhere(self, predecessor: Predecessor, rows: tuple[ReleasedRow, ...]) -> None:
+        """A predecessor let keys go that are to be this target's."""
+        for row in rows:
+            self._keeper.released(predecessor, row)
+        self.reconsider()
+
+    def report(self) -> KeyReport:
+        """Return what the planner of this service's keys is to know."""
+        info = self._info
+        now = boot_time()
+        queue = self._queue
+        return KeyReport(
+            service=self._settings.service,
+            target=info.target if info is not None else "",
+            version=self.map_version,
+            capacity=queue.slots / max(queue.mean_s, 0.005),
+            draining=info is None or info.state is TargetState.DRAINING,
+            ended=tuple(self._reported_ended[-16:]),
+            confirmed=tuple(self._keeper.confirmed()),
+            loads=self._meter.pieces(now),
+        )
+
+    def note_ended(self, target: str) -> None:
+        """An incarnation that an earlier life of this daemon served is known to be gone."""
+        self._keeper.note_ended(target)
+        if self._keeper.has_ended(target) and target not in self._reported_ended:
+            self._reported_ended.append(target)
+
+    # -- requests ------------------------------------------------------------------------
+
+    def take(self, head: RequestHead, ended: bool, body: bytes, reply: ReplySink) -> TargetRequest:
+        """Take a request; begin() starts it."""
+        request = TargetRequest(self, head, ended, body, reply)
+        self._open.add(request)
+        if self._keyed and head.key:
+            self._meter.count(head.position, boot_time())
+        return request
+
+    def barred(self, head: RequestHead) -> Reason | None:
+        """Return why the target may not run a request now, or None where it may."""
+        info = self._info
+        if info is None or (head.target and head.target != info.target):
+            return Reason.MOVED
+        now = boot_time()
+        leaving = self._leaving_since
+        if leaving is not None and now > leaving + self._settings.drain_s * DRAIN_SHARE:
+            return Reason.DRAINING
+        if not self._keyed or not head.key:
+            return None
+        if self._keeper.serves(head.position, now):
+            return None
+        key_map = self._keeper.key_map
+        owned = key_map.range_of(head.position) if key_map is not None else None
+        if owned is not None and owned.owner == info.target:
+            return Reason.NOT_READY
+        return Reason.MOVED
+
+    def park(self, request: TargetRequest) -> bool:
+        """Let a request wait for its key; return False where too many wait."""
+        if len(self._parked) >= PARKED_LIMIT:
+            return False
+        self._parked[request] = None
+        return True
+
+    def unpark(self, request: TargetRequest) -> None:
+        """A request no longer waits for its key."""
+        self._parked.pop(request, None)
+
+    def _admit_parked(self) -> None:
+        if not self._parked:
+            return
+        parked, self._parked = list(self._parked), {}
+        for request in parked:
+            request.admit()
+
+    def offer(self, request: TargetRequest, ticket: SlotTicket) -> bool | Refused:
+        """Ask for a slot: True is given now, False is given later."""
+        offered = self._queue.offer(ticket, boot_time())
+        if not isinstance(offered, Refused):
+            self._requests[ticket] = request
+        return offered
+
+    def finished(self, ticket: SlotTicket, *, measured: bool) -> None:
+        """A request gives its slot back, or its place in the queue."""
+        now = boot_time()
+        self._requests.pop(ticket, None)
+        self._queue.finish(ticket, now, measured=measured)
+        started, late = self._queue.next_starts(now)
+        for other in late:
+            self._requests.pop(other).too_late()
+        for other in started:
+            self._requests[other].start()
+
+    def headers(self, head: RequestHead, left_ms: int) -> bytes:
+        """Return the header lines for the target."""
+        target = self._info.target if self._info is not None else head.target
+        return self._dialect.target_headers(head.headers, target, head.caller_service, left_ms)
+
+    def facts(self, headers: bytes) -> AnswerFacts:
+        """Read the headers of a target's answer."""
+        return self._dialect.answer_facts(headers)
+
+    def sent(self, head: RequestHead, left_ms: int) -> None:
+        """A request goes to the target."""
+        self._log.decided(
+            "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
+            running=self._queue.running, waiting=self._queue.waiting, map=self.map_version,
+        )  # fmt: skip
+
+    def ended(
+        self,
+        request: TargetRequest,
+        outcome: Outcome,
+        reason: Reason | None,
+        detail: str,
+        took_s: float,
+    ) -> None:
+        """A request was answered or given up."""
+        self._open.discard(request)
+        head = request.head
+        if outcome is Outcome.SERVED:
+            return
+        self._log.decided(
+            "not_served_here", failure=True, id=_text(head.request_id),
+            outcome=outcome.value, reason=reason.value if reason else "", detail=detail,
+            ms=round(took_s * 1000), running=self._queue.running,
+            waiting=self._queue.waiting, map=self.map_version,
+        )  # fmt: skip
+
+    # -- the target's end ----------------------------------------------------------
+
+    def unreachable(self, error: ServerUnreachable) -> None:
+        """No connection to the target could be made."""
+        if error.refused and self._refused_at is None:
+            self._refused_at = boot_time()
+
+    def _watch_target(self) -> None:
+        """Look whether a target that leaves, or refused a connection, has ended."""
+        self._reactor.callLater(END_CHECK_S, self._watch_target)
+        now = boot_time()
+        info = self._info
+        if info is None:
+            return
+        if not self._silent and now - self._last_beat > LATE_S:
+            self._log.decided(
+                "target_silent", target=info.target, heard_s=round(now - self._last_beat, 3)
+            )
+            self._silent = True
+            self._publish_state()
+        leaving = self._leaving_since
+        overdue = leaving is not None and now > leaving + self._settings.drain_s
+        if (overdue or self._refused_at is not None) and not self._client.open_connections:
+            self._client.connect().addCallbacks(
+                lambda connection: connection.close(), self._connect_failed
+            )
+
+    def _connect_failed(self, failure: Any) -> None:
+        """A second refusal, with no connection left, shows that the process has ended."""
+        failure.trap(ServerUnreachable)
+        now = boot_time()
+        if not failure.value.refused or self._info is None:
+            return
+        if self._refused_at is None:
+            self._refused_at = now
+        elif now - self._refused_at >= END_CHECK_S / 2 and not self._client.open_connections:
+            self._target_ended()
+
+    def _target_ended(self) -> None:
+        target = self._keeper.target
+        self._log.decided("target_ended", target=target, shown_by="its port refuses")
+        self._refused_at = None
+        self._leaving_since = None
+        self._keeper.target_ended()
+        self._reported_ended.append(target)
+        self._publish(None)
+        if self._listener is not None:
+            self._listener.keys_changed()
+
+
+def _text(request_id: bytes) -> str:
+    return request_id.decode("latin-1")
--- a/packages/daemon/src/pearward_daemon/owned_request.py
+++ b/packages/daemon/src/pearward_daemon/owned_request.py
@@ -228,6 +228,10 @@
         self._owner.unreachable()
         self._fail_after_sent(Reason.SERVER_FAILED, detail)
 
+    def accepts(self, headers: bytes) -> bool:
+        """Servers of this interface send one answer to each request."""
+        return True
+
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         """The server answers: a short answer is kept until it is whole."""
         if self._done or not self._may_answer():
--- a/packages/devtools/src/pearward_devtools/check.py
+++ b/packages/devtools/src/pearward_devtools/check.py
@@ -11,11 +11,13 @@
 __all__ = ["main"]
 
 BIN = Path(sys.executable).parent
+SOURCES = ["packages", "platform", "features", "tests"]
 LINTS = [
-    [str(BIN / "ruff"), "format", "--check", "--quiet", "packages", "features", "tests"],
-    [str(BIN / "ruff"), "check", "--quiet", "packages", "features", "tests"],
+    [str(BIN / "ruff"), "format", "--check", "--quiet", *SOURCES],
+    [str(BIN / "ruff"), "check", "--quiet", *SOURCES],
     [str(BIN / "mypy"), "packages/state/src", "packages/coordination/src", "packages/protocol/src",
-     "packages/transport/src", "packages/daemon/src", "packages/cli/src", "packages/devtools/src"],
+     "packages/transport/src", "packages/daemon/src", "packages/cli/src", "packages/devtools/src",
+     "platform/src"],
     [str(BIN / "lint-imports"), "--no-cache"],
 ]  # fmt: skip
 KNOWN_RED = Path("KNOWN-RED.txt")
--- a/packages/devtools/src/pearward_devtools/loadgen.py
+++ b/packages/devtools/src/pearward_devtools/loadgen.py
@@ -91,6 +91,10 @@
         self._status = 0
         self.done: Deferred[bool] = Deferred()
 
+    def accepts(self, headers: bytes) -> bool:
+        """One request at a time is under way on a connection."""
+        return True
+
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         self._status = status
 
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -4,18 +4,23 @@
 case, so one table of fields serves both directions.
 """
 
-from dataclasses import fields
+from dataclasses import fields, is_dataclass
 from typing import Any
 
 import capnp
 
+from pearward_coordination.grants import HeldRow, ReleasedRow
+from pearward_coordination.keyplan import KeyLoad
 from pearward_coordination.messages import (
     Announce,
+    AskKeys,
     AskRelease,
     ControlMessage,
     Digest,
     Heartbeat,
     HeartbeatReply,
+    KeyReport,
+    KeysLetGo,
     Pull,
     Push,
     Released,
@@ -42,7 +47,19 @@
     Announce,
     Pull,
     Push,
+    KeyReport,
+    AskKeys,
+    KeysLetGo,
 )
+_ROWS: dict[str, type[Any]] = {
+    "entries": VersionedKey,
+    "confirmed": HeldRow,
+    "loads": KeyLoad,
+    "rows": ReleasedRow,
+}
+"""Lists of rows, by their name in the schema, and what a row is."""
+_TEXTS = frozenset({"silent", "keys", "ended"})
+"""Lists of texts, by their name in the schema."""
 
 
 def _mixed(name: str) -> str:
@@ -81,7 +98,7 @@
             name = str(envelope.which())
             kind = _KINDS[name]
             group = getattr(envelope, name)
-            values = [_from_wire(kind, wire, getattr(group, wire)) for _, wire in _FIELDS[kind]]
+            values = [_from_wire(wire, getattr(group, wire)) for _, wire in _FIELDS[kind]]
             return kind(*values)
     except (capnp.KjException, KeyError) as error:
         raise FrameError(f"control message: {error}") from error
@@ -89,15 +106,17 @@
 
 def _to_wire(item: Any) -> Any:
     """Return a list's item as the schema's builder takes it."""
-    if isinstance(item, VersionedKey):
-        return {"key": item.key, "version": item.version}
+    if is_dataclass(item):
+        return {field.name: getattr(item, field.name) for field in fields(item)}
     return item
 
 
-def _from_wire(kind: type[Any], wire: str, value: Any) -> Any:
+def _from_wire(wire: str, value: Any) -> Any:
     """Return a field's value without any tie to the message's memory."""
-    if wire == "entries":
-        return tuple(VersionedKey(entry.key, entry.version) for entry in value)
-    if wire in ("silent", "keys"):
+    row = _ROWS.get(wire)
+    if row is not None:
+        names = [field.name for field in fields(row)]
+        return tuple(row(*(getattr(entry, name) for name in names)) for entry in value)
+    if wire in _TEXTS:
         return tuple(str(item) for item in value)
     return value
--- /dev/null
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -0,0 +1,177 @@
+"""Entries of pearward in the platform's store: keys, and values as JSON.
+
+``members/<instance>`` tells who takes part, ``holders/<target>`` under which lease keys are
+granted, ``keymaps/<service>`` who owns which keys. The platform's adapter may put a prefix
+of its own before them.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import orjson
+
+from pearward_state.errors import InvalidRecord
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor
+from pearward_state.members import Holder, Member, TargetState
+
+__all__ = [
+    "HOLDERS",
+    "KEY_MAPS",
+    "MEMBERS",
+    "decode_holder",
+    "decode_key_map",
+    "decode_member",
+    "encode_holder",
+    "encode_key_map",
+    "encode_member",
+    "holder_key",
+    "key_map_key",
+    "member_key",
+]
+
+MEMBERS = "members/"
+HOLDERS = "holders/"
+KEY_MAPS = "keymaps/"
+
+_T = TypeVar("_T")
+
+
+def member_key(instance: str) -> str:
+    """Return the key of an instance's entry."""
+    return MEMBERS + instance
+
+
+def holder_key(target: str) -> str:
+    """Return the key of the entry that names a target's lease."""
+    return HOLDERS + target
+
+
+def key_map_key(service: str) -> str:
+    """Return the key of a service's key map."""
+    return KEY_MAPS + service
+
+
+def encode_member(member: Member) -> bytes:
+    """Return a member's entry."""
+    return orjson.dumps(
+        {
+            "instance": member.instance,
+            "failure_domain": member.failure_domain,
+            "peer_address": member.peer_address,
+            "incarnation": member.incarnation,
+            "service": member.service,
+            "target": member.target,
+            "slots": member.slots,
+            "state": member.state.value,
+            "cold_until": member.cold_until,
+        }
+    )
+
+
+def decode_member(value: bytes) -> Member:
+    """Read a member's entry; raises InvalidRecord."""
+
+    def read(data: Any) -> Member:
+        return Member(
+            instance=str(data["instance"]),
+            failure_domain=str(data["failure_domain"]),
+            peer_address=str(data["peer_address"]),
+            incarnation=str(data["incarnation"]),
+            service=str(data["service"]),
+            target=str(data["target"]),
+            slots=int(data["slots"]),
+            state=TargetState(data["state"]),
+            cold_until=float(data["cold_until"]),
+        )
+
+    return _decoded(value, read)
+
+
+def encode_holder(holder: Holder) -> bytes:
+    """Return the entry that names a target's lease."""
+    return orjson.dumps(
+        {
+            "target": holder.target,
+            "instance": holder.instance,
+            "lease": holder.lease,
+            "revoked": holder.revoked,
+        }
+    )
+
+
+def decode_holder(value: bytes) -> Holder:
+    """Read the entry that names a target's lease; raises InvalidRecord."""
+
+    def read(data: Any) -> Holder:
+        return Holder(
+            target=str(data["target"]),
+            instance=str(data["instance"]),
+            lease=int(data["lease"]),
+            revoked=bool(data["revoked"]),
+        )
+
+    return _decoded(value, read)
+
+
+def encode_key_map(key_map: KeyMap) -> bytes:
+    """Return a key map's entry; targets are written once and named by number."""
+    targets = sorted(key_map.targets)
+    number = {target: index for index, target in enumerate(targets)}
+    ranges = [
+        [
+            r.first,
+            r.last,
+            number.get(r.owner, -1),
+            r.fence,
+            [[number[p.target], p.fence] for p in r.predecessors],
+        ]
+        for r in key_map.ranges
+    ]
+    return orjson.dumps(
+        {
+            "service": key_map.service,
+            "version": key_map.version,
+            "fence": key_map.fence,
+            "targets": targets,
+            "ranges": ranges,
+        }
+    )
+
+
+def decode_key_map(value: bytes) -> KeyMap:
+    """Read a key map; raises InvalidRecord, also where keys are missing or stand twice."""
+
+    def read(data: Any) -> KeyMap:
+        targets = [str(target) for target in data["targets"]]
+        ranges = tuple(_range(row, targets) for row in data["ranges"])
+        _check_whole(ranges)
+        return KeyMap(str(data["service"]), int(data["version"]), ranges, int(data["fence"]))
+
+    return _decoded(value, read)
+
+
+def _range(row: list[Any], targets: list[str]) -> KeyRange:
+    first, last, owner, fence, before = row
+    predecessors = tuple(Predecessor(targets[t], int(f)) for t, f in before)
+    return KeyRange(
+        int(first), int(last), targets[owner] if owner >= 0 else "", int(fence), predecessors
+    )
+
+
+def _check_whole(ranges: tuple[KeyRange, ...]) -> None:
+    """Refuse ranges that leave a key out or name one twice."""
+    expected = 0
+    for r in ranges:
+        if r.first != expected or r.last < r.first:
+            raise ValueError(f"range {r.first}..{r.last} where {expected} was expected")
+        expected = r.last + 1
+    if expected != KEY_SPACE:
+        raise ValueError(f"ranges end at {expected}")
+
+
+def _decoded(value: bytes, read: Callable[[Any], _T]) -> _T:
+    """Read JSON with *read*; anything that it stumbles over becomes InvalidRecord."""
+    try:
+        return read(orjson.loads(value))
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
+        raise InvalidRecord(f"{value[:120]!r}: {error!r}") from error
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import capnp
 
+from pearward_coordination.selection import TargetLoad
 from pearward_state.outcome import Outcome, Reason, RequestClass
 
 from .errors import FrameError
@@ -31,7 +33,7 @@
 _OUTCOMES = tuple(Outcome)
 _OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(_OUTCOMES)}
 _REASONS = {reason.value: reason for reason in Reason}
-_NO_TRAVERSAL_LIMIT = 2**61
+_US_PER_S = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,14 @@
     position: int
     body_length: int
     """Bytes of the body; -1 where the sender does not know."""
+    target: str = ""
+    """Incarnation of the target that is to run it; empty where any incarnation may."""
+    rank: int = 0
+    """Urgency; 0 goes first."""
+    objective_ms: int = 0
+    """Milliseconds left, when the frame was sent, within which an answer is worth most."""
+    caller_service: str = ""
+    """Service beside which the request began."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +91,8 @@
     version: int = 0
     detail: str = ""
     body_length: int = -1
+    load: TargetLoad | None = None
+    """Load of the target that answered, or would have."""
 
 
 def encode_hello(hello: Hello) -> bytes:
@@ -120,6 +132,11 @@
     message.taskId = head.task_id
     message.position = head.position
     message.bodyLength = head.body_length
+    if head.target:
+        message.target = head.target
+        message.rank = head.rank
+        message.objectiveMs = head.objective_ms
+        message.callerService = head.caller_service
     return message.to_bytes()
 
 
@@ -143,6 +160,10 @@
                 message.taskId,
                 message.position,
                 message.bodyLength,
+                message.target,
+                message.rank,
+                message.objectiveMs,
+                message.callerService,
             )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"request head: {error}") from error
@@ -156,6 +177,11 @@
     message.headers = head.headers
     message.version = head.version
     message.bodyLength = head.body_length
+    if head.load is not None:
+        message.running = head.load.running
+        message.waiting = head.load.waiting
+        message.slots = head.load.slots
+        message.serviceUs = int(head.load.service_s * _US_PER_S)
     if head.reason is not None:
         message.reason = head.reason.value
         message.retryAfterMs = head.retry_after_ms
@@ -176,6 +202,7 @@
                     headers=message.headers,
                     version=message.version,
                     body_length=message.bodyLength,
+                    load=_load(message),
                 )
             return ResponseHead(
                 message.status,
@@ -186,6 +213,15 @@
                 message.version,
                 message.detail,
                 message.bodyLength,
+                _load(message),
             )
     except (capnp.KjException, IndexError) as error:
         raise FrameError(f"response head: {error}") from error
+
+
+def _load(message: Any) -> TargetLoad | None:
+    """Return the load that an answer carries; one without slots carries none."""
+    slots = message.slots
+    if not slots:
+        return None
+    return TargetLoad(message.running, message.waiting, slots, message.serviceUs / _US_PER_S)
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -24,6 +24,10 @@
   taskId @12 :Text;
   position @13 :UInt64;
   bodyLength @14 :Int64;
+  target @15 :Text;
+  rank @16 :UInt8;
+  objectiveMs @17 :UInt32;
+  callerService @18 :Text;
 }
 
 struct ResponseHead {
@@ -35,6 +39,28 @@
   version @5 :UInt64;
   detail @6 :Text;
   bodyLength @7 :Int64;
+  running @8 :UInt16;
+  waiting @9 :UInt16;
+  slots @10 :UInt16;
+  serviceUs @11 :UInt32;
+}
+
+struct HeldRow {
+  first @0 :UInt32;
+  last @1 :UInt32;
+  fence @2 :UInt64;
+}
+
+struct ReleasedRow {
+  first @0 :UInt32;
+  last @1 :UInt32;
+  token @2 :Text;
+}
+
+struct KeyLoad {
+  first @0 :UInt32;
+  last @1 :UInt32;
+  rate @2 :Float64;
 }
 
 struct VersionedKey {
@@ -112,5 +138,29 @@
       key @44 :Text;
       version @45 :UInt64;
     }
+    keyReport :group {
+      service @46 :Text;
+      target @47 :Text;
+      version @48 :UInt64;
+      capacity @49 :Float64;
+      draining @50 :Bool;
+      ended @51 :List(Text);
+      confirmed @52 :List(HeldRow);
+      loads @53 :List(KeyLoad);
+    }
+    askKeys :group {
+      service @54 :Text;
+      target @55 :Text;
+      fence @56 :UInt64;
+      first @57 :UInt32;
+      last @58 :UInt32;
+      version @59 :UInt64;
+    }
+    keysLetGo :group {
+      service @60 :Text;
+      target @61 :Text;
+      fence @62 :UInt64;
+      rows @63 :List(ReleasedRow);
+    }
   }
 }
--- /dev/null
+++ b/packages/state/src/pearward_state/members.py
@@ -0,0 +1,47 @@
+"""Who takes part: the entries that daemons keep in the platform's store."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["Holder", "Member", "TargetState"]
+
+
+class TargetState(StrEnum):
+    """Whether a target takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon and the target beside it; its entry lives as long as the daemon's lease."""
+
+    instance: str
+    failure_domain: str
+    peer_address: str
+    """Address (IP:port) where other daemons reach it."""
+    incarnation: str
+    """Id of the daemon's process."""
+    service: str
+    target: str
+    """Id of the target's incarnation."""
+    slots: int
+    state: TargetState
+    cold_until: float = 0.0
+    """Unix time in s until which the target, newly started, is slow; 0 if it is not."""
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Under which lease a daemon grants keys to a target.
+
+    This entry has no lease of its own: it outlasts both. Whoever takes the keys of a
+    silent target away replaces it in the same transaction, ends the lease that it names
+    and waits until no hold that was granted under it can last.
+    """
+
+    target: str
+    instance: str
+    lease: int
+    revoked: bool = False
--- a/packages/state/src/pearward_state/outcome.py
+++ b/packages/state/src/pearward_state/outcome.py
@@ -39,6 +39,12 @@
     NOT_SEEN_BEFORE_GRANT = "first-seen-before-grant"
     BODY_CUT = "body-cut"
     TOO_LARGE = "too-large"
+    TARGET_REFUSED = "target-refused"
+    """The target said that it did not run the request."""
+    TARGET_FAILED = "target-failed"
+    """The target answered with a failure of its own."""
+    SPOILT = "spoilt-answer"
+    """What came from the target is no whole answer to this request."""
 
 
 class RequestClass(IntEnum):
--- a/packages/transport/src/pearward_transport/errors.py
+++ b/packages/transport/src/pearward_transport/errors.py
@@ -24,6 +24,11 @@
 class ServerUnreachable(TransportError):
     """No connection to the server could be made; it received nothing."""
 
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
+        """Whether nobody listens at the address, as after the process has ended."""
+
 
 class ServerBroke(TransportError):
     """The connection to the server ended after the request was begun."""
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -5,10 +5,12 @@
 only written out again. Here header blocks pass through as bytes.
 """
 
+from socket import IPPROTO_TCP
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
@@ -21,9 +23,18 @@
 __all__ = ["AnswerSink", "ServerClient", "ServerConnection"]
 
 CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 60.0
+"""Seconds for which an idle connection is kept where the server names no time."""
 UNKNOWN_LENGTH = -1
 _BODILESS = frozenset({204, 304})
 _WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
+USER_TIMEOUT_MS = 2000
+"""Milliseconds after which sent bytes that nobody acknowledged end a connection: links
+to a lost instance say nothing otherwise."""
+TCP_USER_TIMEOUT = 18
+"""Number of the socket option; Python 3.11 names it only on some systems."""
+IDLE_MARGIN_S = 0.6
+"""A kept connection is given up this long before the server says that it closes it."""
 _DROPPED = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"trailer", b"upgrade"})
 MAX_ANSWER_HEADERS = 200
 
@@ -31,6 +42,13 @@
 class AnswerSink(Protocol):
     """Takes the answer of one exchange."""
 
+    def accepts(self, headers: bytes) -> bool:
+        """Return whether an answer with these headers belongs to this exchange.
+
+        One that does not is a surplus answer to an earlier request: it is skipped, and
+        the next one is waited for.
+        """
+
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         """Take the head; *length* is UNKNOWN_LENGTH for a chunked body."""
 
@@ -82,12 +100,20 @@
         self._sending = False
         self._chunked_request = False
         self._connected = False
+        self._skipping = False
+        self._in_unframed_body = False
+        self._used_at = 0.0
+        self._idle_limit_s = client.idle_limit_s
 
     @property
     def idle(self) -> bool:
         """Whether an exchange can begin."""
         return self._connected and self._sink is None
 
+    def rested(self, now: float) -> bool:
+        """Whether the server may be about to close this idle connection."""
+        return now - self._used_at > self._idle_limit_s
+
     # -- the request ----------------------------------------------------------
 
     def send(
@@ -142,6 +168,8 @@
         self._block = []
         self._length = None
         self._chunked = False
+        self._skipping = False
+        self._in_unframed_body = False
 
     # -- control --------------------------------------------------------------
 
@@ -171,6 +199,7 @@
     def connectionMade(self) -> None:
         self._connected = True
         self.transport.setTcpNoDelay(True)
+        self.transport.socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self.state = STATUS
         self._partialHeader = None
         self._client.opened()
@@ -178,7 +207,10 @@
     def connectionLost(self, reason: Failure) -> None:
         self._connected = False
         self._client.closed(self)
-        # A body that ends with its connection cannot be told from one that was cut.
+        if self._in_unframed_body and reason.check(ConnectionDone):
+            # The answer has no length of its own: an orderly close is its end.
+            self._whole(b"")
+            return
         self._fail(reason.getErrorMessage())
 
     def dataReceived(self, data: bytes) -> None:
@@ -218,11 +250,20 @@
         if lower in _DROPPED:
             if lower == b"connection" and b"close" in value.lower():
                 self._keep = False
+            if lower == b"keep-alive":
+                self._note_idle_limit(value)
             return
         if len(self._block) >= MAX_ANSWER_HEADERS:
             raise ValueError("too many headers")
         self._block.append(b"%b: %b\r\n" % (name, value))
 
+    def _note_idle_limit(self, value: bytes) -> None:
+        """Take from a Keep-Alive header how long the server keeps an idle connection."""
+        _, _, seconds = value.lower().partition(b"timeout=")
+        digits = seconds.split(b",")[0].strip()
+        if digits.isdigit():
+            self._idle_limit_s = max(0.0, int(digits) - IDLE_MARGIN_S)
+
     def allHeadersReceived(self) -> None:
         sink = self._sink
         if sink is None:
@@ -230,37 +271,55 @@
         if 100 <= self._status < 200:
             self._expect_head()
             return
+        self._skipping = not sink.accepts(b"".join(self._block))
         bodiless = self._status in _BODILESS or self._method == b"HEAD"
         if bodiless or (not self._chunked and self._length == 0):
             length = 0
         else:
             length = UNKNOWN_LENGTH if self._chunked or self._length is None else self._length
-        sink.answer_head(self._status, b"".join(self._block), length)
+        if not self._skipping:
+            sink.answer_head(self._status, b"".join(self._block), length)
         if length == 0:
             self._whole(self.clearLineBuffer())
         elif self._chunked:
             self.switchToBodyMode(_ChunkedTransferDecoder(self._data, self._whole))
         else:
+            self._in_unframed_body = self._length is None
             self.switchToBodyMode(_IdentityTransferDecoder(self._length, self._data, self._whole))
 
     def _data(self, data: bytes) -> None:
-        if self._sink is not None:
+        if self._sink is not None and not self._skipping:
             self._sink.answer_data(data)
 
     def _whole(self, rest: bytes) -> None:
         """The answer is complete; the connection may serve again."""
+        if self._skipping:
+            self._skip_to_next(rest)
+            return
         sink, self._sink = self._sink, None
         if sink is None:
             return
+        self._used_at = self._client.now()
         self.state = DONE
-        if rest or not self._keep or self._sending:
-            self.transport.loseConnection()
+        if rest or not self._keep or self._sending or not self._connected:
+            self.close()
         else:
             self.setLineMode()
             self.transport.resumeProducing()
             self._client.became_idle(self)
         sink.answer_ended()
 
+    def _skip_to_next(self, rest: bytes) -> None:
+        """A surplus answer is over: read the one that belongs to the exchange."""
+        if not self._connected or not self._keep:
+            self._fail("the connection ended with an answer to another request")
+            return
+        self.setLineMode()
+        self._expect_head()
+        self.transport.resumeProducing()
+        if rest:
+            self.dataReceived(rest)
+
     def _fail(self, detail: str) -> None:
         sink, self._sink = self._sink, None
         if sink is not None:
@@ -280,9 +339,16 @@
 class ServerClient:
     """The connections to one server."""
 
-    def __init__(self, reactor: Any, address: str, max_idle: int = 110) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        max_idle: int = 110,
+        idle_limit_s: float = IDLE_LIMIT_S,
+    ) -> None:
         self._reactor = reactor
         self._address = address
+        self._idle_limit_s = idle_limit_s
         host, _, port = address.rpartition(":")
         self._endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
         self._factory = _ClientFactory(self)
@@ -295,6 +361,15 @@
         """Address (IP:port) of the server."""
         return self._address
 
+    @property
+    def idle_limit_s(self) -> float:
+        """Seconds for which an idle connection is kept if the server names no time."""
+        return self._idle_limit_s
+
+    def now(self) -> float:
+        """Return the time in s of the reactor's clock."""
+        return float(self._reactor.seconds())
+
     @property
     def open_connections(self) -> int:
         """Connections to the server, idle or not."""
@@ -302,10 +377,12 @@
 
     def take(self) -> ServerConnection | None:
         """Return an idle connection, the one used last, or None."""
+        now = self.now()
         while self._idle:
             connection = self._idle.pop()
-            if connection.idle:
+            if connection.idle and not connection.rested(now):
                 return connection
+            connection.close()
         return None
 
     def connect(self) -> "Deferred[ServerConnection]":
@@ -366,7 +443,8 @@
             connection.close()
 
     def _refused(self, failure: Failure) -> None:
-        raise ServerUnreachable(f"{self._address}: {failure.getErrorMessage()}")
+        refused = failure.check(ConnectionRefusedError) is not None
+        raise ServerUnreachable(f"{self._address}: {failure.getErrorMessage()}", refused=refused)
 
 
 class _Collected:
@@ -377,6 +455,10 @@
         self._status = 0
         self._body = b""
 
+    def accepts(self, headers: bytes) -> bool:
+        """Small exchanges carry no id: the first answer is theirs."""
+        return True
+
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         self._status = status
 
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -279,6 +279,10 @@
         """Callers' connections that are open."""
         return len(self._channels)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Apply other limits: sizes to new connections, the idle time to all."""
+        self._limits = limits
+
     def buildProtocol(self, addr: Any) -> CallerChannel:
         channel = CallerChannel()
         channel.factory = self
