Lease of a daemon by its target's witnesses in place of the store's lease and a full authority

A shorter authority would have stopped all owners in an outage of the store.

Change: up to five instances time the lease of each target's daemon (3.2 s, renewed every 0.4 s by messages between daemons); a new owner's daemon gets the word of a majority of each witness set. An instance is a witness, not a process: it renews nobody before it has read the map in this life and releases nobody for one lease after its start. The store decides who owns what; it is not needed to go on owning.

--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -5,20 +5,20 @@
 
 * for ranges that the key map gives to exactly this incarnation of the target,
 * after every predecessor of the range has let it go, and
-* for a time that ends within the daemon's authority, which is renewed by the platform's
-  store and which a writer of the map waits out before it gives the keys of a silent
-  target to another one.
+* for a time that ends within the daemon's own lease, which a majority of the target's
+  witnesses renews, and which they wait out before they release the target's keys.
 
 No I/O and no clock: times are seconds of one steady clock, handed in.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from pearward_state.keymap import KeyMap, KeyRange, Predecessor, covered
 
+from .lease import NEVER, LeaseTiming
+
 __all__ = [
-    "AUTHORITY_S",
     "CLOCK_SLACK",
     "HOLD_S",
     "GrantKeeper",
@@ -28,20 +28,16 @@
     "ReleasedRow",
 ]
 
-AUTHORITY_S = 10.0
-"""Seconds after the sending of a renewal for which a daemon may grant holds.
-
-Long enough to outlast an outage of the store of 9 s; the keys of an instance that is lost
-for good wait as long. Measured in docs/design/platform.md.
-"""
-HOLD_S = 3.5
-"""Seconds of one hold: a daemon that is killed stands again after 1.5 s and hears the
+HOLD_S = 2.7
+"""Seconds of one hold: a daemon that is killed stands again after 1.4 s and hears the
 target's next heartbeat up to 0.9 s later; a target that leaves without notice keeps its
 keys as long."""
+LEASE_S = 3.2
+"""Seconds of a daemon's own lease: a hold, and two renewals that may be lost. The keys of
+an instance that is lost for good rest as long."""
+RENEW_S = 0.4
 CLOCK_SLACK = 1.02
 """Factor by which a target's clock may run slow. Source: the interface of the targets."""
-DRIFT_MARGIN_S = 0.1
-"""Seconds kept between the end of the last hold and the end of the authority."""
 SHORTEST_HOLD_S = 0.3
 """A hold that would be shorter is not granted."""
 BEAT_TRANSIT_S = 0.1
@@ -52,10 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantTiming:
-    """Times of the holds that a daemon grants."""
+    """Times of the holds that a daemon grants, and of its own lease."""
 
-    authority_s: float = AUTHORITY_S
     hold_s: float = HOLD_S
+    lease: LeaseTiming = field(
+        default_factory=lambda: LeaseTiming(lease_s=LEASE_S, renew_s=RENEW_S)
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +111,7 @@
         self._started = started
         self._target = ""
         self._map: KeyMap | None = None
-        self._authority_until = 0.0
+        self._lease_ends = NEVER
         self._given: list[_Given] = []
         self._released_by: dict[Predecessor, list[ReleasedRow]] = {}
         self._tokens: list[ReleasedRow] = []
@@ -139,9 +137,9 @@
         return self._map
 
     @property
-    def authority_until(self) -> float:
-        """Time at which the last hold must have ended."""
-        return self._authority_until
+    def lease_ends(self) -> float:
+        """Time by which the last hold must have ended: the end of the daemon's lease."""
+        return self._lease_ends
 
     # -- what becomes known -------------------------------------------------------
 
@@ -182,15 +180,9 @@
         }
         return True
 
-    def renewed(self, sent_at: float) -> None:
-        """The store confirmed this daemon's lease by a call that was sent at *sent_at*."""
-        self._authority_until = max(
-            self._authority_until, sent_at + self._timing.authority_s - DRIFT_MARGIN_S
-        )
-
-    def authority_lost(self) -> None:
-        """The daemon's lease is over: nothing more may be granted under it."""
-        self._authority_until = 0.0
+    def lease_until(self, until: float) -> None:
+        """The daemon's own lease, as its witnesses renewed it, runs until *until*."""
+        self._lease_ends = until
 
     def heartbeat(
         self, now: float, held: Iterable[HeldRow], released: Iterable[ReleasedRow]
@@ -239,8 +231,8 @@
         The target counts from its own, earlier sending, so its hold ends by
         ``received + hold * CLOCK_SLACK`` however late the answer is.
         """
-        within_authority = (self._authority_until - received) / CLOCK_SLACK
-        return min(self._timing.hold_s, within_authority)
+        within_lease = (self._lease_ends - received) / CLOCK_SLACK
+        return min(self._timing.hold_s, within_lease)
 
     def grant(self, received: float, now: float) -> tuple[list[GrantedRow], float] | None:
         """Return the rows to hold and the hold in seconds; None renews nothing."""
@@ -331,7 +323,7 @@
 
     def ready_to_begin(self, now: float) -> bool:
         """Return whether a range could be granted now that the target does not hold yet."""
-        if self._map is None or not self._target or self._authority_until <= now:
+        if self._map is None or not self._target or self._lease_ends <= now:
             return False
         return any(
             not self._has_begun(r) and self._ready(r, now) for r in self._map.owned_by(self._target)
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -53,6 +53,8 @@
     released: int
     """Highest version whose taken shards the sender has given up entirely."""
     table_version: int
+    owner: str = ""
+    """Target whose lease is renewed, where a witness tells targets and not daemons apart."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -199,8 +199,8 @@
         gauge("pearward.open", "Callers' requests", lambda: self._ingress.open_requests)
         gauge("pearward.map.version", "Key map acted on", lambda: side.map_version)
         gauge(
-            "pearward.authority.left", "Seconds for which keys may be granted",
-            lambda: max(0.0, side.keeper.authority_until - boot_time()),
+            "pearward.lease.left", "Seconds for which keys may be granted",
+            lambda: max(0.0, side.keeper.lease_ends - boot_time()),
         )  # fmt: skip
         gauge(
             "pearward.configuration.version", "Configuration in force",
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -12,12 +12,16 @@
 from pearward_coordination.messages import (
     Announce,
     AskKeys,
+    AskRelease,
     ControlMessage,
     KeyReport,
     KeysLetGo,
     PeerId,
     Pull,
     Push,
+    ReleaseReply,
+    Renew,
+    RenewReply,
 )
 from pearward_protocol.entries import key_map_key
 from pearward_state.errors import InvalidRecord
@@ -34,6 +38,7 @@
 from .log import DecisionLog
 from .settings import MeshSettings
 from .store_session import StoreSession
+from .target_lease import TargetLease, Witnesses
 from .target_side import TargetInfo, TargetSide
 
 __all__ = ["MeshCore", "SendControl"]
@@ -75,6 +80,11 @@
         self._maps = KeyMaps(log)
         self._side = TargetSide(reactor, settings, dialect, log, client)
         self._planner = KeyPlanner(settings, store, self._directory, self._maps, log, self._spread)
+        self._witnesses = Witnesses(settings.holds, self._maps)
+        self._lease = TargetLease(
+            settings.instance, settings.service, settings.holds, self._side.keeper, self._maps,
+            self._directory, self._witnesses, log, send,
+        )  # fmt: skip
         self._session = StoreSession(reactor, settings, store, log, self)
         self._table: RoutingTable | None = None
         self._on_table: Callable[[RoutingTable], None] | None = None
@@ -138,6 +148,7 @@
         self._side.listen(self)
         self._tick()
         self._report()
+        self._renew()
 
     def stop(self) -> None:
         """Let others have the target's work."""
@@ -153,8 +164,15 @@
         if self._table is not None and self._members_known:
             self._planner.tick(self._table.keyed_services, self._stopping)
         self._side.reconsider()
+        self._lease.ask_releases()
         self._answer_askers()
 
+    def _renew(self) -> None:
+        """Keep the lease under which keys are granted."""
+        self._reactor.callLater(self._settings.holds.lease.renew_s, self._renew)
+        if self._lease.renew():
+            self._side.reconsider()
+
     def _report(self) -> None:
         self._reactor.callLater(REPORT_INTERVAL_S, self._report)
         self._send_report()
@@ -214,24 +232,13 @@
         """Take the key maps that the store has."""
         for key_map in key_maps:
             self._maps.adopt(key_map)
+        self._witnesses.maps_read()
 
     def former_targets(self, targets: list[str]) -> None:
         """Take the targets that earlier lives of this daemon granted keys to."""
         self._former = targets
         self._note_former()
 
-    def authority_renewed(self, sent_at: float) -> None:
-        """The store confirmed the lease: keys may be granted for a while longer."""
-        first = self._side.keeper.authority_until <= boot_time()
-        self._side.keeper.renewed(sent_at)
-        if first:
-            self._log.decided("authority_gained", target=self._side.keeper.target)
-            self._side.reconsider()
-
-    def authority_lost(self) -> None:
-        """The lease is over, or does not yet stand for this target."""
-        self._side.keeper.authority_lost()
-
     # -- the target --------------------------------------------------------------------
 
     def target_info_changed(self, info: TargetInfo | None) -> None:
@@ -342,6 +349,20 @@
                 version = self._planner.reported(message)
                 if version > message.version:
                     self._send_map(message.service, sender)
+            case Renew():
+                self._asked_to_renew(message, sender)
+            case RenewReply():
+                if message.version > self._maps.version(message.cell):
+                    self.want_map(message.cell, sender.address)
+                if self._lease.renewed(sender, message):
+                    self._side.reconsider()
+            case AskRelease():
+                if message.version > self._maps.version(message.cell):
+                    self.want_map(message.cell, sender.address)
+                self._send(sender.address, self._witnesses.release(message))
+            case ReleaseReply():
+                self._lease.released(sender, message)
+                self._side.reconsider()
             case AskKeys():
                 self._asked_for_keys(message, sender)
             case KeysLetGo():
@@ -358,6 +379,15 @@
             case _:
                 self._log.decided("message_unknown", kind=type(message).__name__)
 
+    def _asked_to_renew(self, ask: Renew, sender: PeerId) -> None:
+        """Answer as a witness; who is behind is brought up to date, whichever of the two."""
+        known = self._maps.version(ask.cell)
+        if ask.adopted > known:
+            self.want_map(ask.cell, sender.address)
+        elif ask.adopted < known:
+            self._send_map(ask.cell, sender)
+        self._send(sender.address, self._witnesses.renew(ask))
+
     def _send_map(self, service: str, peer: PeerId) -> None:
         entry = self._maps.entry(key_map_key(service))
         if entry is not None:
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -6,13 +6,12 @@
 """
 
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
-from pearward_coordination.grants import CLOCK_SLACK
 from pearward_coordination.keyplan import (
     KeyLoad,
     OwnerLoad,
@@ -22,16 +21,10 @@
     without_targets,
 )
 from pearward_coordination.messages import KeyReport
-from pearward_protocol.entries import (
-    decode_holder,
-    decode_key_map,
-    encode_holder,
-    encode_key_map,
-    holder_key,
-    key_map_key,
-)
+from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
+from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
 from pearward_state.keymap import KeyMap
-from pearward_state.members import Holder, Member, TargetState
+from pearward_state.members import Member, TargetState
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import CasConflict, PlatformError
 from pearward_transport.store import Expectation, FleetStore, Put
@@ -53,10 +46,13 @@
 ASSUMED_S = 2.5
 """Seconds for which moved keys are taken to have the load that they had before: their new
 owner has just begun to count."""
-SILENT_S = 2.5
-"""Seconds without a report after which an owner whose entry has lapsed loses its keys."""
-AUTHORITY_MARGIN = 1.05
-"""Two steady clocks are taken to differ by less than this."""
+SILENT_S = 2.2
+"""Seconds without a report after which an owner loses its keys: a daemon that was killed
+reports again after 1.6 s."""
+WITNESS_GONE_S = 6.0
+"""Seconds after which an instance without an entry is replaced as a witness."""
+SETTLED_LEASES = 1.2
+"""Leases after which nothing that former witnesses granted can run."""
 GRACE_S = 1.5
 """Seconds after the duty began before anybody is found silent: reports have to arrive first."""
 
@@ -67,8 +63,8 @@
 
     reports: dict[str, tuple[KeyReport, float]] = field(default_factory=dict)
     ended: set[str] = field(default_factory=set)
-    waited_out: dict[str, float] = field(default_factory=dict)
-    """Targets that were taken off the map, and when no hold of theirs can last any more."""
+    confirmed_at: dict[str, float] = field(default_factory=dict)
+    """When an owner first acted on a map that changed its witnesses."""
     assumed: list[tuple[KeyLoad, float]] = field(default_factory=list)
     moved_at: float = 0.0
     owners_since: float | None = None
@@ -97,6 +93,8 @@
         self._spread = spread
         self._services: dict[str, _Service] = {}
         self._on_duty_since: float | None = None
+        self._seen: dict[str, tuple[str, float]] = {}
+        """Failure domain of each instance that had an entry, and when that was last seen."""
         self._limits = PlanLimits()
 
     # -- properties -------------------------------------------------------------
@@ -146,6 +144,8 @@
         elif not mine and self._on_duty_since is not None:
             self._on_duty_since = None
             self._log.decided("planner_duty_ended", holder=holder.instance if holder else "")
+        for member in self._directory.registered:
+            self._seen[member.instance] = (member.failure_domain, now)
         if not mine:
             return
         for name in keyed_services:
@@ -171,13 +171,16 @@
             if key_map is None:
                 await self._write_first(name, service, now)
                 return
-            silent = self._silent_targets(key_map, service, now)
-            if silent:
-                await self._take_over(key_map, service, silent)
-                return
-            if await self._drop_waited_out(key_map, service, now):
-                return
-            await self._level(key_map, service, now)
+            silent = frozenset(self._silent_targets(key_map, service, now))
+            planned = self._levelled(key_map, service, silent, now)
+            if planned is None:
+                planned = without_targets(key_map, service.ended)
+            why = "moves" if planned is not None else "witnesses"
+            planned = self._with_witnesses(planned or key_map, service, now)
+            if planned.version == key_map.version and planned.witnesses != key_map.witnesses:
+                planned = replace(planned, version=key_map.version + 1)
+            if planned.version != key_map.version:
+                await self._write(planned, service, why)
         except CasConflict as error:
             service.revision = 0
             self._log.decided("key_map_write_lost", service=name, error=str(error))
@@ -207,7 +210,8 @@
         if service.owners_since is None:
             service.owners_since = now
         if now - service.owners_since >= SETTLE_S:
-            await self._write(first_map(name, owners), service, [], "first")
+            planned = self._with_witnesses(first_map(name, owners), service, now)
+            await self._write(planned, service, "first")
 
     # -- owners ------------------------------------------------------------------------
 
@@ -277,20 +281,28 @@
 
     # -- plans -----------------------------------------------------------------------------
 
-    async def _level(self, key_map: KeyMap, service: _Service, now: float) -> None:
+    def _levelled(
+        self, key_map: KeyMap, service: _Service, silent: frozenset[str], now: float
+    ) -> KeyMap | None:
         """Move keys where a target cannot own any more, or where load is uneven."""
         owners = self._with_assumed(key_map, self._owners(key_map.service, service, now), service)
+        owners = [owner for owner in owners if owner.target not in silent]
         present = {owner.target for owner in owners}
-        unheard = self._unheard(key_map, service, present, now)
+        unheard = self._unheard(key_map, service, present, now) - silent
         orphaned = any(r.owner not in present | unheard for r in key_map.ranges)
         if not orphaned and now - service.moved_at < MOVE_PAUSE_S:
-            return
+            return None
         planned = plan_moves(key_map, owners, frozenset(service.ended), self._limits, fixed=unheard)
         if planned is None:
-            return
+            return None
         service.moved_at = now
         self._assume(key_map, planned, owners, service, now)
-        await self._write(planned, service, [], "orphaned" if orphaned else "uneven")
+        self._log.decided(
+            "keys_moved", service=key_map.service, version=planned.version,
+            why="owners lost or leaving" if orphaned else "uneven load", silent=sorted(silent),
+            owners=len(owners), unheard=len(unheard),
+        )  # fmt: skip
+        return planned
 
     def _unheard(
         self, key_map: KeyMap, service: _Service, present: set[str], now: float
@@ -298,8 +310,6 @@
         """Return owners of which nothing is known yet: they may be about to report."""
         unheard: set[str] = set()
         for target in key_map.targets - present - service.ended:
-            if target in service.waited_out:
-                continue
             member = self._directory.member_of(target)
             report, age = self._report(service, target, now)
             fresh = report is not None and age <= REPORT_AGE_S
@@ -324,89 +334,60 @@
                 if old is not None and new is not None and old.owner != new.owner:
                     service.assumed.append((load, now + ASSUMED_S))
 
-    async def _drop_waited_out(self, key_map: KeyMap, service: _Service, now: float) -> bool:
-        """Take targets off the predecessors whose last hold is over; return whether any."""
-        for target, until in list(service.waited_out.items()):
-            if now >= until:
-                del service.waited_out[target]
-                service.ended.add(target)
-        planned = without_targets(key_map, service.ended)
-        if planned is None:
-            return False
-        await self._write(planned, service, [], "ended")
-        return True
-
     # -- targets that were lost --------------------------------------------------------
 
     def _silent_targets(self, key_map: KeyMap, service: _Service, now: float) -> list[str]:
-        """Return targets of the map whose daemons neither report nor have an entry."""
+        """Return targets whose daemons stopped reporting, or never reported and are gone."""
         assert self._on_duty_since is not None
         if now - self._on_duty_since < GRACE_S + SILENT_S:
             return []
         silent: list[str] = []
         for target in key_map.targets:
-            if target in service.ended or target in service.waited_out:
+            if target in service.ended:
                 continue
             report, age = self._report(service, target, now)
             if report is not None and age < SILENT_S:
                 continue
-            if not self._directory.is_registered(target):
-                silent.append(target)
+            if report is None and self._directory.is_registered(target):
+                continue
+            silent.append(target)
         return silent
 
-    async def _take_over(self, key_map: KeyMap, service: _Service, silent: list[str]) -> None:
-        """Take the keys of silent targets away, and wait out what they may have been granted.
+    # -- witnesses -------------------------------------------------------------------
 
-        Order matters: the map and the holders' entries change in one transaction, then the
-        leases end, then a full authority passes. A daemon that comes back writes its
-        holder's entry first and reads the map after that, so it finds the change.
-        """
-        owners = [
-            o for o in self._owners(key_map.service, service, boot_time()) if o.target not in silent
+    def _with_witnesses(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap:
+        """Return the map with a witness set of living instances for each target."""
+        candidates = [
+            WitnessCandidate(instance, domain)
+            for instance, (domain, seen) in sorted(self._seen.items())
+            if now - seen <= WITNESS_GONE_S
         ]
-        present = {owner.target for owner in owners}
-        unheard = self._unheard(key_map, service, present, boot_time()) - frozenset(silent)
-        planned = plan_moves(key_map, owners, frozenset(service.ended), self._limits, fixed=unheard)
-        expected: list[Expectation] = []
-        puts: list[Put] = []
-        leases: list[int] = []
-        for target in silent:
-            item = await self._store.get(holder_key(target))
-            holder = decode_holder(item.value) if item is not None else Holder(target, "", 0)
-            revoked = Holder(target, holder.instance, holder.lease, revoked=True)
-            expected.append(Expectation(holder_key(target), item.revision if item else 0))
-            puts.append(Put(holder_key(target), encode_holder(revoked)))
-            if holder.lease:
-                leases.append(holder.lease)
-        if planned is not None:
-            await self._write(planned, service, list(zip(expected, puts, strict=True)), "lost")
-        elif any(r.owner in silent for r in key_map.ranges):
-            # Nobody is there to take the keys.
-            return
-        for lease in leases:
-            await self._store.revoke(lease)
-        until = boot_time() + self._settings.holds.authority_s * AUTHORITY_MARGIN * CLOCK_SLACK
-        for target in silent:
-            service.waited_out[target] = until
-        self._log.decided(
-            "targets_given_up", service=key_map.service, targets=silent,
-            waited_out_in_s=round(until - boot_time(), 3),
-        )  # fmt: skip
+        instances = {m.target: m.instance for m in self._directory.members if m.target}
+        return with_witnesses(key_map, candidates, instances, self._settled(key_map, service, now))
+
+    def _settled(self, key_map: KeyMap, service: _Service, now: float) -> frozenset[str]:
+        """Return targets that have long acted on their newer witness sets."""
+        settled: set[str] = set()
+        for target in key_map.targets:
+            report, age = self._report(service, target, now)
+            joint = len(key_map.witnesses_of(target)) > 1
+            current = report is not None and age <= REPORT_AGE_S
+            if not joint or report is None or not current or report.version < key_map.version:
+                service.confirmed_at.pop(target, None)
+                continue
+            since = service.confirmed_at.setdefault(target, now)
+            if now - since > self._settings.holds.lease.lease_s * SETTLED_LEASES:
+                settled.add(target)
+        return frozenset(settled)
 
     # -- writing ------------------------------------------------------------------------
 
-    async def _write(
-        self,
-        planned: KeyMap,
-        service: _Service,
-        others: list[tuple[Expectation, Put]],
-        why: str,
-    ) -> None:
+    async def _write(self, planned: KeyMap, service: _Service, why: str) -> None:
         """Write a map by compare-and-swap, act on it and tell the others."""
         key = key_map_key(planned.service)
-        expected = [Expectation(key, service.revision), *(e for e, _ in others)]
-        puts = [Put(key, encode_key_map(planned)), *(p for _, p in others)]
-        service.revision = await self._store.commit(expected, puts)
+        service.revision = await self._store.commit(
+            [Expectation(key, service.revision)], [Put(key, encode_key_map(planned))]
+        )
         self._log.decided(
             "key_map_written", service=planned.service, version=planned.version, why=why,
             ranges=len(planned.ranges), targets=len(planned.targets),
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -6,7 +6,8 @@
 
 import yaml
 
-from pearward_coordination.grants import AUTHORITY_S, HOLD_S, GrantTiming
+from pearward_coordination.grants import HOLD_S, LEASE_S, RENEW_S, GrantTiming
+from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.retry_window import RetryRule
 from pearward_state.errors import InvalidField
 from pearward_state.fields import FieldReader
@@ -140,10 +141,12 @@
 
 def _holds(reader: FieldReader) -> GrantTiming:
     longest_s = reader.number("longest_ms", HOLD_S * 1000, low=500) / 1000
-    timing = GrantTiming(
-        authority_s=reader.number("authority_ms", AUTHORITY_S * 1000, low=1000) / 1000,
-        hold_s=min(reader.number("hold_ms", HOLD_S * 1000, low=500) / 1000, longest_s),
+    hold_s = reader.number("hold_ms", HOLD_S * 1000, low=500) / 1000
+    lease = LeaseTiming(
+        lease_s=reader.number("lease_ms", LEASE_S * 1000, low=500) / 1000,
+        renew_s=reader.number("renew_ms", RENEW_S * 1000, low=50) / 1000,
     )
+    timing = GrantTiming(min(hold_s, longest_s), lease)
     reader.finish()
     return timing
 
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -1,7 +1,7 @@
 """This daemon's dealings with the platform's store: its lease, its entries, what it reads.
 
-Three loops run side by side: one keeps the lease, which is the authority to grant keys;
-one follows the configuration, one the members. Each goes on through outages with what is
+Three loops run side by side: one keeps the lease that its member's entry lives by, one
+follows the configuration, one the members. Each goes on through outages with what is
 known, and reads anew what it may have missed.
 """
 
@@ -27,10 +27,9 @@
 from pearward_state.keymap import KeyMap
 from pearward_state.members import Holder, Member
 from pearward_transport.clock import boot_time, sleep
-from pearward_transport.errors import CasConflict, PlatformError
+from pearward_transport.errors import PlatformError
 from pearward_transport.store import (
     Changes,
-    Expectation,
     FleetStore,
     HistoryGone,
     LeaseGone,
@@ -72,12 +71,6 @@
     def former_targets(self, targets: list[str]) -> None:
         """Targets that earlier lives of this daemon granted keys to, the newest last."""
 
-    def authority_renewed(self, sent_at: float) -> None:
-        """The store confirmed the lease by a call that was sent at *sent_at*."""
-
-    def authority_lost(self) -> None:
-        """Nothing more may be granted until authority_renewed()."""
-
 
 class StoreSession:
     """The lease, the entries and the watches of one daemon."""
@@ -99,9 +92,8 @@
         self._member: Member | None = None
         self._written: Member | None = None
         self._keyed = False
-        self._held_for: tuple[str, int] | None = None
-        """Target and lease that the holder's entry names, once the map was read after it."""
-        self._renewed_at = 0.0
+        self._holder_written = ""
+        """Target whose holder's entry was written."""
         self._available = True
         self._stopped = False
         self._round = 0
@@ -133,8 +125,6 @@
 
     def publish(self, member: Member | None, keyed: bool) -> None:
         """Write *member* as this daemon's entry; None keeps what is there."""
-        if member is not None and (self._member is None or member.target != self._member.target):
-            self._listener.authority_lost()
         self._member = member
         self._keyed = keyed
         if self._lease and not self._writing:
@@ -174,32 +164,20 @@
             await sleep(self._reactor, max(FIRST_RETRY_S, pause) if self._lease else FIRST_RETRY_S)
 
     async def _renew(self) -> None:
-        sent_at = boot_time()
         lease = self._lease
         if not await self._store.keep_alive(lease):
             self._log.decided("lease_lost", failure=True, lease=lease)
             self._lease = 0
-            self._held_for = None
             self._written = None
-            self._listener.authority_lost()
             return
-        self._renewed_at = sent_at
-        self._tell_renewed()
         if self._member != self._written and not self._writing:
             await self._write_entries()
 
     async def _begin_lease(self) -> None:
-        sent_at = boot_time()
         self._lease = await self._store.grant_lease(self._settings.store.lease_ttl_s)
-        self._renewed_at = sent_at
         self._log.decided("lease_begun", lease=self._lease)
         await self._write_entries()
 
-    def _tell_renewed(self) -> None:
-        member = self._member
-        if member is not None and self._held_for == (member.target, self._lease):
-            self._listener.authority_renewed(self._renewed_at)
-
     # -- entries ------------------------------------------------------------------------
 
     async def _write_entries(self) -> None:
@@ -220,29 +198,16 @@
 
     async def _write_once(self, member: Member, lease: int) -> None:
         puts = [Put(member_key(member.instance), encode_member(member), lease)]
-        needs_holder = self._keyed and self._held_for != (member.target, lease)
-        expected: list[Expectation] = []
-        if needs_holder:
-            holder = await self._store.get(holder_key(member.target))
-            revision = holder.revision if holder is not None else 0
-            expected.append(Expectation(holder_key(member.target), revision))
-            entry = Holder(member.target, member.instance, lease)
+        if self._keyed and self._holder_written != member.target:
+            entry = Holder(member.target, member.instance)
             puts.append(Put(holder_key(member.target), encode_holder(entry)))
-        try:
-            await self._store.commit(expected, puts)
-        except CasConflict:
-            return
+        await self._store.commit([], puts)
         self._written = member
+        if len(puts) > 1:
+            self._holder_written = member.target
         self._log.decided(
             "entry_written", target=member.target, state=member.state.value, lease=lease
         )
-        if needs_holder:
-            # Only a map that was read after the holder's entry was written may be acted on:
-            # whoever took the keys away before is in it, whoever does so later sees the entry.
-            await self._read_key_maps()
-            if self._lease == lease:
-                self._held_for = (member.target, lease)
-                self._tell_renewed()
 
     async def _read_key_maps(self) -> None:
         snapshot = await self._store.scan(KEY_MAPS)
@@ -295,8 +260,7 @@
             self._listener.members_read(self._decoded(snapshot.items, decode_member))
             if number == 1:
                 await self._read_holders()
-            if not self._keyed or number > 1:
-                await self._read_key_maps()
+            await self._read_key_maps()
             return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/target_lease.py
@@ -0,0 +1,228 @@
+"""The lease under which this daemon grants keys, and the word of others' witnesses.
+
+A majority of the target's witnesses renews the lease; the same instances tell the daemon
+of a new owner when the former owner's lease can no longer run. None of this needs the
+store, so keys stay where they are while it is away.
+"""
+
+from collections.abc import Callable
+
+from pearward_coordination.directory import Directory
+from pearward_coordination.grants import GrantKeeper, GrantTiming, ReleasedRow
+from pearward_coordination.lease import OwnerLease, majority
+from pearward_coordination.messages import (
+    AskRelease,
+    ControlMessage,
+    PeerId,
+    ReleaseReply,
+    Renew,
+    RenewReply,
+)
+from pearward_coordination.target_witness import TargetWitness
+from pearward_state.keymap import KeyMap, Predecessor
+from pearward_transport.clock import boot_time
+
+from .key_maps import KeyMaps
+from .log import DecisionLog
+
+__all__ = ["TargetLease", "Witnesses"]
+
+ASK_AFTER_S = 0.5
+"""Seconds for which only the former owner's own daemon is asked to let keys go."""
+
+Send = Callable[[str, ControlMessage], None]
+
+
+class Witnesses:
+    """This instance as a witness, one record for each service."""
+
+    def __init__(self, timing: GrantTiming, key_maps: KeyMaps) -> None:
+        self._timing = timing
+        self._maps = key_maps
+        self._started = boot_time()
+        self._read = False
+        self._by_service: dict[str, TargetWitness] = {}
+
+    def maps_read(self) -> None:
+        """The key maps were read from the store in this life."""
+        self._read = True
+        for witness in self._by_service.values():
+            witness.map_read()
+
+    def renew(self, ask: Renew) -> RenewReply:
+        """Decide on a renewal."""
+        known = self._maps.version(ask.cell)
+        return self._witness(ask.cell).on_renew(ask, known, boot_time())
+
+    def release(self, ask: AskRelease) -> ReleaseReply:
+        """Say whether an owner's lease is over."""
+        known = self._maps.version(ask.cell)
+        return self._witness(ask.cell).on_ask_release(ask, known, boot_time())
+
+    def _witness(self, service: str) -> TargetWitness:
+        witness = self._by_service.get(service)
+        if witness is None:
+            witness = self._by_service[service] = TargetWitness(self._started, self._timing.lease)
+            if self._read:
+                witness.map_read()
+        return witness
+
+
+class TargetLease:
+    """The lease of the target beside this daemon, and the releases that it waits for."""
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        timing: GrantTiming,
+        keeper: GrantKeeper,
+        key_maps: KeyMaps,
+        directory: Directory,
+        witnesses: Witnesses,
+        log: DecisionLog,
+        send: Send,
+    ) -> None:
+        self._instance = instance
+        self._service = service
+        self._timing = timing
+        self._keeper = keeper
+        self._maps = key_maps
+        self._directory = directory
+        self._witnesses = witnesses
+        self._log = log
+        self._send = send
+        self._lease = OwnerLease(timing.lease)
+        self._target = ""
+        self._set: tuple[str, ...] = ()
+        self._held = False
+        self._pending_since: dict[str, float] = {}
+        self._released: dict[tuple[str, int], set[str]] = {}
+
+    # -- the own lease --------------------------------------------------------------
+
+    def renew(self) -> bool:
+        """Ask all witnesses for a renewal; return whether the lease was regained by that."""
+        now = boot_time()
+        key_map = self._maps.of(self._service)
+        target = self._keeper.target
+        if key_map is None or not target:
+            return False
+        self._use_set(key_map, target, now)
+        for name in self._set:
+            nonce = self._lease.renewal_sent(name, now)
+            ask = Renew(self._service, nonce, key_map.version, 0, 0, target)
+            if name == self._instance:
+                self._count(name, self._witnesses.renew(ask), now)
+            elif (member := self._directory.instance(name)) is not None:
+                self._send(member.peer_address, ask)
+        return self._changed(now)
+
+    def _use_set(self, key_map: KeyMap, target: str, now: float) -> None:
+        """Count on the set in force, and on nothing that was granted to another target."""
+        if target != self._target:
+            self._target = target
+            self._lease = OwnerLease(self._timing.lease)
+            self._set = ()
+        sets = key_map.witnesses_of(target)
+        current = sets[0] if sets else ()
+        if current != self._set:
+            self._set = current
+            self._lease.set_witnesses([current], now)
+            self._keeper.lease_until(self._lease.valid_until)
+
+    def renewed(self, sender: PeerId, reply: RenewReply) -> bool:
+        """Take a witness's answer; return whether the lease was regained by it."""
+        now = boot_time()
+        name = self._name_of(sender.address)
+        if name is not None and reply.owner == self._target:
+            self._count(name, reply, now)
+        return self._changed(now)
+
+    def _count(self, name: str, reply: RenewReply, now: float) -> None:
+        if reply.granted:
+            self._lease.renewal_granted(name, reply.nonce, now)
+            self._keeper.lease_until(self._lease.valid_until)
+
+    def _changed(self, now: float) -> bool:
+        """Log a lease that was gained or lost; return whether it was gained."""
+        held = self._lease.held(now)
+        if held == self._held:
+            return False
+        self._held = held
+        self._log.decided(
+            "lease_held" if held else "lease_run_out", failure=not held, target=self._target,
+            witnesses=list(self._set), ends_in_s=round(self._lease.valid_until - now, 3)
+            if held else 0.0,
+        )  # fmt: skip
+        return held
+
+    def _name_of(self, address: str) -> str | None:
+        for name in self._set:
+            member = self._directory.instance(name)
+            if member is not None and member.peer_address == address:
+                return name
+        return None
+
+    # -- releases of others ------------------------------------------------------------
+
+    def ask_releases(self) -> None:
+        """Ask the witnesses of predecessors that were silent for a while."""
+        now = boot_time()
+        key_map = self._maps.of(self._service)
+        if key_map is None:
+            return
+        waited_for = {p.target for r in self._keeper.pending(now) for p in r.predecessors}
+        self._pending_since = {t: self._pending_since.get(t, now) for t in waited_for}
+        for target, since in self._pending_since.items():
+            if now - since >= ASK_AFTER_S and target != self._keeper.target:
+                self._ask(key_map, target)
+
+    def _ask(self, key_map: KeyMap, target: str) -> None:
+        ask = AskRelease(self._service, target, key_map.version)
+        sets = key_map.witnesses_of(target)
+        if not sets:
+            # Without witnesses the target has never had a lease to hold keys under.
+            self._confirm(key_map, target)
+            return
+        for name in {name for names in sets for name in names}:
+            if name == self._instance:
+                self._take(name, self._witnesses.release(ask), key_map)
+            elif (member := self._directory.instance(name)) is not None:
+                self._send(member.peer_address, ask)
+
+    def released(self, sender: PeerId, reply: ReleaseReply) -> None:
+        """Take a witness's answer."""
+        key_map = self._maps.of(self._service)
+        if key_map is None or not reply.released:
+            return
+        names = {name for names in key_map.witnesses_of(reply.owner) for name in names}
+        for name in names:
+            member = self._directory.instance(name)
+            if member is not None and member.peer_address == sender.address:
+                self._take(name, reply, key_map)
+
+    def _take(self, name: str, reply: ReleaseReply, key_map: KeyMap) -> None:
+        """Count a release; a majority of each of the target's sets is enough."""
+        if not reply.released or reply.version != key_map.version:
+            return
+        self._released = {k: v for k, v in self._released.items() if k[1] == key_map.version}
+        released = self._released.setdefault((reply.owner, reply.version), set())
+        released.add(name)
+        sets = key_map.witnesses_of(reply.owner)
+        if all(len(released.intersection(s)) >= majority(len(s)) for s in sets):
+            self._confirm(key_map, reply.owner)
+
+    def _confirm(self, key_map: KeyMap, target: str) -> None:
+        """The former owner's lease is over: none of the pending keys can be held there."""
+        confirmed = 0
+        for pending in self._keeper.pending(boot_time()):
+            for predecessor in pending.predecessors:
+                if predecessor.target == target:
+                    row = ReleasedRow(pending.first, pending.last, "")
+                    self._keeper.released(Predecessor(target, predecessor.fence), row)
+                    confirmed += 1
+        if confirmed:
+            self._log.decided(
+                "released_by_witnesses", former=target, map=key_map.version, ranges=confirmed
+            )
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -264,7 +264,7 @@
             if self._keyed:
                 self._log.decided(
                     "hold_not_renewed", target=self._keeper.target, map=self.map_version,
-                    authority_left_s=round(self._keeper.authority_until - now, 3),
+                    lease_left_s=round(self._keeper.lease_ends - now, 3),
                 )  # fmt: skip
             waiting.answer.callback(BeatAnswer())
             return
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -251,9 +251,7 @@
 @click.option("--zone", default="a")
 @click.option("--slots", default=12)
 @click.option("--keyed", is_flag=True)
-def main(
-    address: str, beats_to: str, service: str, zone: str, slots: int, keyed: bool
-) -> None:
+def main(address: str, beats_to: str, service: str, zone: str, slots: int, keyed: bool) -> None:
     """Serve requests and beat."""
     target = Target(service, address, zone, slots, beats_to)
     target.keyed = keyed
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -1,8 +1,8 @@
 """Entries of pearward in the platform's store: keys, and values as JSON.
 
-``members/<instance>`` tells who takes part, ``holders/<target>`` under which lease keys are
-granted, ``keymaps/<service>`` who owns which keys. The platform's adapter may put a prefix
-of its own before them.
+``members/<instance>`` tells who takes part, ``holders/<target>`` on which instance a
+target that owns keys runs, ``keymaps/<service>`` who owns which keys. The platform's
+adapter may put a prefix of its own before them.
 """
 
 from collections.abc import Callable
@@ -11,7 +11,7 @@
 import orjson
 
 from pearward_state.errors import InvalidRecord
-from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, TargetWitnesses
 from pearward_state.members import Holder, Member, TargetState
 
 __all__ = [
@@ -42,7 +42,7 @@
 
 
 def holder_key(target: str) -> str:
-    """Return the key of the entry that names a target's lease."""
+    """Return the key of the entry that names a target's instance."""
     return HOLDERS + target
 
 
@@ -88,26 +88,22 @@
 
 
 def encode_holder(holder: Holder) -> bytes:
-    """Return the entry that names a target's lease."""
+    """Return the entry that names a target's instance."""
     return orjson.dumps(
         {
             "target": holder.target,
             "instance": holder.instance,
-            "lease": holder.lease,
-            "revoked": holder.revoked,
         }
     )
 
 
 def decode_holder(value: bytes) -> Holder:
-    """Read the entry that names a target's lease; raises InvalidRecord."""
+    """Read the entry that names a target's instance; raises InvalidRecord."""
 
     def read(data: Any) -> Holder:
         return Holder(
             target=str(data["target"]),
             instance=str(data["instance"]),
-            lease=int(data["lease"]),
-            revoked=bool(data["revoked"]),
         )
 
     return _decoded(value, read)
@@ -134,6 +130,7 @@
             "fence": key_map.fence,
             "targets": targets,
             "ranges": ranges,
+            "witnesses": {row.target: row.sets for row in key_map.witnesses},
         }
     )
 
@@ -145,7 +142,13 @@
         targets = [str(target) for target in data["targets"]]
         ranges = tuple(_range(row, targets) for row in data["ranges"])
         _check_whole(ranges)
-        return KeyMap(str(data["service"]), int(data["version"]), ranges, int(data["fence"]))
+        witnesses = tuple(
+            TargetWitnesses(target, tuple(tuple(map(str, names)) for names in sets))
+            for target, sets in sorted(data["witnesses"].items())
+        )
+        return KeyMap(
+            str(data["service"]), int(data["version"]), ranges, int(data["fence"]), witnesses
+        )
 
     return _decoded(value, read)
 
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -76,6 +76,7 @@
       adopted @2 :UInt64;
       released @3 :UInt64;
       tableVersion @4 :UInt64;
+      owner @64 :Text;
     }
     renewReply :group {
       cell @5 :Text;
--- a/packages/state/src/pearward_state/keymap.py
+++ b/packages/state/src/pearward_state/keymap.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["KEY_SPACE", "KeyMap", "KeyRange", "Predecessor", "covered"]
+__all__ = ["KEY_SPACE", "KeyMap", "KeyRange", "Predecessor", "TargetWitnesses", "covered"]
 
 KEY_SPACE = 65_536
 """Keys are whole numbers below this. Source: the interface of targets divided by key."""
@@ -55,6 +55,16 @@
         return self.last - self.first + 1
 
 
+@dataclass(frozen=True, slots=True)
+class TargetWitnesses:
+    """The instances that time the lease of one target's daemon."""
+
+    target: str
+    sets: tuple[tuple[str, ...], ...]
+    """The set in force goes first; former ones, which may have granted leases that still
+    run, stand behind it. Whoever takes the target's keys needs the word of each set."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyMap:
     """All keys of one service, in order and without gaps."""
@@ -65,6 +75,7 @@
     ranges: tuple[KeyRange, ...]
     fence: int
     """The highest fence that was ever given out."""
+    witnesses: tuple[TargetWitnesses, ...] = ()
     _starts: list[int] = field(init=False, repr=False, compare=False, default_factory=list)
 
     def __post_init__(self) -> None:
@@ -80,6 +91,13 @@
         """Return the ranges of one target."""
         return tuple(r for r in self.ranges if r.owner == target)
 
+    def witnesses_of(self, target: str) -> tuple[tuple[str, ...], ...]:
+        """Return the witness sets of a target, the one in force first."""
+        for row in self.witnesses:
+            if row.target == target:
+                return row.sets
+        return ()
+
     @property
     def targets(self) -> frozenset[str]:
         """Targets that own or may still hold keys."""
--- a/packages/state/src/pearward_state/members.py
+++ b/packages/state/src/pearward_state/members.py
@@ -34,14 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """Under which lease a daemon grants keys to a target.
+    """On which instance a target that may own keys runs.
 
-    This entry has no lease of its own: it outlasts both. Whoever takes the keys of a
-    silent target away replaces it in the same transaction, ends the lease that it names
-    and waits until no hold that was granted under it can last.
+    This entry has no lease: it outlasts the daemon beside the target, so that a later life
+    of it knows which incarnations went before the one that beats now.
     """
 
     target: str
     instance: str
-    lease: int
-    revoked: bool = False
