--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -6,8 +6,9 @@
     Then its oracle found nothing
 
     Examples:
-      | machine   |
-      | ownership |
-      | streams   |
-      | retries   |
-      | table     |
+      | machine                        |
+      | ownership                      |
+      | streams                        |
+      | retries                        |
+      | table                          |
+      | ownership on a users' platform |
--- /dev/null
+++ b/features/mesh_decisions.feature
@@ -0,0 +1,122 @@
+Feature: Decisions of the daemon on a users' platform
+
+  # -- slots ------------------------------------------------------------------------------
+
+  Scenario: A request waits while the queue moves and is refused when it would wait too long
+    Given a target with 2 slots whose requests run 0.1 s
+    When 2 requests come
+    Then both start
+    When 2 more requests with an objective of 0.6 s come
+    Then both wait
+    When 12 more requests with an objective of 0.6 s come
+    Then the last is refused, to come back after 0.05 to 1 s
+
+  Scenario: A target that has just turned slow is found out by the age of what it runs
+    Given a target with 2 slots whose requests run 0.1 s
+    When 2 requests come
+    And 1.5 s pass in which none of them ends
+    Then a request with an objective of 0.6 s is refused
+
+  Scenario: The more urgent request starts first
+    Given a target with 1 slots whose requests run 0.1 s
+    When a request runs and requests of rank 2, 1 and 2 wait
+    Then the one of rank 1 starts next
+
+  Scenario: A request that can no longer be answered in time is not started
+    Given a target with 1 slots whose requests run 0.4 s
+    When a request runs and one waits whose deadline is near
+    Then that one is given up when the slot is free
+
+  # -- choice of a target ------------------------------------------------------------------
+
+  Scenario: The faster of two idle targets is chosen
+    Given targets that run a request in 0.3 s and in 0.1 s
+    Then the second one gets nearly all requests
+
+  Scenario: A crowded target is passed over
+    Given two equal targets of which the first has 12 of 12 slots taken
+    Then the second one gets nearly all requests
+
+  Scenario: A target that fails is tried again only after a while
+    Given two equal targets of which the first has just failed twice
+    Then the second one gets nearly all requests
+    And after 8 s the first one gets requests again
+
+  Scenario: A target in the own failure domain is preferred while it costs no latency
+    Given two equal targets of which the second is in another failure domain
+    Then the first one gets more than half of all requests
+
+  Scenario: Parts of a route get exactly their weights
+    Given a route that goes to "a" by 70 and to "b" by 30
+    When 200 requests take it
+    Then "a" gets 140 of them, give or take 1
+
+  # -- budget --------------------------------------------------------------------------------
+
+  Scenario: All daemons together stay within the budget of repeats
+    Given a budget of 0.2 of the requests and 64 more within 10 s, for 14 daemons
+    When each daemon takes 100 requests and asks for as many repeats
+    Then no more than 344 repeats are given in all
+
+  # -- members -------------------------------------------------------------------------------
+
+  Scenario: A member whose entry lapsed is tried as long as it can be reached
+    Given members "one" and "two" of a service
+    When the entry of "one" goes
+    Then both may get requests
+    When "one" cannot be reached
+    Then only "two" may get requests
+    When the entry of "one" returns
+    Then both may get requests
+
+  Scenario: A target that its daemon calls draining gets no more requests
+    Given members "one" and "two" of a service
+    When the daemon of "one" says that its target takes no new work
+    Then only "two" may get requests
+
+  # -- key maps ------------------------------------------------------------------------------
+
+  Scenario: The first map divides the keys by capacity
+    Given owners with capacities 100, 50 and 50
+    Then the first map gives them 32768, 16384 and 16384 keys
+
+  Scenario: A heavy group of neighbouring keys is split among targets with room
+    Given owners with capacities 100, 100 and 100
+    When 60 requests a second go to 200 neighbouring keys of the first and 20 to each other one
+    Then the next map brings every owner to within 15 of the mean
+    And every key that moved names its former owner and a higher fence
+
+  Scenario: Small differences move nothing
+    Given owners with capacities 100, 100 and 100
+    When 42 requests a second go to the first and 36 to each other one
+    Then there is no next map
+
+  Scenario: The keys of a target that has ended are free at once
+    Given owners with capacities 100, 100 and 100
+    When the first one has ended
+    Then the next map gives its keys to the others without a predecessor
+
+  Scenario: Owners that have not been heard yet keep their keys
+    Given owners with capacities 100, 100 and 100
+    When only the second one has been heard
+    Then there is no next map
+
+  Scenario: Witnesses are spread over failure domains and never the own instance
+    Given 9 instances in 3 failure domains
+    Then each target gets 5 witnesses of all 3 domains, none on its own instance
+
+  Scenario: A witness that is gone is replaced, and the former set stays until that is settled
+    Given 9 instances in 3 failure domains
+    When a witness of the first target is gone
+    Then its newer set leaves the lost one out and the former set stands behind it
+    And once the target has settled only the newer set is left
+
+  Scenario Outline: A stored key map that is not whole is refused: <fault>
+    When a key map is read whose ranges <fault>
+    Then it is refused with a message that names a range
+
+    Examples:
+      | fault             |
+      | leave a key out   |
+      | name a key twice  |
+      | end too early     |
--- /dev/null
+++ b/features/mesh_ownership.feature
@@ -0,0 +1,80 @@
+Feature: Sole ownership of keys on a users' platform, in virtual time
+
+  The daemons' decisions are the real ones; targets enforce leases of their own.
+
+  Scenario: A fleet that starts serves every key within three seconds
+    Given a fleet of 4 targets
+    Then every key is served after 3 s
+
+  Scenario: A daemon that is cut off from its peers stops granting before others take over
+    Given a fleet of 4 targets that serves
+    When the peers of daemon 2 are cut off
+    Then every key is served by others after 6 s
+    And no key ever had two holders
+
+  Scenario: An instance that is lost for good gives its keys up within four seconds
+    Given a fleet of 4 targets that serves
+    When instance 2 is lost for good
+    Then every key is served after 4.2 s
+
+  Scenario: A store that is away moves nothing
+    Given a fleet of 4 targets that serves
+    When the store is away for 20 s
+    Then every key was served all the time
+    And no key changed its holder
+
+  Scenario: Entries that the store takes away from living daemons move nothing
+    Given a fleet of 4 targets that serves
+    When the store takes the entry of daemon 1 away, but not its lease
+    Then every key was served for 5 s
+    And no key changed its holder
+
+  Scenario: All daemons are killed at once and their targets keep their keys
+    Given a fleet of 4 targets that serves
+    When all daemons are killed and start again after 1.4 s
+    Then every key is served after 2 s
+    And no key changed its holder
+
+  Scenario: Everything loses power at once
+    Given a fleet of 4 targets that serves
+    When everything loses power and starts again after 1.4 s
+    Then every key is served after 5.5 s
+    And no key ever had two holders
+
+  Scenario: A target that leaves hands its keys over while it still runs
+    Given a fleet of 4 targets that serves
+    When target 1 says that it leaves
+    Then target 1 holds no key after 2 s
+    And every key is served after 0.5 s
+
+  Scenario: A write that is done late does not undo a newer one
+    Given a fleet of 4 targets that serves
+    When the next write of the store is done 3 s late and target 1 says that it leaves
+    Then every key is served after 8 s
+    And no key ever had two holders
+
+  Scenario: A daemon that stood still grants nothing by what it knew before
+    Given a fleet of 4 targets that serves
+    When daemon 2 stands still for 8 s
+    Then every key is served after 2 s
+    And no key ever had two holders
+
+  Scenario: Keys that are asked for more than all others move to targets with room
+    Given a fleet of 4 targets that serves
+    When neighbouring keys of target 0 are asked for 120 times a second for 3 s
+    Then some of them are held by another target
+    And every key is served after 1 s
+
+  Scenario Outline: Without a rule two targets hold the same key: <rule>
+    Given the rule "<rule>" is removed
+    When the case for it is played
+    Then two holders are found
+
+    Examples:
+      | rule                                              |
+      | a hold ends within the lease                      |
+      | a witness waits for what it granted               |
+      | a new owner waits for its predecessors            |
+      | a witness renews only by a map as new as its own  |
+      | a majority of witnesses releases                  |
+      | a restarted witness releases after a full lease   |
--- /dev/null
+++ b/features/steps/mesh_decision_steps.py
@@ -0,0 +1,421 @@
+"""Steps of decisions that need no I/O: queues, choices, budgets, members, key maps."""
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import orjson
+from behave import given, then, when
+
+from pearward_coordination.directory import Directory
+from pearward_coordination.keyplan import (
+    KeyLoad,
+    OwnerLoad,
+    PlanLimits,
+    first_map,
+    plan_moves,
+)
+from pearward_coordination.retry_window import RetryRule, RetryWindow
+from pearward_coordination.selection import (
+    Candidate,
+    LoadView,
+    TargetLoad,
+    WeightedTurns,
+    choose_target,
+)
+from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
+from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
+from pearward_protocol.entries import decode_key_map, encode_key_map
+from pearward_state.errors import InvalidRecord
+from pearward_state.keymap import KEY_SPACE, KeyMap
+from pearward_state.members import Member, TargetState
+from pearward_state.routes import WeightedService
+
+NOW = 100.0
+
+# -- slots ------------------------------------------------------------------------------------
+
+
+def _ticket(
+    now: float, objective_s: float = 0.6, deadline_s: float = 1.5, rank: int = 2
+) -> SlotTicket:
+    return SlotTicket(rank, now + deadline_s, now + objective_s, now)
+
+
+@given("a target with {slots:d} slots whose requests run {seconds:g} s")
+def slots(context: Any, slots: int, seconds: float) -> None:
+    queue = context.queue = SlotQueue(SlotLimits(slots))
+    for _ in range(200):
+        ticket = _ticket(NOW)
+        queue.offer(ticket, NOW - seconds)
+        queue.finish(ticket, NOW, measured=True)
+
+
+@when("{count:d} requests come")
+@when("{count:d} more requests with an objective of {objective:g} s come")
+def requests_come(context: Any, count: int, objective: float = 0.6) -> None:
+    context.offered = [context.queue.offer(_ticket(NOW, objective), NOW) for _ in range(count)]
+
+
+@when("{seconds:g} s pass in which none of them ends")
+def time_passes(context: Any, seconds: float) -> None:
+    context.now = NOW + seconds
+
+
+@then("both start")
+def both_start(context: Any) -> None:
+    assert context.offered == [True, True]
+
+
+@then("both wait")
+def both_wait(context: Any) -> None:
+    assert context.offered == [False, False]
+
+
+@then("the last is refused, to come back after {low:g} to {high:g} s")
+def last_refused(context: Any, low: float, high: float) -> None:
+    last = context.offered[-1]
+    assert isinstance(last, Refused)
+    assert low <= last.retry_after_s <= high, last
+
+
+@then("a request with an objective of {objective:g} s is refused")
+def one_refused(context: Any, objective: float) -> None:
+    offered = context.queue.offer(_ticket(context.now, objective), context.now)
+    assert isinstance(offered, Refused), offered
+
+
+@when("a request runs and requests of rank 2, 1 and 2 wait")
+def ranks_wait(context: Any) -> None:
+    context.running = _ticket(NOW)
+    assert context.queue.offer(context.running, NOW) is True
+    context.waiting = [_ticket(NOW, objective_s=2.0, rank=rank) for rank in (2, 1, 2)]
+    for ticket in context.waiting:
+        assert context.queue.offer(ticket, NOW) is False
+
+
+@then("the one of rank 1 starts next")
+def rank_first(context: Any) -> None:
+    context.queue.finish(context.running, NOW + 0.1, measured=True)
+    started, late = context.queue.next_starts(NOW + 0.1)
+    assert (started, late) == ([context.waiting[1]], [])
+
+
+@when("a request runs and one waits whose deadline is near")
+def near_deadline(context: Any) -> None:
+    context.running = _ticket(NOW)
+    context.queue.offer(context.running, NOW)
+    context.waiting = [_ticket(NOW, objective_s=2.0, deadline_s=0.5)]
+    assert context.queue.offer(context.waiting[0], NOW) is False
+
+
+@then("that one is given up when the slot is free")
+def given_up(context: Any) -> None:
+    context.queue.finish(context.running, NOW + 0.4, measured=True)
+    started, late = context.queue.next_starts(NOW + 0.4)
+    assert (started, late) == ([], context.waiting)
+
+
+# -- choice ----------------------------------------------------------------------------------
+
+
+def _share_of_first(candidates: list[Candidate], now: float = NOW) -> float:
+    rng = Random(7)
+    chosen = [choose_target(candidates, now, rng) for _ in range(400)]
+    return sum(1 for c in chosen if c is candidates[0]) / len(chosen)
+
+
+def _view(service_s: float = 0.1, running: int = 0) -> LoadView:
+    return LoadView(TargetLoad(running, 0, 12, service_s), reported_at=NOW)
+
+
+@given("targets that run a request in {slow:g} s and in {fast:g} s")
+def speeds(context: Any, slow: float, fast: float) -> None:
+    context.candidates = [Candidate("a", True, _view(slow)), Candidate("b", True, _view(fast))]
+
+
+@given("two equal targets of which the first has {taken:d} of {slots:d} slots taken")
+def crowded(context: Any, taken: int, slots: int) -> None:
+    context.candidates = [
+        Candidate("a", True, _view(running=taken)),
+        Candidate("b", True, _view()),
+    ]
+
+
+@given("two equal targets of which the first has just failed twice")
+def failed_twice(context: Any) -> None:
+    view = _view()
+    view.failed(NOW)
+    view.failed(NOW)
+    context.candidates = [Candidate("a", True, view), Candidate("b", True, _view())]
+
+
+@given("two equal targets of which the second is in another failure domain")
+def other_domain(context: Any) -> None:
+    context.candidates = [Candidate("a", True, _view()), Candidate("b", False, _view())]
+
+
+@then("the second one gets nearly all requests")
+def second_wins(context: Any) -> None:
+    assert _share_of_first(context.candidates) < 0.05
+
+
+@then("after {seconds:g} s the first one gets requests again")
+def first_again(context: Any, seconds: float) -> None:
+    assert _share_of_first(context.candidates, NOW + seconds) > 0.2
+
+
+@then("the first one gets more than half of all requests")
+def first_preferred(context: Any) -> None:
+    assert _share_of_first(context.candidates) > 0.6
+
+
+@given('a route that goes to "{first}" by {one:d} and to "{second}" by {other:d}')
+def weighted(context: Any, first: str, one: int, second: str, other: int) -> None:
+    parts = [WeightedService(first, one), WeightedService(second, other)]
+    context.turns = WeightedTurns(parts, Random(3))
+
+
+@when("{count:d} requests take it")
+def take_route(context: Any, count: int) -> None:
+    context.chosen = [context.turns.next() for _ in range(count)]
+
+
+@then('"{service}" gets {count:d} of them, give or take {slack:d}')
+def gets(context: Any, service: str, count: int, slack: int) -> None:
+    assert abs(context.chosen.count(service) - count) <= slack, context.chosen.count(service)
+
+
+# -- budget ----------------------------------------------------------------------------------
+
+
+@given("a budget of {ratio:g} of the requests and {allowance:g} more within {window:g} s, "
+       "for {daemons:d} daemons")  # fmt: skip
+def budget(context: Any, ratio: float, allowance: float, window: float, daemons: int) -> None:
+    rule = RetryRule(ratio, allowance, window)
+    context.windows = [RetryWindow(rule) for _ in range(daemons)]
+
+
+@when("each daemon takes {count:d} requests and asks for as many repeats")
+def ask_repeats(context: Any, count: int) -> None:
+    context.given = 0
+    for window in context.windows:
+        for number in range(count):
+            window.request(NOW + number * 0.05)
+        for number in range(count):
+            context.given += window.take(NOW + number * 0.05, len(context.windows))
+
+
+@then("no more than {most:d} repeats are given in all")
+def repeats_bounded(context: Any, most: int) -> None:
+    assert 50 < context.given <= most, context.given
+
+
+# -- members ---------------------------------------------------------------------------------
+
+
+def _member(name: str) -> Member:
+    return Member(name, "a", f"{name}:1", "life-1", "service", f"t-{name}", 12, TargetState.READY)
+
+
+def _candidates(context: Any) -> set[str]:
+    found = context.directory.candidates("service", NOW, 0.0, frozenset())
+    return {candidate.target for candidate in found}
+
+
+@given('members "one" and "two" of a service')
+def members(context: Any) -> None:
+    context.directory = Directory("a")
+    context.directory.entries_read([_member("one"), _member("two")], NOW)
+
+
+@when('the entry of "{name}" goes')
+def entry_goes(context: Any, name: str) -> None:
+    context.directory.entry_gone(name, NOW)
+
+
+@when('"{name}" cannot be reached')
+def not_reached(context: Any, name: str) -> None:
+    context.directory.unreachable(f"t-{name}", NOW)
+
+
+@when('the entry of "{name}" returns')
+def entry_returns(context: Any, name: str) -> None:
+    context.directory.entry_written(_member(name))
+
+
+@when('the daemon of "{name}" says that its target takes no new work')
+def says_draining(context: Any, name: str) -> None:
+    context.directory.refused(f"t-{name}")
+
+
+@then("both may get requests")
+def both_candidates(context: Any) -> None:
+    assert _candidates(context) == {"t-one", "t-two"}
+
+
+@then('only "{name}" may get requests')
+def only_candidate(context: Any, name: str) -> None:
+    assert _candidates(context) == {f"t-{name}"}
+
+
+# -- key maps --------------------------------------------------------------------------------
+
+
+@given("owners with capacities {one:g}, {two:g} and {three:g}")
+def owners(context: Any, one: float, two: float, three: float) -> None:
+    context.owners = [
+        OwnerLoad(f"t{number}", capacity) for number, capacity in enumerate((one, two, three))
+    ]
+    context.map = first_map("service", context.owners)
+    context.ended = frozenset()
+    context.fixed = frozenset()
+
+
+@then("the first map gives them {one:d}, {two:d} and {three:d} keys")
+def first_sizes(context: Any, one: int, two: int, three: int) -> None:
+    sizes = [sum(r.size for r in context.map.owned_by(o.target)) for o in context.owners]
+    assert all(abs(a - b) <= 1 for a, b in zip(sizes, (one, two, three), strict=True)), sizes
+
+
+def _with_loads(context: Any, rates: list[float], width: int) -> None:
+    """Spread each owner's rate evenly over its first *width* keys, in pieces of five."""
+    for number, owner in enumerate(context.owners):
+        first = min(r.first for r in context.map.owned_by(owner.target))
+        pieces = range(first, first + width, 5)
+        loads = tuple(KeyLoad(k, k + 4, rates[number] / len(pieces)) for k in pieces)
+        context.owners[number] = replace(owner, loads=loads)
+
+
+@when("{hot:g} requests a second go to 200 neighbouring keys of the first "
+      "and {usual:g} to each other one")  # fmt: skip
+def heavy_keys(context: Any, hot: float, usual: float) -> None:
+    _with_loads(context, [hot, usual, usual], 200)
+
+
+@when("{one:g} requests a second go to the first and {other:g} to each other one")
+def even_load(context: Any, one: float, other: float) -> None:
+    _with_loads(context, [one, other, other], 200)
+
+
+@when("the first one has ended")
+def first_ended(context: Any) -> None:
+    context.ended = frozenset({"t0"})
+    context.owners = context.owners[1:]
+
+
+@when("only the second one has been heard")
+def only_second(context: Any) -> None:
+    context.owners = context.owners[1:2]
+    context.fixed = frozenset({"t0", "t2"})
+
+
+def _planned(context: Any) -> KeyMap | None:
+    return plan_moves(context.map, context.owners, context.ended, PlanLimits(), fixed=context.fixed)
+
+
+@then("there is no next map")
+def no_next(context: Any) -> None:
+    assert _planned(context) is None
+
+
+@then("the next map brings every owner to within {most:g} of the mean")
+def levelled(context: Any, most: float) -> None:
+    context.next = _planned(context)
+    assert context.next is not None
+    rates = dict.fromkeys((o.target for o in context.owners), 0.0)
+    for owner in context.owners:
+        for load in owner.loads:
+            rates[context.next.range_of(load.first).owner] += load.rate
+    mean = sum(rates.values()) / len(rates)
+    assert all(abs(rate - mean) <= most for rate in rates.values()), rates
+
+
+@then("every key that moved names its former owner and a higher fence")
+def moved_rows(context: Any) -> None:
+    moved = 0
+    for r in context.next.ranges:
+        before = context.map.range_of(r.first)
+        if before.owner != r.owner:
+            moved += 1
+            assert [p.target for p in r.predecessors] == [before.owner]
+            assert r.fence > context.map.fence
+    assert moved
+
+
+@then("the next map gives its keys to the others without a predecessor")
+def freed(context: Any) -> None:
+    planned = _planned(context)
+    assert planned is not None
+    assert not planned.owned_by("t0")
+    assert all(not r.predecessors for r in planned.ranges)
+    assert decode_key_map(encode_key_map(planned)) == planned
+
+
+# -- witnesses -------------------------------------------------------------------------------
+
+
+@given("9 instances in 3 failure domains")
+def instances(context: Any) -> None:
+    context.candidates = [WitnessCandidate(f"n{n}", f"d{n % 3}") for n in range(9)]
+    owners = [OwnerLoad(f"t{n}", 100.0) for n in range(9)]
+    context.instances = {f"t{n}": f"n{n}" for n in range(9)}
+    context.map = with_witnesses(
+        first_map("service", owners), context.candidates, context.instances, frozenset()
+    )
+
+
+@then("each target gets 5 witnesses of all 3 domains, none on its own instance")
+def spread_witnesses(context: Any) -> None:
+    domains = {c.instance: c.failure_domain for c in context.candidates}
+    for target, own in context.instances.items():
+        (names,) = context.map.witnesses_of(target)
+        assert len(names) == 5
+        assert own not in names
+        assert len({domains[name] for name in names}) == 3
+
+
+@when("a witness of the first target is gone")
+def witness_gone(context: Any) -> None:
+    context.former = context.map.witnesses_of("t0")[0]
+    context.lost = context.former[0]
+    context.candidates = [c for c in context.candidates if c.instance != context.lost]
+    context.next = with_witnesses(context.map, context.candidates, context.instances, frozenset())
+
+
+@then("its newer set leaves the lost one out and the former set stands behind it")
+def joint_sets(context: Any) -> None:
+    newer, former = context.next.witnesses_of("t0")
+    assert former == context.former
+    assert context.lost not in newer
+
+
+@then("once the target has settled only the newer set is left")
+def settled(context: Any) -> None:
+    newer = context.next.witnesses_of("t0")[0]
+    after = with_witnesses(context.next, context.candidates, context.instances, frozenset({"t0"}))
+    assert after.witnesses_of("t0") == (newer,)
+
+
+@when("a key map is read whose ranges {fault}")
+def broken_map(context: Any, fault: str) -> None:
+    data = orjson.loads(
+        encode_key_map(first_map("service", [OwnerLoad("a", 1), OwnerLoad("b", 1)]))
+    )
+    first, second = data["ranges"]
+    if fault == "leave a key out":
+        first[1] -= 1
+    elif fault == "name a key twice":
+        second[0] -= 1
+    else:
+        second[1] = KEY_SPACE - 2
+    try:
+        decode_key_map(orjson.dumps(data))
+        context.error = ""
+    except InvalidRecord as error:
+        context.error = str(error)
+
+
+@then("it is refused with a message that names a range")
+def names_range(context: Any) -> None:
+    assert "range" in context.error, context.error
--- a/tests/fuzz/mesh_machine.py
+++ b/tests/fuzz/mesh_machine.py
@@ -108,6 +108,16 @@
         """Cut a daemon off from the others, or let it back."""
         self._node(number).cut_from_peers = cut
 
+    @rule(start=NODES, end=NODES, cut=st.booleans())
+    def cut_link(self, start: int, end: int, cut: bool) -> None:
+        """Cut the way from one daemon to another, or open it."""
+        assert self.world is not None
+        link = (self._node(start).number, self._node(end).number)
+        if cut:
+            self.world.cut_links.add(link)
+        else:
+            self.world.cut_links.discard(link)
+
     @rule(down=st.booleans())
     def store_down(self, down: bool) -> None:
         """Take the store away, or bring it back."""
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -398,6 +398,8 @@
         self._timing = timing
         self.store = FakeStore(self)
         self.store_down = False
+        self.cut_links: set[tuple[int, int]] = set()
+        """Links (from and to an instance, by number) on which messages are lost."""
         self._late_writes: list[float] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = 0
@@ -554,10 +556,17 @@
         for number in range(requests):
             meter.count((first + number % 200) % 65_536, self.now)
 
+    def key_of(self, node: Node) -> int:
+        """Return the first key that a target holds."""
+        assert node.target is not None
+        return min(row.first for row in node.target.rows)
+
     def _send(self, node: Node, me: PeerId, address: str, message: ControlMessage) -> None:
         receiver = next((n for n in self.nodes if str(_peers(n.number)) == address), None)
         if receiver is None or receiver.cut_from_peers or node.cut_from_peers:
             return
+        if (node.number, receiver.number) in self.cut_links:
+            return
         data = encode_control(message)
         daemon = receiver.daemon
 
