--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,7 @@
 
 from pearward_devtools.caller import Caller
 from pearward_devtools.cluster import Cluster, ServiceSpec
+from pearward_devtools.mesh.cluster import MeshCluster
 
 DOMAINS = ["waco-a", "waco-b", "temple-a", "temple-b"]
 SPECS = {
@@ -31,6 +32,11 @@
 def before_feature(context: Any, feature: Any) -> None:
     """Start the feature's cluster."""
     context.cluster = None
+    context.mesh = None
+    if "mesh" in feature.tags:
+        context.mesh_requests = 0
+        context.mesh = MeshCluster({"roster": 3, "sheets": 2}, keyed="roster")
+        context.mesh.start()
     services = _services(feature.tags)
     if services:
         settings = {"log": {"requests": "all"}, "limits": {"header_bytes": 4096}}
@@ -42,6 +48,11 @@
 
 def after_feature(context: Any, feature: Any) -> None:
     """End the feature's cluster; keep its logs where a failure should be looked into."""
+    if context.mesh is not None:
+        keep = os.environ.get("KEEP_LOGS")
+        if keep and feature.status.name != "passed":
+            shutil.copytree(context.mesh.logs, Path(keep) / feature.name, dirs_exist_ok=True)
+        context.mesh.stop()
     if context.cluster is not None:
         keep = os.environ.get("KEEP_LOGS")
         if keep and feature.status.name != "passed":
--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -91,6 +91,20 @@
     When 42 requests a second go to the first and 36 to each other one
     Then there is no next map
 
+  Scenario: A key keeps its load when it changes hands
+    Given owners that report what is asked of them four times in 2 s
+    When key 7 is asked for 10 times a second, first at one owner and then at another
+    Then its load is 10 requests a second, give or take 4
+
+  Scenario: A report stays short however many keys are asked for
+    When one owner counts requests for 1000 different keys
+    Then its report has at most 64 rows that hold them all
+
+  Scenario: A difference that may be chance moves nothing
+    Given owners with capacities 20, 20 and 20
+    When 18 requests a second go to the first and 13 to each other one
+    Then there is no next map
+
   Scenario: The keys of a target that has ended are free at once
     Given owners with capacities 100, 100 and 100
     When the first one has ended
--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -17,12 +17,23 @@
     When instance 2 is lost for good
     Then every key is served after 4.2 s
 
+  Scenario: A daemon that missed the first key map gets it when its entry appears
+    Given a fleet of 4 targets that serves
+    When daemon 3 starts anew and hears nothing from the store's key maps
+    Then daemon 3 knows the key map after 3 s
+
   Scenario: A store that is away moves nothing
     Given a fleet of 4 targets that serves
     When the store is away for 20 s
     Then every key was served all the time
     And no key changed its holder
 
+  Scenario: A store that forgets its history is read anew once, not over and over
+    Given a fleet of 4 targets that serves
+    When the store forgets its history
+    Then the store gets at most 40 calls within 3 s
+    And no key changed its holder
+
   Scenario: Entries that the store takes away from living daemons move nothing
     Given a fleet of 4 targets that serves
     When the store takes the entry of daemon 1 away, but not its lease
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -1,6 +1,5 @@
 """Steps of decisions that need no I/O: queues, choices, budgets, members, key maps."""
 
-from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -8,10 +7,11 @@
 from behave import given, then, when
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.key_load import KeyCount, KeyCounter, KeyLoadTable, KeyRate
 from pearward_coordination.keyplan import (
-    KeyLoad,
-    OwnerLoad,
+    KeyOwner,
     PlanLimits,
+    PlannedLoad,
     first_map,
     plan_moves,
 )
@@ -265,9 +265,10 @@
 @given("owners with capacities {one:g}, {two:g} and {three:g}")
 def owners(context: Any, one: float, two: float, three: float) -> None:
     context.owners = [
-        OwnerLoad(f"t{number}", capacity) for number, capacity in enumerate((one, two, three))
+        KeyOwner(f"t{number}", capacity) for number, capacity in enumerate((one, two, three))
     ]
     context.map = first_map("service", context.owners)
+    context.load = PlannedLoad()
     context.ended = frozenset()
     context.fixed = frozenset()
 
@@ -279,12 +280,12 @@
 
 
 def _with_loads(context: Any, rates: list[float], width: int) -> None:
-    """Spread each owner's rate evenly over its first *width* keys, in pieces of five."""
+    """Spread each owner's rate evenly over its first *width* keys."""
+    rows: list[KeyRate] = []
     for number, owner in enumerate(context.owners):
         first = min(r.first for r in context.map.owned_by(owner.target))
-        pieces = range(first, first + width, 5)
-        loads = tuple(KeyLoad(k, k + 4, rates[number] / len(pieces)) for k in pieces)
-        context.owners[number] = replace(owner, loads=loads)
+        rows += [KeyRate(first + n, rates[number] / width) for n in range(width)]
+    context.load = PlannedLoad(tuple(rows), 3.0)
 
 
 @when("{hot:g} requests a second go to 200 neighbouring keys of the first "
@@ -311,7 +312,9 @@
 
 
 def _planned(context: Any) -> KeyMap | None:
-    return plan_moves(context.map, context.owners, context.ended, PlanLimits(), fixed=context.fixed)
+    return plan_moves(
+        context.map, context.owners, context.load, context.ended, PlanLimits(), fixed=context.fixed
+    )
 
 
 @then("there is no next map")
@@ -324,9 +327,8 @@
     context.next = _planned(context)
     assert context.next is not None
     rates = dict.fromkeys((o.target for o in context.owners), 0.0)
-    for owner in context.owners:
-        for load in owner.loads:
-            rates[context.next.range_of(load.first).owner] += load.rate
+    for row in context.load.rates:
+        rates[context.next.range_of(row.key).owner] += row.rate
     mean = sum(rates.values()) / len(rates)
     assert all(abs(rate - mean) <= most for rate in rates.values()), rates
 
@@ -352,13 +354,48 @@
     assert decode_key_map(encode_key_map(planned)) == planned
 
 
+@given("owners that report what is asked of them four times in 2 s")
+def reporting(context: Any) -> None:
+    context.load_table = KeyLoadTable()
+
+
+@when("key 7 is asked for 10 times a second, first at one owner and then at another")
+def moving_key(context: Any) -> None:
+    for number in range(4):
+        counter = KeyCounter()
+        for _ in range(5):
+            counter.count(7)
+        context.load_table.add(counter.take(), NOW + number * 0.5)
+
+
+@then("its load is 10 requests a second, give or take 4")
+def table_rate(context: Any) -> None:
+    (row,) = context.load_table.rates(NOW + 1.9)
+    assert row.key == 7 and abs(row.rate - 10.0) <= 4.0, row
+
+
+@when("one owner counts requests for 1000 different keys")
+def many_keys(context: Any) -> None:
+    counter = KeyCounter()
+    for key in range(0, 65_000, 65):
+        counter.count(key)
+    context.counts = counter.take()
+
+
+@then("its report has at most 64 rows that hold them all")
+def few_rows(context: Any) -> None:
+    assert len(context.counts) <= 64
+    assert sum(row.count for row in context.counts) == 1000
+    assert all(isinstance(row, KeyCount) and row.first <= row.last for row in context.counts)
+
+
 # -- witnesses -------------------------------------------------------------------------------
 
 
 @given("9 instances in 3 failure domains")
 def instances(context: Any) -> None:
     context.candidates = [WitnessCandidate(f"n{n}", f"d{n % 3}") for n in range(9)]
-    owners = [OwnerLoad(f"t{n}", 100.0) for n in range(9)]
+    owners = [KeyOwner(f"t{n}", 100.0) for n in range(9)]
     context.instances = {f"t{n}": f"n{n}" for n in range(9)}
     context.map = with_witnesses(
         first_map("service", owners), context.candidates, context.instances, frozenset()
@@ -399,9 +436,7 @@
 
 @when("a key map is read whose ranges {fault}")
 def broken_map(context: Any, fault: str) -> None:
-    data = orjson.loads(
-        encode_key_map(first_map("service", [OwnerLoad("a", 1), OwnerLoad("b", 1)]))
-    )
+    data = orjson.loads(encode_key_map(first_map("service", [KeyOwner("a", 1), KeyOwner("b", 1)])))
     first, second = data["ranges"]
     if fault == "leave a key out":
         first[1] -= 1
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -83,6 +83,36 @@
     _run(context, 4.0)
 
 
+@when("daemon {number:d} starts anew and hears nothing from the store's key maps")
+def start_without_map(context: Any, number: int) -> None:
+    world = context.world
+    node = world.nodes[number]
+    world.start_daemon(node)
+    node.daemon.core.key_maps_read = lambda key_maps: None
+
+
+@then("daemon {number:d} knows the key map after {seconds:g} s")
+def knows_map(context: Any, number: int, seconds: float) -> None:
+    _run(context, seconds)
+    assert context.world.nodes[number].daemon.core.key_maps.version("roster-app")
+
+
+@when("the store forgets its history")
+def forget(context: Any) -> None:
+    store = context.world.store
+    store.remove("members/of-nobody")
+    store.revision += 1
+    store.forgotten = store.revision
+
+
+@then("the store gets at most {most:d} calls within {seconds:g} s")
+def few_calls(context: Any, most: int, seconds: float) -> None:
+    before = context.world.store.calls
+    _run(context, seconds)
+    calls = context.world.store.calls - before
+    assert calls <= most, calls
+
+
 @when("the store takes the entry of daemon {number:d} away, but not its lease")
 def revoke(context: Any, number: int) -> None:
     context.world.store.remove(f"members/instance-{number}")
@@ -254,12 +284,19 @@
     assert node.target is not None
     version = _newest_map(world)
     node.target.draining = True
-    while not _known_to_leave(world, node):
-        world.run(TICK_S)
+    _run_until(world, lambda: _known_to_leave(world, node))
     node.cut_from_peers = True
     node.cut_from_store = True
-    while _newest_map(world) == version:
+    _run_until(world, lambda: _newest_map(world) != version)
+
+
+def _run_until(world: World, condition: Callable[[], bool]) -> None:
+    """Let time pass until *condition* holds, for ten seconds at most."""
+    for _ in range(round(10.0 / TICK_S)):
+        if condition():
+            return
         world.run(TICK_S)
+    raise TimeoutError("the case did not come about")
 
 
 def _known_to_leave(world: World, node: Node) -> bool:
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -11,27 +11,18 @@
 from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, covered
 
 from .grants import HeldRow
+from .key_load import KeyRate
 
-__all__ = ["KeyLoad", "OwnerLoad", "PlanLimits", "first_map", "plan_moves", "without_targets"]
+__all__ = ["KeyOwner", "PlanLimits", "PlannedLoad", "first_map", "plan_moves", "without_targets"]
 
 
 @dataclass(frozen=True, slots=True)
-class KeyLoad:
-    """Requests a second for consecutive keys."""
-
-    first: int
-    last: int
-    rate: float
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerLoad:
-    """A target that can own keys, and the requests for those that it owns."""
+class KeyOwner:
+    """A target that can own keys."""
 
     target: str
     capacity: float
     """Requests a second that it can run: slots over mean time of one."""
-    loads: tuple[KeyLoad, ...] = ()
     confirmed: tuple[HeldRow, ...] = ()
     """Keys that it was granted."""
 
@@ -41,25 +32,38 @@
         return covered(key_range.first, key_range.last, spans)
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedLoad:
+    """Requests a second by key, and for how many seconds they were seen."""
+
+    rates: tuple[KeyRate, ...] = ()
+    seen_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class PlanLimits:
     """When a move is worth its price: the keys rest for some tenths of a second."""
 
-    tolerance: float = 0.12
+    tolerance: float = 0.15
     """Utilisation above the mean that is put up with; a queue forms well above 0.85."""
-    idle: float = 0.35
-    """Utilisation under which no imbalance is worth a move."""
-    moves: int = 48
+    idle: float = 0.5
+    """Utilisation under which no imbalance is worth a move: hardly anybody waits there."""
+    certainty: float = 2.0
+    """Standard deviations by which an owner's count must be over its share: a few requests
+    more than usual are chance, and each move costs the keys a pause."""
+    moves: int = 24
     """Pieces that change hands in one plan, at most."""
+    pieces: int = 24
+    """Pieces that an owner's load is cut into."""
 
 
-def first_map(service: str, owners: Sequence[OwnerLoad]) -> KeyMap:
+def first_map(service: str, owners: Sequence[KeyOwner]) -> KeyMap:
     """Return the first map: consecutive keys by capacity."""
     ranges = _dealt(0, KEY_SPACE - 1, owners, fence=1)
     return KeyMap(service, 1, tuple(ranges), 1)
 
 
-def _dealt(first: int, last: int, owners: Sequence[OwnerLoad], fence: int) -> list[KeyRange]:
+def _dealt(first: int, last: int, owners: Sequence[KeyOwner], fence: int) -> list[KeyRange]:
     """Divide consecutive keys among *owners* by capacity."""
     total = sum(o.capacity for o in owners) or 1.0
     ranges: list[KeyRange] = []
@@ -101,7 +105,8 @@
 
 def plan_moves(
     key_map: KeyMap,
-    owners: Sequence[OwnerLoad],
+    owners: Sequence[KeyOwner],
+    load: PlannedLoad,
     ended: frozenset[str],
     limits: PlanLimits,
     fixed: frozenset[str] = frozenset(),
@@ -115,43 +120,43 @@
     if not owners:
         return None
     by_target = {owner.target: owner for owner in owners}
-    pieces = _pieces(key_map, by_target)
+    total = sum(row.rate for row in load.rates)
+    pieces = _pieces(key_map, load.rates, total / (len(owners) * limits.pieces))
     rates = {owner.target: 0.0 for owner in owners}
     for piece in pieces:
         if piece.owner in rates:
             rates[piece.owner] += piece.rate
     moved = _place_orphans(pieces, by_target, rates, fixed)
-    moved = _level(pieces, by_target, rates, limits) or moved
+    moved = _level(pieces, by_target, rates, load.seen_s, limits) or moved
     if not moved:
         return None
     return _with_pieces(key_map, pieces, by_target, ended)
 
 
-def _pieces(key_map: KeyMap, by_target: Mapping[str, OwnerLoad]) -> list[_Piece]:
-    """Cut all ranges where their owners measured load separately."""
-    loads = sorted((load for o in by_target.values() for load in o.loads), key=lambda x: x.first)
+def _pieces(key_map: KeyMap, rates: Sequence[KeyRate], most: float) -> list[_Piece]:
+    """Cut all ranges into pieces of about *most* requests a second; one key is never cut."""
     pieces: list[_Piece] = []
+    at = 0
     for r in key_map.ranges:
-        inside = [x for x in loads if x.first >= r.first and x.last <= r.last]
-        start = r.first
-        for number, load in enumerate(inside):
-            end = inside[number + 1].first - 1 if number + 1 < len(inside) else r.last
-            if end < start:
-                continue
-            pieces.append(_Piece(r, start, end, load.rate, r.owner))
-            start = end + 1
-        if start <= r.last:
-            pieces.append(_Piece(r, start, r.last, 0.0, r.owner))
+        start, rate = r.first, 0.0
+        while at < len(rates) and rates[at].key <= r.last:
+            row = rates[at]
+            if rate > 0.0 and rate + row.rate > most:
+                pieces.append(_Piece(r, start, row.key - 1, rate, r.owner))
+                start, rate = row.key, 0.0
+            rate += row.rate
+            at += 1
+        pieces.append(_Piece(r, start, r.last, rate, r.owner))
     return pieces
 
 
-def _utilisation(target: str, by_target: Mapping[str, OwnerLoad], rates: dict[str, float]) -> float:
+def _utilisation(target: str, by_target: Mapping[str, KeyOwner], rates: dict[str, float]) -> float:
     return rates[target] / max(by_target[target].capacity, 1e-6)
 
 
 def _place_orphans(
     pieces: list[_Piece],
-    by_target: Mapping[str, OwnerLoad],
+    by_target: Mapping[str, KeyOwner],
     rates: dict[str, float],
     fixed: frozenset[str],
 ) -> bool:
@@ -197,8 +202,9 @@
 
 def _level(
     pieces: list[_Piece],
-    by_target: Mapping[str, OwnerLoad],
+    by_target: Mapping[str, KeyOwner],
     rates: dict[str, float],
+    seen_s: float,
     limits: PlanLimits,
 ) -> bool:
     """Move pieces from the busiest targets to the least used ones; return whether any moved."""
@@ -207,7 +213,14 @@
     def used(target: str) -> float:
         return _utilisation(target, by_target, rates)
 
-    if max(map(used, rates)) <= max(mean + limits.tolerance, limits.idle):
+    def uneven(target: str) -> bool:
+        """Whether a target has surely more than its share, and so much that others wait."""
+        if used(target) <= max(mean + limits.tolerance, limits.idle):
+            return False
+        excess = (rates[target] - mean * by_target[target].capacity) * seen_s
+        return excess > limits.certainty * float((rates[target] * seen_s) ** 0.5)
+
+    if not any(uneven(target) for target in rates):
         return False
     by_owner: dict[str, list[_Piece]] = {target: [] for target in by_target}
     for piece in pieces:
@@ -246,7 +259,7 @@
 def _with_pieces(
     key_map: KeyMap,
     pieces: list[_Piece],
-    by_target: Mapping[str, OwnerLoad],
+    by_target: Mapping[str, KeyOwner],
     ended: frozenset[str],
 ) -> KeyMap:
     """Return the next version with the pieces' owners."""
@@ -264,7 +277,7 @@
 
 
 def _predecessors(
-    old: KeyRange, by_target: Mapping[str, OwnerLoad], ended: frozenset[str]
+    old: KeyRange, by_target: Mapping[str, KeyOwner], ended: frozenset[str]
 ) -> tuple[Predecessor, ...]:
     """Return who may still hold keys of a range that changes hands."""
     owner = by_target.get(old.owner)
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from .grants import HeldRow, ReleasedRow
-from .keyplan import KeyLoad
+from .key_load import KeyCount
 
 __all__ = [
     "Announce",
@@ -184,7 +184,8 @@
     ended: tuple[str, ...]
     """Targets, once beside this daemon, that surely hold nothing any more."""
     confirmed: tuple[HeldRow, ...]
-    loads: tuple[KeyLoad, ...]
+    counts: tuple[KeyCount, ...]
+    """Requests by key since the last report."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coordination/src/pearward_coordination/retry_window.py
+++ b/packages/coordination/src/pearward_coordination/retry_window.py
@@ -10,9 +10,10 @@
 
 __all__ = ["RetryRule", "RetryWindow"]
 
-SAFE_SHARE = 0.55
-"""Part of the budget that is used: calls made by repeated runs count as repeats as well,
-and another daemon's restart forgets what it has sent."""
+SAFE_SHARE = 0.45
+"""Part of the budget that is used: calls made by repeated runs of other services count as
+repeats as well (0.2 of those services' requests at most, so as much again), and a daemon
+that was restarted has forgotten what it sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,7 @@
         self._repeats: deque[float] = deque()
 
     def request(self, now: float) -> None:
-        """Count a request."""
+        """Count a request that a target has received; those refused before earn no repeats."""
         self._requests.append(now)
         self._forget(now)
 
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -14,12 +14,15 @@
 
 FIRST_GUESS_S = 0.15
 """Running time in seconds assumed before any request has ended."""
-TIME_WEIGHT = 0.06
-"""Weight of the newest request in the moving mean of running times."""
-AGE_FACTOR = 1.2
-"""Expected running time over the mean age of what runs: requests of these targets are on
-average five sixths of their running time old. A target that has just turned slow ends
-nothing, so the ages tell first."""
+TIME_WEIGHT = 0.015
+"""Least weight of the newest request in the mean of running times: some seventy requests,
+since running times vary by their own mean and a target's speed does not."""
+GUESS_COUNTS = 6
+"""Requests that the first guess stands for."""
+SLOW_FACTOR = 1.6
+"""Mean age of what runs, over the mean running time, from which a target counts as slow:
+usually the two are about equal. One that has just turned slow ends nothing, so that the
+ages tell first; below this factor they tell chance."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
 
@@ -74,6 +77,7 @@
         self._running: set[SlotTicket] = set()
         self._waiting = 0
         self._mean_s = FIRST_GUESS_S
+        self._measured = 0
         self._number = 0
 
     # -- properties -------------------------------------------------------------
@@ -133,7 +137,9 @@
             return
         self._running.discard(ticket)
         if measured:
-            self._mean_s += TIME_WEIGHT * ((now - ticket.started) - self._mean_s)
+            self._measured += 1
+            weight = max(TIME_WEIGHT, 1.0 / (self._measured + GUESS_COUNTS))
+            self._mean_s += weight * ((now - ticket.started) - self._mean_s)
 
     def next_starts(self, now: float) -> tuple[list[SlotTicket], list[SlotTicket]]:
         """Return the waiting requests that start now, and those that are too late to start."""
@@ -164,7 +170,7 @@
         if not self._running:
             return self._mean_s
         age_s = sum(now - ticket.started for ticket in self._running) / len(self._running)
-        return max(self._mean_s, age_s * AGE_FACTOR)
+        return age_s if age_s > self._mean_s * SLOW_FACTOR else self._mean_s
 
     def expected_wait(self, ticket: SlotTicket, now: float) -> float:
         """Return the seconds until a request that comes now would start."""
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -75,6 +75,7 @@
         self._ingress = MeshIngress(
             reactor, settings, dialect, self._core.directory, self._core.key_maps, self._side,
             self._pool, self._log, self._metrics, rng, self._core.want_map,
+            self._core.want_map_of_planner,
         )  # fmt: skip
         self._callers = CallerFactory(
             self._ingress, reactor, HttpLimits(HEADER_BYTES, HEADER_COUNT, IDLE_S)
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -184,7 +184,7 @@
         holder = self._planner.duty_holder()
         if holder is None:
             return
-        report = self._side.report()
+        report = self._side.take_report()
         if not report.target and not report.ended:
             return
         if holder.instance == self._settings.instance:
@@ -220,8 +220,13 @@
         self._directory.entries_read(members, boot_time())
 
     def member_written(self, member: Member) -> None:
-        """Take a member's new or changed entry."""
+        """Take a member's new or changed entry; who is new may have missed a key map."""
+        known = self._directory.instance(member.instance)
         self._directory.entry_written(member)
+        new = known is None or known.incarnation != member.incarnation
+        if new and self._planner.on_duty and member.instance != self._settings.instance:
+            for service in self._table.keyed_services if self._table is not None else ():
+                self._send_map(service, PeerId(member.incarnation, member.peer_address))
 
     def member_gone(self, instance: str) -> None:
         """A member's entry went."""
@@ -333,6 +338,12 @@
             if member.instance != self._settings.instance:
                 self._send(member.peer_address, message)
 
+    def want_map_of_planner(self, service: str) -> None:
+        """Ask the planner for its key map of a service: there is none here, or an old one."""
+        holder = self._planner.duty_holder()
+        if holder is not None and holder.instance != self._settings.instance:
+            self.want_map(service, holder.peer_address)
+
     def want_map(self, service: str, address: str) -> None:
         """Ask another daemon for its key map of a service."""
         now = boot_time()
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -99,6 +99,7 @@
         metrics: RequestMetrics,
         rng: Random,
         want_map: Callable[[str, str], None],
+        want_map_of_planner: Callable[[str], None],
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -108,6 +109,7 @@
         self._metrics = metrics
         self._rng = rng
         self._want_map = want_map
+        self._want_map_of_planner = want_map_of_planner
         self._table: RoutingTable | None = None
         self._turns: dict[tuple[str, tuple[Any, ...]], WeightedTurns] = {}
         self._budgets: dict[str, RetryWindow] = {}
@@ -183,7 +185,6 @@
             return self._answer(request, NOT_FOUND, intent.request_id, detail)
         routed = RoutedRequest(self, request, route, intent, body_length)
         self._open.add(routed)
-        self._budget(routed.service).request(boot_time())
         routed.begin()
         return routed
 
@@ -241,13 +242,15 @@
         return self._placement(chosen.target, 0) if chosen is not None else None
 
     def _owner_of(self, service: str, key: int) -> Placement | None:
+        """Return the owner of a key; where none can be asked the map here may be old."""
         key_map = self._maps.of(service)
-        if key_map is None:
-            return None
-        owned = key_map.range_of(key)
-        if owned is None or not owned.owner:
-            return None
-        return self._placement(owned.owner, key_map.version)
+        owned = key_map.range_of(key) if key_map is not None else None
+        placement = None
+        if key_map is not None and owned is not None and owned.owner:
+            placement = self._placement(owned.owner, key_map.version)
+        if placement is None or not self.directory.reachable(placement.target, boot_time()):
+            self._want_map_of_planner(service)
+        return placement
 
     def _placement(self, target: str, map_version: int) -> Placement | None:
         member = self.directory.member_of(target)
@@ -268,6 +271,10 @@
         """Connect to another daemon; fails with PeerUnreachable."""
         return self._pool.connect(address)
 
+    def arrived(self, service: str) -> None:
+        """A target of a service has received a request for the first time."""
+        self._budget(service).request(boot_time())
+
     def take_repeat(self, service: str) -> bool:
         """Take one repeat from the budget of a service; return whether there was one."""
         daemons = len(self.directory.members)
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -12,10 +12,11 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.key_load import KeyLoadTable
 from pearward_coordination.keyplan import (
-    KeyLoad,
-    OwnerLoad,
+    KeyOwner,
     PlanLimits,
+    PlannedLoad,
     first_map,
     plan_moves,
     without_targets,
@@ -41,11 +42,8 @@
 """A report is used this long: five intervals."""
 SETTLE_S = 1.0
 """Seconds after the first owner is known before the first map is made: targets beat within."""
-MOVE_PAUSE_S = 1.0
-"""Seconds between two plans that only level load: the former one must show in the reports."""
-ASSUMED_S = 2.5
-"""Seconds for which moved keys are taken to have the load that they had before: their new
-owner has just begun to count."""
+MOVE_PAUSE_S = 1.5
+"""Seconds between two plans that only level load: keys that move rest for half a second."""
 SILENT_S = 2.2
 """Seconds without a report after which an owner loses its keys: a daemon that was killed
 reports again after 1.6 s."""
@@ -65,7 +63,7 @@
     ended: set[str] = field(default_factory=set)
     confirmed_at: dict[str, float] = field(default_factory=dict)
     """When an owner first acted on a map that changed its witnesses."""
-    assumed: list[tuple[KeyLoad, float]] = field(default_factory=list)
+    load: KeyLoadTable = field(default_factory=KeyLoadTable)
     moved_at: float = 0.0
     owners_since: float | None = None
     working: bool = False
@@ -118,6 +116,7 @@
         """Take an owner's report; return the version of the map that it should know."""
         now = boot_time()
         service = self._service(report.service)
+        service.load.add(report.counts, now)
         if report.target:
             service.reports[report.target] = (report, now)
         for target in report.ended:
@@ -215,10 +214,10 @@
 
     # -- owners ------------------------------------------------------------------------
 
-    def _owners(self, name: str, service: _Service, now: float) -> list[OwnerLoad]:
+    def _owners(self, name: str, service: _Service, now: float) -> list[KeyOwner]:
         """Return the targets that can own keys, in a fixed order."""
         mean_s = self._mean_capacity(service, now)
-        owners: list[OwnerLoad] = []
+        owners: list[KeyOwner] = []
         for member in sorted(self._directory.members, key=lambda m: m.instance):
             if member.service != name or not member.target or member.target in service.ended:
                 continue
@@ -227,21 +226,14 @@
             report, age = self._report(service, member.target, now)
             if report is None or age > REPORT_AGE_S:
                 if self._directory.is_registered(member.target):
-                    owners.append(OwnerLoad(member.target, mean_s or float(member.slots)))
+                    owners.append(KeyOwner(member.target, mean_s or float(member.slots)))
                 continue
             if report.draining:
                 continue
             capacity = report.capacity
             if mean_s:
                 capacity = min(max(capacity, mean_s * 0.4), mean_s * 2.5)
-            owners.append(
-                OwnerLoad(
-                    member.target,
-                    capacity,
-                    self._loads(service, report.loads, now),
-                    report.confirmed,
-                )
-            )
+            owners.append(KeyOwner(member.target, capacity, report.confirmed))
         return owners
 
     def _report(self, service: _Service, target: str, now: float) -> tuple[KeyReport | None, float]:
@@ -254,53 +246,33 @@
         fresh = [r.capacity for r, at in service.reports.values() if now - at <= REPORT_AGE_S]
         return sum(fresh) / len(fresh) if fresh else 0.0
 
-    def _loads(
-        self, service: _Service, loads: tuple[KeyLoad, ...], now: float
-    ) -> tuple[KeyLoad, ...]:
-        """Put what moved keys had before in the place of what their new owner counted so far."""
-        service.assumed = [entry for entry in service.assumed if entry[1] > now]
-        result: list[KeyLoad] = []
-        for load in loads:
-            if not any(a.first <= load.last and load.first <= a.last for a, _ in service.assumed):
-                result.append(load)
-        return tuple(result)
-
-    def _with_assumed(
-        self, key_map: KeyMap, owners: list[OwnerLoad], service: _Service
-    ) -> list[OwnerLoad]:
-        """Add the assumed load of moved keys to their present owners."""
-        extra: dict[str, list[KeyLoad]] = {}
-        for load, _ in service.assumed:
-            owned = key_map.range_of(load.first)
-            if owned is not None and owned.last >= load.last:
-                extra.setdefault(owned.owner, []).append(load)
-        return [
-            OwnerLoad(o.target, o.capacity, (*o.loads, *extra.get(o.target, ())), o.confirmed)
-            for o in owners
-        ]
-
     # -- plans -----------------------------------------------------------------------------
 
     def _levelled(
         self, key_map: KeyMap, service: _Service, silent: frozenset[str], now: float
     ) -> KeyMap | None:
         """Move keys where a target cannot own any more, or where load is uneven."""
-        owners = self._with_assumed(key_map, self._owners(key_map.service, service, now), service)
+        owners = self._owners(key_map.service, service, now)
         owners = [owner for owner in owners if owner.target not in silent]
         present = {owner.target for owner in owners}
         unheard = self._unheard(key_map, service, present, now) - silent
         orphaned = any(r.owner not in present | unheard for r in key_map.ranges)
         if not orphaned and now - service.moved_at < MOVE_PAUSE_S:
             return None
-        planned = plan_moves(key_map, owners, frozenset(service.ended), self._limits, fixed=unheard)
+        load = PlannedLoad(service.load.rates(now), service.load.seen_s(now))
+        planned = plan_moves(
+            key_map, owners, load, frozenset(service.ended), self._limits, fixed=unheard
+        )
         if planned is None:
             return None
         service.moved_at = now
-        self._assume(key_map, planned, owners, service, now)
         self._log.decided(
             "keys_moved", service=key_map.service, version=planned.version,
             why="owners lost or leaving" if orphaned else "uneven load", silent=sorted(silent),
-            owners=len(owners), unheard=len(unheard),
+            unheard=len(unheard), asked_and_can={
+                o.target: [round(_asked(key_map, load, o.target)), round(o.capacity)]
+                for o in owners
+            },
         )  # fmt: skip
         return planned
 
@@ -319,21 +291,6 @@
                 unheard.add(target)
         return frozenset(unheard)
 
-    def _assume(
-        self,
-        before: KeyMap,
-        after: KeyMap,
-        owners: list[OwnerLoad],
-        service: _Service,
-        now: float,
-    ) -> None:
-        """Remember the load of the keys that change hands."""
-        for owner in owners:
-            for load in owner.loads:
-                old, new = before.range_of(load.first), after.range_of(load.first)
-                if old is not None and new is not None and old.owner != new.owner:
-                    service.assumed.append((load, now + ASSUMED_S))
-
     # -- targets that were lost --------------------------------------------------------
 
     def _silent_targets(self, key_map: KeyMap, service: _Service, now: float) -> list[str]:
@@ -394,3 +351,13 @@
         )  # fmt: skip
         self._maps.adopt(planned)
         self._spread(planned)
+
+
+def _asked(key_map: KeyMap, load: PlannedLoad, target: str) -> float:
+    """Return the requests a second for the keys that a target owns."""
+    owned = (key_map.range_of(row.key) for row in load.rates)
+    return sum(
+        row.rate
+        for row, r in zip(load.rates, owned, strict=True)
+        if r is not None and r.owner == target
+    )
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -319,6 +319,7 @@
         if head.outcome is not Outcome.SERVED:
             self._refused(head)
             return
+        self._note_arrival()
         if self._try_again_after(head):
             return
         headers = self._ingress.answer_headers(head.headers)
@@ -389,7 +390,6 @@
         if not self._keyed and not self._ingress.has_other(self._service, self._tried):
             return False
         self._over()
-        self._arrivals += 1
         self._tally.failed(Outcome.UNKNOWN, Reason.TARGET_FAILED)
         self._next_attempt()
         return True
@@ -429,7 +429,7 @@
                 return False
         elif reason is not Reason.TARGET_REFUSED:
             return False
-        self._arrivals += 1
+        self._note_arrival()
         self._tried.add(target)
         return self._may_repeat()
 
@@ -445,12 +445,18 @@
         self._tried.add(target)
         return True
 
+    def _note_arrival(self) -> None:
+        """A target has received the request; the first time it counts for the budget."""
+        self._arrivals += 1
+        if self._arrivals == 1:
+            self._ingress.arrived(self._service)
+
     def _may_repeat(self) -> bool:
         """Whether one more target may receive the request; takes from the budget."""
         left_s = self._deadline - boot_time()
         if self._streaming or left_s < LATEST_RETRY_S:
             return False
-        if self._arrivals + 1 >= self._route.max_attempts + (1 if self._keyed else 0):
+        if self._arrivals >= self._route.max_attempts:
             return False
         return self._ingress.take_repeat(self._service)
 
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -242,11 +242,10 @@
 
     async def _follow_configuration(self, number: int) -> None:
         async def read() -> int:
-            item = await self._store.configuration()
-            if item is None:
-                return 0
-            self._listener.configuration_read(item.value)
-            return item.revision
+            snapshot = await self._store.configuration()
+            for item in snapshot.items:
+                self._listener.configuration_read(item.value)
+            return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
             if event.value is not None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
-from pearward_coordination.key_load import KeyLoadMeter
+from pearward_coordination.key_load import KeyCounter
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.selection import TargetLoad
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
@@ -27,7 +27,7 @@
 
 __all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
 
-HOLD_BACK_S = 0.55
+HOLD_BACK_S = 0.75
 """Seconds for which a heartbeat's answer waits for a change of the target's keys: targets
 take an answer within a second, and a change that finds a waiting answer takes effect at once."""
 LATE_S = 4.0
@@ -92,7 +92,7 @@
         self._client = client
         self._keeper = GrantKeeper(settings.service, boot_time(), settings.holds)
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS))
-        self._meter = KeyLoadMeter()
+        self._counter = KeyCounter()
         self._requests: dict[SlotTicket, TargetRequest] = {}
         self._open: set[TargetRequest] = set()
         self._parked: dict[TargetRequest, None] = {}
@@ -107,6 +107,7 @@
         self._stopping = False
         self._listener: TargetSideListener | None = None
         self._reported_ended: list[str] = []
+        self._pending_since: float | None = None
 
     # -- properties -------------------------------------------------------------
 
@@ -248,10 +249,24 @@
         keeper = self._keeper
         if keeper.must_let_go(now) or keeper.ready_to_begin(now) or self._stopping:
             self._answer_waiting()
-        if keeper.pending(now) and self._listener is not None:
-            self._listener.keys_wanted()
+        self._note_pending(now)
         self._admit_parked()
 
+    def _note_pending(self, now: float) -> None:
+        """Ask for keys that others still have; log how long they were waited for."""
+        pending = self._keeper.pending(now)
+        if pending:
+            if self._pending_since is None:
+                self._pending_since = now
+            if self._listener is not None:
+                self._listener.keys_wanted()
+        elif self._pending_since is not None:
+            self._log.decided(
+                "keys_released_by_others", target=self._keeper.target, map=self.map_version,
+                waited_s=round(now - self._pending_since, 3), parked=len(self._parked),
+            )  # fmt: skip
+            self._pending_since = None
+
     def _answer_waiting(self) -> None:
         waiting, self._waiting = self._waiting, None
         if waiting is None:
@@ -299,8 +314,8 @@
             self._keeper.released(predecessor, row)
         self.reconsider()
 
-    def report(self) -> KeyReport:
-        """Return what the planner of this service's keys is to know."""
+    def take_report(self) -> KeyReport:
+        """Return what the planner of this service's keys is to know since the last report."""
         info = self._info
         now = boot_time()
         queue = self._queue
@@ -312,7 +327,7 @@
             draining=info is None or info.state is TargetState.DRAINING,
             ended=tuple(self._reported_ended[-16:]),
             confirmed=tuple(self._keeper.confirmed()),
-            loads=self._meter.pieces(now),
+            counts=self._counter.take(),
         )
 
     def note_ended(self, target: str) -> None:
@@ -328,7 +343,7 @@
         request = TargetRequest(self, head, ended, body, reply)
         self._open.add(request)
         if self._keyed and head.key:
-            self._meter.count(head.position, boot_time())
+            self._counter.count(head.position)
         return request
 
     def barred(self, head: RequestHead) -> Reason | None:
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -0,0 +1,269 @@
+"""Real processes of a users' platform on loopback: its store, targets, and our daemons.
+
+This is tooling: pearwardd itself starts no process. Every process is ended by its own id.
+"""
+
+import http.client
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from ..cluster import wait_until
+
+__all__ = ["MeshCluster", "MeshNode", "Reply"]
+
+STORE_PORT, CALLERS, HEARTBEATS, READINESS, TARGET, PEERS, METRICS = range(8200, 8207)
+_NETWORKS = itertools.count(1)
+HOST = "app.example"
+
+
+@dataclass
+class MeshNode:
+    """One instance: a target and the daemon beside it."""
+
+    name: str
+    ip: str
+    service: str
+    zone: str
+    keyed: bool
+    daemon: subprocess.Popen[bytes] | None = None
+    target: subprocess.Popen[bytes] | None = None
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An answer to a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class MeshCluster:
+    """All processes of one test."""
+
+    def __init__(self, services: dict[str, int], keyed: str) -> None:
+        self._network = f"127.{os.getpid() % 100 + 60}.{next(_NETWORKS)}"
+        self._directory = tempfile.TemporaryDirectory()
+        self._services = services
+        self._keyed = keyed
+        self._store: subprocess.Popen[bytes] | None = None
+        self.version = 1
+        self.nodes: list[MeshNode] = []
+        for service, count in services.items():
+            for _ in range(count):
+                number = len(self.nodes) + 10
+                name = f"{service}-{number}"
+                self.nodes.append(
+                    MeshNode(name, f"{self._network}.{number}", service, f"z{number % 3}",
+                             service == keyed)
+                )  # fmt: skip
+
+    @property
+    def logs(self) -> Path:
+        """Folder of the processes' logs."""
+        return Path(self._directory.name)
+
+    # -- life --------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start everything and wait until it serves."""
+        self._store = self._spawn(
+            "store", "-m", "pearward_devtools.mesh.store", "--ip", f"{self._network}.1",
+            "--port", str(STORE_PORT),
+        )  # fmt: skip
+        wait_until(lambda: self._answers(f"{self._network}.1:{STORE_PORT}"), "the store")
+        self.configure()
+        for node in self.nodes:
+            self.start_daemon(node)
+            self.start_target(node)
+        self.wait_served()
+
+    def stop(self) -> None:
+        """End every process."""
+        for node in self.nodes:
+            for process in (node.daemon, node.target):
+                _end(process)
+        _end(self._store)
+        self._directory.cleanup()
+
+    def start_daemon(self, node: MeshNode) -> None:
+        """Start a daemon."""
+        path = self.logs / f"{node.name}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(node)), encoding="utf-8")
+        environment = {**os.environ, "PEARWARD_BOOT": str(path)}
+        node.daemon = self._spawn(
+            node.name, "-m", "pearward_platform.main", environment=environment
+        )
+
+    def start_target(self, node: MeshNode) -> None:
+        """Start a new incarnation of a target."""
+        arguments = [
+            "-m", "pearward_devtools.mesh.target", "--address", f"{node.ip}:{TARGET}",
+            "--beats-to", f"{node.ip}:{HEARTBEATS}", "--service", node.service,
+            "--zone", node.zone,
+        ]  # fmt: skip
+        node.target = self._spawn(
+            f"{node.name}-target", *arguments, *(["--keyed"] if node.keyed else [])
+        )
+
+    def _spawn(
+        self, name: str, *arguments: str, environment: dict[str, str] | None = None
+    ) -> subprocess.Popen[bytes]:
+        with (self.logs / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, *arguments], stdout=log, stderr=log, env=environment
+            )
+
+    def _settings(self, node: MeshNode) -> dict[str, Any]:
+        ip = node.ip
+        return {
+            "instance": node.name,
+            "failure_domain": node.zone,
+            "target": {"service": node.service, "address": f"{ip}:{TARGET}"},
+            "listen": {
+                "callers": f"{ip}:{CALLERS}",
+                "heartbeats": f"{ip}:{HEARTBEATS}",
+                "readiness": f"{ip}:{READINESS}",
+                "peers": f"{ip}:{PEERS}",
+                "metrics": f"{ip}:{METRICS}",
+            },
+            "store": {"address": f"{self._network}.1:{STORE_PORT}"},
+            "log": {"lines_per_s": 1000},
+        }
+
+    # -- the operators ------------------------------------------------------------------
+
+    def configure(self, **routes: dict[str, Any]) -> None:
+        """Write the next version of the configuration, with further routes."""
+        document: dict[str, Any] = {
+            "version": f"r{self.version}",
+            "routes": {},
+            "services": {},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        }  # fmt: skip
+        for service in self._services:
+            document["services"][service] = {
+                "maxConnections": 100, "enableSharding": service == self._keyed, "warmupS": 0.0,
+            }  # fmt: skip
+            for kind in ("safe", "unsafe"):
+                document["routes"][f"{service}-{kind}"] = {
+                    "host": HOST, "pathPrefix": f"/{service}/{kind}/", "kind": kind,
+                    "timeoutMs": 3000, "targetLatencyMs": 1500, "priority": 1,
+                    "maxAttempts": 2, "service": service,
+                }  # fmt: skip
+        document["routes"].update(routes)
+        self.write_configuration(json.dumps(document))
+        self.version += 1
+
+    def write_configuration(self, document: str) -> None:
+        """Write a document as it is."""
+        self.store_call("/standin/configuration", document)
+
+    def store_call(self, path: str, body: str = "{}") -> Any:
+        """Make one call to the store stand-in."""
+        return self._http(f"{self._network}.1:{STORE_PORT}", "POST", path, body.encode())
+
+    # -- callers ------------------------------------------------------------------------
+
+    def call(
+        self,
+        node: MeshNode,
+        path: str,
+        *,
+        method: str = "GET",
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> Reply:
+        """Send a request to the daemon of an instance."""
+        connection = http.client.HTTPConnection(f"{node.ip}:{CALLERS}", timeout=timeout_s)
+        try:
+            connection.request(method, path, body or None, {"Host": HOST, **(headers or {})})
+            response = connection.getresponse()
+            return Reply(response.status, dict(response.getheaders()), response.read())
+        finally:
+            connection.close()
+
+    def state(self, node: MeshNode) -> dict[str, Any]:
+        """Return what a target says of itself."""
+        found: dict[str, Any] = json.loads(
+            self._http(f"{node.ip}:{TARGET}", "GET", "/standin/state")
+        )
+        return found
+
+    def tell_target(self, node: MeshNode, what: str) -> None:
+        """Tell a target to drain or to leave."""
+        self._http(f"{node.ip}:{TARGET}", "POST", f"/standin/{what}", b"{}")
+
+    def metrics(self, node: MeshNode) -> str:
+        """Return a daemon's own figures."""
+        return self._http(f"{node.ip}:{METRICS}", "GET", "/metrics").decode()
+
+    def ready(self, node: MeshNode) -> bool:
+        """Return whether a daemon says that it is ready."""
+        return self._answers(f"{node.ip}:{READINESS}")
+
+    def wait_served(self) -> None:
+        """Wait until all daemons are ready and every key can be asked for."""
+        wait_until(lambda: all(self.ready(node) for node in self.nodes), "daemons to be ready")
+        wait_until(self._all_served, "every key to be served")
+
+    def _all_served(self) -> bool:
+        keyed = f"/{self._keyed}/safe/"
+        return all(
+            self.call(
+                self.nodes[-1], keyed, headers={"Request-Id": f"w{key}", "Shard-Key": str(key)}
+            ).status == 200
+            for key in range(0, 65_536, 4096)
+        )  # fmt: skip
+
+    def kill(self, node: MeshNode) -> None:
+        """Kill a daemon."""
+        assert node.daemon is not None
+        node.daemon.send_signal(signal.SIGKILL)
+        node.daemon.wait()
+
+    def _answers(self, address: str) -> bool:
+        try:
+            self._http(address, "GET", "/")
+        except OSError as error:
+            return isinstance(error, _StatusError) and error.status == 404
+        return True
+
+    def _http(self, address: str, method: str, path: str, body: bytes = b"") -> bytes:
+        connection = http.client.HTTPConnection(address, timeout=5)
+        try:
+            connection.request(method, path, body or None)
+            response = connection.getresponse()
+            data = response.read()
+        finally:
+            connection.close()
+        if response.status != 200:
+            raise _StatusError(response.status, f"{method} {address}{path}")
+        return data
+
+
+class _StatusError(OSError):
+    """An answer with another status than 200."""
+
+    def __init__(self, status: int, what: str) -> None:
+        super().__init__(f"{what}: HTTP {status}")
+        self.status = status
+
+
+def _end(process: subprocess.Popen[bytes] | None) -> None:
+    """Kill a process that this cluster has started."""
+    if process is not None and process.poll() is None:
+        process.kill()
+        process.wait()
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -236,7 +236,14 @@
                     for r in target.rows
                     if r.until > time.monotonic()
                 ]
-                return json.dumps({"id": target.id, "rows": rows, "ran": target.ran}).encode()
+                return json.dumps(
+                    {
+                        "id": target.id,
+                        "rows": rows,
+                        "ran": target.ran,
+                        "running": target.running,
+                    }
+                ).encode()
             case b"/standin/drain":
                 target.state = "draining"
             case b"/standin/leave":
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -10,7 +10,7 @@
 import capnp
 
 from pearward_coordination.grants import HeldRow, ReleasedRow
-from pearward_coordination.keyplan import KeyLoad
+from pearward_coordination.key_load import KeyCount
 from pearward_coordination.messages import (
     Announce,
     AskKeys,
@@ -54,7 +54,7 @@
 _ROWS: dict[str, type[Any]] = {
     "entries": VersionedKey,
     "confirmed": HeldRow,
-    "loads": KeyLoad,
+    "counts": KeyCount,
     "rows": ReleasedRow,
 }
 """Lists of rows, by their name in the schema, and what a row is."""
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -57,10 +57,10 @@
   token @2 :Text;
 }
 
-struct KeyLoad {
+struct KeyCount {
   first @0 :UInt32;
   last @1 :UInt32;
-  rate @2 :Float64;
+  count @2 :UInt32;
 }
 
 struct VersionedKey {
@@ -147,7 +147,7 @@
       draining @50 :Bool;
       ended @51 :List(Text);
       confirmed @52 :List(HeldRow);
-      loads @53 :List(KeyLoad);
+      counts @53 :List(KeyCount);
     }
     askKeys :group {
       service @54 :Text;
--- a/packages/transport/src/pearward_transport/store.py
+++ b/packages/transport/src/pearward_transport/store.py
@@ -102,8 +102,8 @@
         Raises HistoryGone where the changes have to be replaced by a scan.
         """
 
-    async def configuration(self) -> KeyValue | None:
-        """Return the operators' configuration document, or None before there is one."""
+    async def configuration(self) -> Snapshot:
+        """Return the operators' configuration document, or nothing before there is one."""
 
     async def configuration_changes(self, after: int, wait_s: float) -> Changes:
         """Wait for changes of the configuration document, as changes() does."""
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -62,6 +62,7 @@
         self.history: list[WatchEvent] = []
         self.forgotten = 0
         self._next_lease = 100
+        self.calls = 0
 
     def expire(self) -> None:
         """Let leases run out."""
@@ -129,6 +130,7 @@
         """Run *work* at the store after a while, unless the call or its answer gets lost."""
         world, node = self._world, self._node
         answer: Deferred[Any] = Deferred()
+        world.store.calls += 1
         if world.store_down or node.cut_from_store:
             self._clock.callLater(TIMEOUT_S, answer.errback, PlatformUnavailable("cut"))
             return answer
@@ -177,8 +179,10 @@
     async def revoke(self, lease: int) -> None:
         return await self._call(lambda: self._world.store.end(lease))
 
-    async def configuration(self) -> KeyValue | None:
-        return await self._call(lambda: KeyValue("config", b"", 1))
+    async def configuration(self) -> Snapshot:
+        # Written long ago: its own revision lies before any history that was forgotten.
+        item = KeyValue("config", b"", 1)
+        return await self._call(lambda: Snapshot((item,), self._world.store.revision))
 
     async def configuration_changes(self, after: int, wait_s: float) -> Changes:
         return await self._watch("config", after, wait_s)
@@ -205,6 +209,8 @@
             pause: Deferred[None] = Deferred()
             self._clock.callLater(0.1, pause.callback, None)
             await pause
+            # Looking again is the store's own work here, not another call.
+            store.calls -= 1
 
 
 def _quietly(work: Callable[[], Any]) -> None:
@@ -552,9 +558,9 @@
         """Ask a target for neighbouring keys so often that the planner moves some."""
         if node.daemon is None:
             return
-        meter = node.daemon.core.side._meter
+        counter = node.daemon.core.side._counter
         for number in range(requests):
-            meter.count((first + number % 200) % 65_536, self.now)
+            counter.count((first + number % 200) % 65_536)
 
     def key_of(self, node: Node) -> int:
         """Return the first key that a target holds."""
