--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Clusters of real processes, one for each feature that asks for one by a tag."""
 
+import itertools
 import json
 import os
 import shutil
@@ -34,7 +35,7 @@
     context.cluster = None
     context.mesh = None
     if "mesh" in feature.tags:
-        context.mesh_requests = 0
+        context.mesh_ids = itertools.count(1)
         context.mesh = MeshCluster({"roster": 3, "sheets": 2}, keyed="roster")
         context.mesh.start()
     services = _services(feature.tags)
--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -37,8 +37,9 @@
   Scenario: Entries that the store takes away from living daemons move nothing
     Given a fleet of 4 targets that serves
     When the store takes the entry of daemon 1 away, but not its lease
-    Then every key was served for 5 s
+    Then every key was served for 20 s
     And no key changed its holder
+    And daemon 1 has its entry again
 
   Scenario: All daemons are killed at once and their targets keep their keys
     Given a fleet of 4 targets that serves
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -97,6 +97,11 @@
     assert context.world.nodes[number].daemon.core.key_maps.version("roster-app")
 
 
+@then("daemon {number:d} has its entry again")
+def entry_again(context: Any, number: int) -> None:
+    assert f"members/instance-{number}" in context.world.store.items
+
+
 @when("the store forgets its history")
 def forget(context: Any) -> None:
     store = context.world.store
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -24,8 +24,7 @@
 
 def _id(context: Any) -> str:
     """Return a request id that was not used before."""
-    context.mesh_requests += 1
-    return f"r{context.mesh_requests}"
+    return f"r{next(context.mesh_ids)}"
 
 
 def _nodes(context: Any, service: str) -> list[MeshNode]:
@@ -247,13 +246,13 @@
                     headers["Shard-Key"] = key
                 reply = _cluster(context).call(node, path, headers=headers)
                 if reply.status != 200:
-                    context.failed.append((node.name, path, reply.status))
+                    context.failures.append((node.name, path, reply.status))
         time.sleep(0.05)
 
 
 @when('the store is "{mode}" for {seconds:g} s')
 def store_away(context: Any, mode: str, seconds: float) -> None:
-    context.failed = []
+    context.failures = []
     _cluster(context).store_call("/standin/faults", json.dumps({"mode": mode}))
     _traffic(context, time.monotonic() + seconds)
     _cluster(context).store_call("/standin/faults", "{}")
@@ -261,7 +260,7 @@
 
 @when("the store forgets its history and takes the members' entries away")
 def forget_and_revoke(context: Any) -> None:
-    context.failed = []
+    context.failures = []
     _cluster(context).store_call("/standin/forget")
     _cluster(context).store_call("/standin/revoke", json.dumps({"prefix": "pearward/members/"}))
     _traffic(context, time.monotonic() + 2.0)
@@ -269,7 +268,7 @@
 
 @then("no request failed meanwhile")
 def none_failed(context: Any) -> None:
-    assert not context.failed, context.failed[:5]
+    assert not context.failures, context.failures[:5]
 
 
 @then("every daemon has its entry again within {seconds:g} s")
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -290,12 +290,14 @@
         return b"", False, data
 
     def _send_rest(self, attempt: LocalAttempt | RemoteAttempt, rest: bytes) -> None:
-        if self._done or self._attempt is not attempt or not rest:
+        """Send what did not travel with the head; what is still to come is passed on."""
+        if self._done or self._attempt is not attempt:
             return
-        attempt.send_data(rest, ended=self._body_ended)
         if not self._body_ended:
             self._streaming = True
             self._body = []
+        if rest:
+            attempt.send_data(rest, ended=self._body_ended)
 
     def _cancel_attempt(self) -> None:
         attempt, self._attempt = self._attempt, None
@@ -410,7 +412,9 @@
             left_ms=round((self._deadline - boot_time()) * MS_PER_S),
         )  # fmt: skip
         if not again:
-            self._give_up(outcome, reason, retry_after_s)
+            late = reason is Reason.DEADLINE
+            status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
+            self._give_up(outcome, reason, retry_after_s, status)
         elif self._keyed:
             self._wait = self._ingress.call_later(OWNER_WAIT_S, self._next_attempt)
         else:
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -209,6 +209,19 @@
             "entry_written", target=member.target, state=member.state.value, lease=lease
         )
 
+    @property
+    def _own_key(self) -> str:
+        return member_key(self._settings.instance)
+
+    def _own_entry_gone(self) -> None:
+        """The store has no entry of this daemon though its lease may live: write it again."""
+        if self._written is None or self._stopped:
+            return
+        self._log.decided("entry_gone", failure=True, lease=self._lease)
+        self._written = None
+        if self._lease and not self._writing:
+            self._run(self._write_entries())
+
     async def _read_key_maps(self) -> None:
         snapshot = await self._store.scan(KEY_MAPS)
         self._listener.key_maps_read(self._decoded(snapshot.items, decode_key_map))
@@ -257,6 +270,8 @@
         async def read() -> int:
             snapshot = await self._store.scan(MEMBERS)
             self._listener.members_read(self._decoded(snapshot.items, decode_member))
+            if not any(item.key == self._own_key for item in snapshot.items):
+                self._own_entry_gone()
             if number == 1:
                 await self._read_holders()
             await self._read_key_maps()
@@ -265,6 +280,8 @@
         def changed(event: WatchEvent) -> None:
             if event.value is None:
                 self._listener.member_gone(event.key.removeprefix(MEMBERS))
+                if event.key == self._own_key:
+                    self._own_entry_gone()
                 return
             item = KeyValue(event.key, event.value, event.revision)
             for member in self._decoded([item], decode_member):
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -179,12 +179,13 @@
             }
         )
         target.running += 1
+        request.working = True
         arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
         work_s = int(arguments.get("work_ms", "0")) / 1000
         timer = reactor.callLater(work_s, self._answer, request, request_id, arguments)
 
         def over(failure: Any) -> None:
-            target.running -= 1
+            self._work_ended(request)
             if timer.active():
                 timer.cancel()
 
@@ -193,7 +194,7 @@
 
     def _answer(self, request: Any, request_id: str, arguments: dict[str, str]) -> None:
         target = self._target
-        target.running -= 1
+        self._work_ended(request)
         body = b"x" * int(arguments.get("bytes", "20"))
         spoil = arguments.get("spoil", "")
         head = {
@@ -227,6 +228,12 @@
             transport.write(whole)
             request.channel.requestDone(request)
 
+    def _work_ended(self, request: Any) -> None:
+        """Count the work on a request as ended, once."""
+        if request.working:
+            request.working = False
+            self._target.running -= 1
+
     def _control(self, request: Any) -> bytes:
         target = self._target
         match request.path:
