--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -21,8 +21,13 @@
 """Time in which a load that was not reported again counts for half: measured queues of
 these targets empty in less."""
 CROSS_DOMAIN_S = 0.012
-"""Seconds of expected latency that staying in the own failure domain is worth: its bytes
-are priced, and the way there and back takes 3 ms."""
+"""Seconds of expected latency that staying in the own failure domain is worth, bytes apart:
+the way there and back takes 3 ms, and heads of requests are bytes as well."""
+CROSS_DOMAIN_S_PER_KB = 0.015
+"""The same for each kilobyte of a request and its answer. From the prices of the users'
+sites: a kilobyte between domains costs what 15 to 20 ms cost near the latency objective."""
+MOST_CROSS_DOMAIN_S = 0.1
+"""Beyond this a crowded near target would be preferred to a free one elsewhere."""
 FAILURE_PENALTY_S = 0.6
 """Seconds of expected latency that a recent failure counts for; fades by half each second."""
 CROWDED = 0.6
@@ -87,7 +92,12 @@
     cold: bool = False
 
 
-def expected_latency(candidate: Candidate, now: float) -> float:
+def distance_s(kilobytes: float) -> float:
+    """Return the expected latency that avoiding another failure domain is worth, in seconds."""
+    return min(MOST_CROSS_DOMAIN_S, CROSS_DOMAIN_S + kilobytes * CROSS_DOMAIN_S_PER_KB)
+
+
+def expected_latency(candidate: Candidate, now: float, far_s: float) -> float:
     """Return the seconds that a request sent now is expected to take, penalties included."""
     view = candidate.view
     load = view.load
@@ -98,18 +108,22 @@
     service_s = load.service_s * (1.6 if candidate.cold else 1.0)
     latency = service_s * (1.0 + crowd + queue)
     latency += view.recent_failures(now) * FAILURE_PENALTY_S
-    return latency if candidate.near else latency + CROSS_DOMAIN_S
+    return latency if candidate.near else latency + far_s
 
 
-def choose_target(candidates: Iterable[Candidate], now: float, rng: Random) -> Candidate | None:
+def choose_target(
+    candidates: Iterable[Candidate], now: float, rng: Random, kilobytes: float = 0.0
+) -> Candidate | None:
     """Return the candidate with the least expected latency; near ties are broken at random.
 
-    The random part keeps requesters with the same picture from all choosing the same one.
+    *kilobytes* is the usual size of a request and its answer together. The random part
+    keeps requesters with the same picture from all choosing the same one.
     """
     best: Candidate | None = None
     best_cost = 0.0
+    far_s = distance_s(kilobytes)
     for candidate in candidates:
-        cost = expected_latency(candidate, now) * (0.9 + 0.2 * rng.random())
+        cost = expected_latency(candidate, now, far_s) * (0.9 + 0.2 * rng.random())
         if best is None or cost < best_cost:
             best, best_cost = candidate, cost
     return best
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -23,6 +23,8 @@
 """Mean age of what runs, over the mean running time, from which a target counts as slow:
 usually the two are about equal. One that has just turned slow ends nothing, so that the
 ages tell first; below this factor they tell chance."""
+SLOW_SHARE = 0.6
+"""Part of the slots that must be taken for the ages to tell anything."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
 
@@ -167,7 +169,7 @@
 
     def service_s(self, now: float) -> float:
         """Return how long a request is expected to run, by those that ended and those that run."""
-        if not self._running:
+        if len(self._running) < self._limits.slots * SLOW_SHARE:
             return self._mean_s
         age_s = sum(now - ticket.started for ticket in self._running) / len(self._running)
         return age_s if age_s > self._mean_s * SLOW_FACTOR else self._mean_s
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -27,6 +27,9 @@
 WINDOW = 128 * 1024
 """Bytes of one stream that may be under way between two daemons."""
 BAD_REQUEST, NOT_FOUND, TOO_LARGE, UNAVAILABLE = 400, 404, 413, 503
+BYTES_PER_KB = 1000
+SIZE_WEIGHT = 0.05
+"""Weight of the newest exchange in the mean size of a service's exchanges."""
 NO_CONFIGURATION_RETRY_S = 0.5
 
 
@@ -113,6 +116,8 @@
         self._table: RoutingTable | None = None
         self._turns: dict[tuple[str, tuple[Any, ...]], WeightedTurns] = {}
         self._budgets: dict[str, RetryWindow] = {}
+        self._kilobytes: dict[str, float] = {}
+        """Mean size of a request and its answer, by service."""
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._refusing_s = 0.0
@@ -238,7 +243,7 @@
             return self._owner_of(service, key)
         now = boot_time()
         candidates = self.directory.candidates(service, now, unix_time(), tried)
-        chosen = choose_target(candidates, now, self._rng)
+        chosen = choose_target(candidates, now, self._rng, self._kilobytes.get(service, 0.0))
         return self._placement(chosen.target, 0) if chosen is not None else None
 
     def _owner_of(self, service: str, key: int) -> Placement | None:
@@ -294,6 +299,12 @@
         if view is not None:
             view.reported(load, boot_time())
 
+    def carried(self, service: str, size: int) -> None:
+        """A request and its answer of *size* bytes were exchanged with a service."""
+        kilobytes = size / BYTES_PER_KB
+        mean = self._kilobytes.get(service, kilobytes)
+        self._kilobytes[service] = mean + SIZE_WEIGHT * (kilobytes - mean)
+
     def failed_at(self, target: str) -> None:
         """A target failed a request."""
         view = self.directory.view(target)
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -324,6 +324,9 @@
         self._note_arrival()
         if self._try_again_after(head):
             return
+        self._ingress.carried(
+            self._service, self._body_size + len(head.headers) + max(0, head.body_length)
+        )
         headers = self._ingress.answer_headers(head.headers)
         if ended:
             self._over()
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -18,8 +18,8 @@
 
 LEASE_TTL_S = 3.0
 """Seconds after which a silent daemon's entry goes: peers find out sooner by themselves."""
-KEEP_INTERVAL_S = 0.8
-"""Seconds between renewals: two may be lost before the entry goes."""
+KEEP_INTERVAL_S = 0.95
+"""Seconds between renewals: two may be lost before the entry goes; each is priced."""
 STOP_MARGIN_S = 0.5
 """Seconds before the platform's SIGKILL by which the daemon has ended by itself."""
 LOG_LINES_PER_S = 200
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -5,7 +5,7 @@
 known, and reads anew what it may have missed.
 """
 
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -41,9 +41,9 @@
 
 __all__ = ["SessionListener", "StoreSession"]
 
-WATCH_S = 20.0
+WATCH_S = 29.0
 """Seconds that one call waits for changes: each is priced, and the store allows 30."""
-GATHER_S = 0.1
+GATHER_S = 0.25
 """Seconds after a change before the next call, so that changes in a row cost one."""
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 0.8
@@ -222,15 +222,12 @@
         if self._lease and not self._writing:
             self._run(self._write_entries())
 
-    async def _read_key_maps(self) -> None:
-        snapshot = await self._store.scan(KEY_MAPS)
-        self._listener.key_maps_read(self._decoded(snapshot.items, decode_key_map))
-
-    async def _read_holders(self) -> None:
+    def _note_former_targets(self, items: Iterable[KeyValue]) -> None:
         """Find the targets that an earlier life of this daemon granted keys to."""
-        snapshot = await self._store.scan(HOLDERS)
-        ordered = sorted(snapshot.items, key=lambda item: item.revision)
-        holders = self._decoded(ordered, decode_holder)
+        entries = sorted(
+            (item for item in items if item.key.startswith(HOLDERS)), key=lambda i: i.revision
+        )
+        holders = self._decoded(entries, decode_holder)
         self._listener.former_targets(
             [h.target for h in holders if h.instance == self._settings.instance]
         )
@@ -268,13 +265,15 @@
 
     async def _follow_members(self, number: int) -> None:
         async def read() -> int:
-            snapshot = await self._store.scan(MEMBERS)
-            self._listener.members_read(self._decoded(snapshot.items, decode_member))
-            if not any(item.key == self._own_key for item in snapshot.items):
+            # One call for everything: pages are priced by the call, not by the item.
+            snapshot = await self._store.scan("")
+            members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
+            self._listener.members_read(self._decoded(members, decode_member))
+            if not any(item.key == self._own_key for item in members):
                 self._own_entry_gone()
-            if number == 1:
-                await self._read_holders()
-            await self._read_key_maps()
+            maps = [i for i in snapshot.items if i.key.startswith(KEY_MAPS)]
+            self._listener.key_maps_read(self._decoded(maps, decode_key_map))
+            self._note_former_targets(snapshot.items)
             return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
