--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -51,6 +51,40 @@
     When 200 requests take it
     Then "a" gets 140 of them, give or take 1
 
+  # -- after a failed attempt ---------------------------------------------------------------
+
+  Scenario Outline: After a failed attempt: <kind> <service>, <outcome> because of <reason>
+    Given a <kind> request to a <service> service with 1.5 s left
+    When an attempt ends as "<outcome>" because of "<reason>"
+    Then the next step is "<step>"
+
+    Examples:
+      | kind   | service | outcome | reason         | step      |
+      | safe   | pooled  | unknown | server-failed  | repeat    |
+      | unsafe | pooled  | unknown | server-failed  | give up   |
+      | unsafe | pooled  | not-run | target-refused | repeat    |
+      | unsafe | pooled  | not-run | unreachable    | elsewhere |
+      | unsafe | pooled  | not-run | overloaded     | elsewhere |
+      | unsafe | keyed   | not-run | overloaded     | give up   |
+      | safe   | keyed   | not-run | moved          | elsewhere |
+      | safe   | pooled  | not-run | deadline       | give up   |
+
+  Scenario: A request is sent to as many targets as its route allows
+    Given a safe request to a pooled service with 1.5 s left
+    When two attempts that reached targets failed
+    Then the next step is "give up"
+
+  Scenario: A body that was passed on is not sent again
+    Given a safe request to a pooled service with 1.5 s left
+    And its body is being passed on
+    When an attempt ends as "not-run" because of "unreachable"
+    Then the next step is "give up"
+
+  Scenario: Three full targets are enough
+    Given a safe request to a pooled service with 1.5 s left
+    When three targets had no slot for it
+    Then the next step is "give up"
+
   # -- budget --------------------------------------------------------------------------------
 
   Scenario: All daemons together stay within the budget of repeats
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -6,6 +6,7 @@
 import orjson
 from behave import given, then, when
 
+from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
 from pearward_coordination.directory import Directory
 from pearward_coordination.key_load import KeyCount, KeyCounter, KeyLoadTable, KeyRate
 from pearward_coordination.keyplan import (
@@ -29,6 +30,7 @@
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KEY_SPACE, KeyMap
 from pearward_state.members import Member, TargetState
+from pearward_state.outcome import Outcome, Reason
 from pearward_state.routes import WeightedService
 
 NOW = 100.0
@@ -186,6 +188,46 @@
     assert abs(context.chosen.count(service) - count) <= slack, context.chosen.count(service)
 
 
+# -- after a failed attempt -------------------------------------------------------------------
+
+
+@given("a {kind} request to a {service} service with {left:g} s left")
+def planned_request(context: Any, kind: str, service: str, left: float) -> None:
+    times = RequestTimes(NOW, NOW + 0.6, NOW + left)
+    context.plan = AttemptPlan(times, kind == "safe", service == "keyed", 2)
+
+
+@given("its body is being passed on")
+def passed_on(context: Any) -> None:
+    context.plan.sent_on = True
+
+
+@when('an attempt ends as "{outcome}" because of "{reason}"')
+def attempt_ends(context: Any, outcome: str, reason: str) -> None:
+    reached = outcome == "unknown" or reason == "target-refused"
+    if reached:
+        context.plan.arrived()
+    context.step = context.plan.after_failure(Outcome(outcome), Reason(reason), "t1", NOW + 0.01)
+
+
+@when("two attempts that reached targets failed")
+def two_failed(context: Any) -> None:
+    attempt_ends(context, "unknown", "server-failed")
+    assert context.step is NextStep.REPEAT
+    attempt_ends(context, "unknown", "server-failed")
+
+
+@when("three targets had no slot for it")
+def three_full(context: Any) -> None:
+    for _ in range(3):
+        attempt_ends(context, "not-run", "overloaded")
+
+
+@then('the next step is "{step}"')
+def next_step(context: Any, step: str) -> None:
+    assert context.step is NextStep(step), context.step
+
+
 # -- budget ----------------------------------------------------------------------------------
 
 
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -6,6 +6,12 @@
 
 from twisted.python.failure import Failure
 
+from pearward_coordination.attempt_plan import (
+    OWNER_WAIT_S,
+    AttemptPlan,
+    NextStep,
+    RequestTimes,
+)
 from pearward_coordination.retry import AttemptTally
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.streams import SHORT_BODY
@@ -28,26 +34,13 @@
 REPLAYABLE = 65_536
 """A request body up to this length is kept, so that it can be sent again."""
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
-OWNER_WAIT_S = 0.03
-"""Pause before the owner of a key is looked up again."""
-OWNER_WAIT_SHARE = 0.6
-"""Part of the latency objective for which a key without an owner is waited for; a refusal
-after that leaves the caller time for another attempt."""
 CONNECT_WAIT_S = 0.25
 """Seconds for a connection to a daemon in the same region; another one is tried after it."""
-FULL_TRIES = 3
-"""Targets that are asked for a slot before a request is refused as too much."""
 RETRY_AFTER_S = 0.1
 """Seconds after which a caller may come back where nothing better is known."""
 ANSWER_BACK_S = 0.02
 """The owner's daemon stops this long before the caller does: it alone knows whether the
 request was still waiting, and its word must be here in time."""
-LATEST_RETRY_S = 0.05
-"""Time left in s under which no further attempt is made."""
-_ELSEWHERE = frozenset(
-    {Reason.DRAINING, Reason.MOVED, Reason.UNREACHABLE, Reason.NOT_READY, Reason.OVERLOADED}
-)
-"""Refusals that cost no target anything: another one may be asked without a budget."""
 
 
 class RoutedRequest:
@@ -71,7 +64,6 @@
         if intent.deadline_ms is not None:
             limit_ms = min(limit_ms, intent.deadline_ms)
         self._deadline = self._began + limit_ms / MS_PER_S
-        self._objective = self._began + route.objective_ms / MS_PER_S
         self._service = ingress.service_for(route)
         self._keyed = intent.key is not None and ingress.is_keyed(self._service)
         self._forwarded = b""
@@ -82,13 +74,15 @@
         self._attempt: LocalAttempt | RemoteAttempt | None = None
         self._placement: Placement | None = None
         self._tally = AttemptTally()
-        self._arrivals = 0
-        """Attempts of which a target has, or may have, received the request."""
-        self._tried: set[str] = set()
-        self._full = 0
+        objective = self._began + route.objective_ms / MS_PER_S
+        self._plan = AttemptPlan(
+            RequestTimes(self._began, objective, self._deadline),
+            route.kind.repeatable,
+            self._keyed,
+            route.max_attempts,
+        )
         self._retry_after_s = 0.0
         self._last_reason: Reason | None = None
-        self._offered = False
         self._answering = False
         self._done = False
         self._timer: Any = None
@@ -171,7 +165,7 @@
         self._wait = None
         if self._done:
             return
-        placement = self._ingress.place(self._service, self._key, frozenset(self._tried))
+        placement = self._ingress.place(self._service, self._key, frozenset(self._plan.tried))
         if placement is None:
             self._no_target()
             return
@@ -191,13 +185,11 @@
 
     def _no_target(self) -> None:
         """No target may be asked now: wait a little for one, or refuse."""
-        now = boot_time()
-        limit = self._began + (self._objective - self._began) * OWNER_WAIT_SHARE
-        if self._full or now + OWNER_WAIT_S > min(limit, self._deadline):
+        if not self._plan.waits_for_owner(boot_time()):
             reason = self._last_reason or Reason.NO_ROUTE
             self._give_up(Outcome.NOT_RUN, reason, self._retry_after_s or RETRY_AFTER_S)
             return
-        self._tried.clear()
+        self._plan.tried.clear()
         self._last_reason = self._last_reason or Reason.NO_ROUTE
         self._wait = self._ingress.call_later(OWNER_WAIT_S, self._next_attempt)
 
@@ -255,7 +247,7 @@
             body_length=self._body_length if not self._body_ended else self._body_size,
             target=placement.target,
             rank=self._route.rank,
-            objective_ms=max(0, int((self._objective - now) * MS_PER_S)),
+            objective_ms=max(0, int((self._plan.times.objective - now) * MS_PER_S)),
             caller_service=self._ingress.caller_service,
         )
 
@@ -294,7 +286,7 @@
         if self._done or self._attempt is not attempt:
             return
         if not self._body_ended:
-            self._streaming = True
+            self._streaming = self._plan.sent_on = True
             self._body = []
         if rest:
             attempt.send_data(rest, ended=self._body_ended)
@@ -389,10 +381,14 @@
             self._ingress.answered_well(self._placement.target)
             return False
         self._ingress.failed_at(self._placement.target)
-        if not self._route.kind.repeatable or not self._may_repeat():
+        target = self._placement.target
+        if not self._route.kind.repeatable:
             return False
-        self._tried.add(self._placement.target)
-        if not self._keyed and not self._ingress.has_other(self._service, self._tried):
+        if self._plan.repeat(target, boot_time()) is not NextStep.REPEAT:
+            return False
+        if not self._keyed and not self._ingress.has_other(self._service, self._plan.tried):
+            return False
+        if not self._ingress.take_repeat(self._service):
             return False
         self._over()
         self._tally.failed(Outcome.UNKNOWN, Reason.TARGET_FAILED)
@@ -424,49 +420,21 @@
             self._next_attempt()
 
     def _goes_on(self, outcome: Outcome, reason: Reason, target: str) -> bool:
-        """Decide whether the request is sent again."""
-        now = boot_time()
-        if self._streaming or self._deadline - now < LATEST_RETRY_S:
-            return False
-        if outcome is Outcome.NOT_RUN and reason in _ELSEWHERE:
-            return self._asks_elsewhere(reason, target, now)
+        """Decide whether the request is sent again, and take from the budget if it is."""
         if outcome is not Outcome.NOT_RUN:
             self._ingress.failed_at(target)
-            if not self._route.kind.repeatable:
-                return False
-        elif reason is not Reason.TARGET_REFUSED:
-            return False
-        self._note_arrival()
-        self._tried.add(target)
-        return self._may_repeat()
-
-    def _asks_elsewhere(self, reason: Reason, target: str, now: float) -> bool:
-        if reason is Reason.OVERLOADED:
-            self._offered = True
-            self._full += 1
-            if self._keyed or self._full >= FULL_TRIES:
-                return False
-        if self._keyed:
-            limit = self._began + (self._objective - self._began) * OWNER_WAIT_SHARE
-            return now + OWNER_WAIT_S < min(limit, self._deadline)
-        self._tried.add(target)
-        return True
+        if outcome is not Outcome.NOT_RUN or reason is Reason.TARGET_REFUSED:
+            self._note_arrival()
+        step = self._plan.after_failure(outcome, reason, target, boot_time())
+        if step is NextStep.REPEAT:
+            return self._ingress.take_repeat(self._service)
+        return step is NextStep.ELSEWHERE
 
     def _note_arrival(self) -> None:
         """A target has received the request; the first time it counts for the budget."""
-        self._arrivals += 1
-        if self._arrivals == 1:
+        if self._plan.arrived():
             self._ingress.arrived(self._service)
 
-    def _may_repeat(self) -> bool:
-        """Whether one more target may receive the request; takes from the budget."""
-        left_s = self._deadline - boot_time()
-        if self._streaming or left_s < LATEST_RETRY_S:
-            return False
-        if self._arrivals >= self._route.max_attempts:
-            return False
-        return self._ingress.take_repeat(self._service)
-
     def _deadline_passed(self) -> None:
         """The caller, or the route, allows no more time."""
         self._timer = None
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -20,6 +20,7 @@
 from pearward_transport.http_client import ServerClient
 
 from ..exchange import ReplySink
+from .beat_answers import BeatAnswers
 from .dialect import AnswerFacts, BeatAnswer, Dialect, TargetBeat, TargetLeave
 from .log import DecisionLog
 from .settings import MeshSettings
@@ -27,9 +28,6 @@
 
 __all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
 
-HOLD_BACK_S = 0.75
-"""Seconds for which a heartbeat's answer waits for a change of the target's keys: targets
-take an answer within a second, and a change that finds a waiting answer takes effect at once."""
 LATE_S = 4.0
 """Seconds without a heartbeat after which a target counts as leaving: they may be late by
 seconds, and a target that is gone is found out sooner by its connections."""
@@ -65,15 +63,6 @@
         """Predecessors have to be asked for keys."""
 
 
-@dataclass(slots=True)
-class _WaitingAnswer:
-    """A heartbeat whose answer is held back."""
-
-    received: float
-    answer: "Deferred[BeatAnswer]"
-    timer: Any
-
-
 class TargetSide:
     """Everything that concerns the target beside this daemon."""
 
@@ -96,7 +85,7 @@
         self._requests: dict[SlotTicket, TargetRequest] = {}
         self._open: set[TargetRequest] = set()
         self._parked: dict[TargetRequest, None] = {}
-        self._waiting: _WaitingAnswer | None = None
+        self._answers = BeatAnswers(reactor, self._keeper, log, self._admit_parked)
         self._sequences: dict[str, int] = {}
         self._info: TargetInfo | None = None
         self._keyed = False
@@ -172,7 +161,11 @@
         self._note_state(beat, now)
         if beat.released and self._listener is not None:
             self._listener.keys_changed()
-        return self._answer_beat(now, at_once=bool(beat.released))
+        answer = self._answers.hold(
+            now, at_once=bool(beat.released) or self._leaving_since is not None
+        )
+        self.reconsider()
+        return answer
 
     def leave(self, leave: TargetLeave) -> None:
         """The target says that it ends soon, without heartbeats from now on."""
@@ -230,25 +223,12 @@
         self._publish_state()
         self.reconsider()
 
-    # -- the answer of a heartbeat ---------------------------------------------------
-
-    def _answer_beat(self, received: float, *, at_once: bool) -> "Deferred[BeatAnswer]":
-        self._answer_waiting()
-        answer: Deferred[BeatAnswer] = Deferred()
-        timer = self._reactor.callLater(HOLD_BACK_S, self._answer_waiting)
-        self._waiting = _WaitingAnswer(received, answer, timer)
-        if at_once or not self._keyed or self._leaving_since is not None:
-            self._answer_waiting()
-        else:
-            self.reconsider()
-        return answer
-
     def reconsider(self) -> None:
         """Answer a waiting heartbeat now if the target's keys are to change."""
         now = boot_time()
         keeper = self._keeper
         if keeper.must_let_go(now) or keeper.ready_to_begin(now) or self._stopping:
-            self._answer_waiting()
+            self._answers.give()
         self._note_pending(now)
         self._admit_parked()
 
@@ -267,32 +247,12 @@
             )  # fmt: skip
             self._pending_since = None
 
-    def _answer_waiting(self) -> None:
-        waiting, self._waiting = self._waiting, None
-        if waiting is None:
-            return
-        if waiting.timer.active():
-            waiting.timer.cancel()
-        now = boot_time()
-        granted = self._keeper.grant(waiting.received, now) if self._keyed else None
-        if granted is None:
-            if self._keyed:
-                self._log.decided(
-                    "hold_not_renewed", target=self._keeper.target, map=self.map_version,
-                    lease_left_s=round(self._keeper.lease_ends - now, 3),
-                )  # fmt: skip
-            waiting.answer.callback(BeatAnswer())
-            return
-        rows, hold_s = granted
-        waiting.answer.callback(BeatAnswer(tuple(rows), hold_s))
-        # The target takes the rows a moment later than they are written.
-        self._reactor.callLater(0.01, self._admit_parked)
-
     # -- keys ------------------------------------------------------------------------
 
     def set_keyed(self, keyed: bool) -> None:
         """Take from the configuration whether the target's service is divided by key."""
         self._keyed = keyed
+        self._answers.set_keyed(keyed)
 
     def adopt(self, key_map: KeyMap) -> None:
         """Act on a newer key map."""
--- /dev/null
+++ b/tests/fuzz/mesh_store.py
@@ -0,0 +1,199 @@
+"""The store of the simulated platform, and one daemon's way to it, with faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_transport.errors import CasConflict, PlatformUnavailable
+from pearward_transport.store import (
+    Changes,
+    Expectation,
+    HistoryGone,
+    LeaseGone,
+    Put,
+    Snapshot,
+)
+
+if TYPE_CHECKING:
+    from twisted.internet.task import Clock
+
+    from .mesh_world import Node, World
+
+__all__ = ["FakeStore", "StoreClient"]
+
+CALL_S = 0.004
+TIMEOUT_S = 1.5
+
+
+class FakeStore:
+    """The store itself: revisions, leases, transactions."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.items: dict[str, KeyValue] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 1
+        self.history: list[WatchEvent] = []
+        self.forgotten = 0
+        self._next_lease = 100
+        self.calls = 0
+
+    def expire(self) -> None:
+        """Let leases run out."""
+        for lease, (_, until) in list(self.leases.items()):
+            if until <= self._world.now:
+                self.end(lease)
+
+    def end(self, lease: int) -> None:
+        """End a lease; its keys go."""
+        self.leases.pop(lease, None)
+        for key, item in list(self.items.items()):
+            if item.lease == lease:
+                self.remove(key)
+
+    def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append(WatchEvent(key, None, self.revision))
+
+    def put(self, put: Put) -> None:
+        """Write a key."""
+        item = KeyValue(put.key, put.value, self.revision, put.lease)
+        self.items[put.key] = item
+        self.history.append(WatchEvent(put.key, put.value, self.revision))
+
+    def commit(self, expected: list[Expectation], puts: list[Put]) -> int:
+        """Do a transaction; raises CasConflict or LeaseGone."""
+        for e in expected:
+            found = self.items.get(e.key)
+            if (found.revision if found is not None else 0) != e.revision:
+                raise CasConflict(e.key)
+        for p in puts:
+            if p.lease and p.lease not in self.leases:
+                raise LeaseGone(str(p.lease))
+        self.revision += 1
+        for p in puts:
+            self.put(p)
+        return self.revision
+
+    def grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        self._next_lease += 1
+        self.leases[self._next_lease] = (ttl_s, self._world.now + ttl_s)
+        return self._next_lease
+
+    def keep(self, lease: int) -> bool:
+        """Renew a lease."""
+        if lease not in self.leases:
+            return False
+        ttl_s, _ = self.leases[lease]
+        self.leases[lease] = (ttl_s, self._world.now + ttl_s)
+        return True
+
+
+class StoreClient:
+    """One daemon's way to the store; implements the product's port."""
+
+    def __init__(self, world: World, node: Node, clock: Clock) -> None:
+        self._world = world
+        self._node = node
+        self._clock = clock
+
+    def _call(self, work: Callable[[], Any], *, writes: bool = False) -> Deferred[Any]:
+        """Run *work* at the store after a while, unless the call or its answer gets lost."""
+        world, node = self._world, self._node
+        answer: Deferred[Any] = Deferred()
+        world.store.calls += 1
+        if world.store_down or node.cut_from_store:
+            self._clock.callLater(TIMEOUT_S, answer.errback, PlatformUnavailable("cut"))
+            return answer
+        late_s = world.next_write_late() if writes else 0.0
+        if late_s:
+            world.at(world.now + late_s, lambda: _quietly(work))
+            self._clock.callLater(TIMEOUT_S, answer.errback, PlatformUnavailable("lost"))
+            return answer
+
+        def at_store() -> None:
+            world.store.expire()
+            try:
+                result = work()
+            except Exception as error:
+                self._clock.callLater(CALL_S / 2, answer.errback, error)
+                return
+            if node.cut_from_store:
+                self._clock.callLater(TIMEOUT_S, answer.errback, PlatformUnavailable("lost"))
+            else:
+                self._clock.callLater(CALL_S / 2, answer.callback, result)
+
+        world.at(world.now + CALL_S / 2, at_store)
+        return answer
+
+    async def get(self, key: str) -> KeyValue | None:
+        return await self._call(lambda: self._world.store.items.get(key))
+
+    async def scan(self, prefix: str) -> Snapshot:
+        store = self._world.store
+        return await self._call(
+            lambda: Snapshot(
+                tuple(i for k, i in sorted(store.items.items()) if k.startswith(prefix)),
+                store.revision,
+            )
+        )
+
+    async def commit(self, expected: list[Expectation], puts: list[Put]) -> int:
+        return await self._call(lambda: self._world.store.commit(expected, puts), writes=True)
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        return await self._call(lambda: self._world.store.grant(ttl_s))
+
+    async def keep_alive(self, lease: int) -> bool:
+        return await self._call(lambda: self._world.store.keep(lease))
+
+    async def revoke(self, lease: int) -> None:
+        return await self._call(lambda: self._world.store.end(lease))
+
+    async def configuration(self) -> Snapshot:
+        # Written long ago: its own revision lies before any history that was forgotten.
+        item = KeyValue("config", b"", 1)
+        return await self._call(lambda: Snapshot((item,), self._world.store.revision))
+
+    async def configuration_changes(self, after: int, wait_s: float) -> Changes:
+        return await self._watch("config", after, wait_s)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        return await self._watch(prefix, after, wait_s)
+
+    async def _watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        store = self._world.store
+        until = self._world.now + wait_s
+        while True:
+
+            def look() -> Changes:
+                if after < store.forgotten:
+                    raise HistoryGone(str(after))
+                events = [
+                    e for e in store.history if e.revision > after and e.key.startswith(prefix)
+                ]
+                return Changes(tuple(events), store.revision)
+
+            changes = await self._call(look)
+            if changes.events or self._world.now >= until:
+                return changes
+            pause: Deferred[None] = Deferred()
+            self._clock.callLater(0.1, pause.callback, None)
+            await pause
+            # Looking again is the store's own work here, not another call.
+            store.calls -= 1
+
+
+def _quietly(work: Callable[[], Any]) -> None:
+    """Do a write whose answer nobody waits for; its condition may fail by then."""
+    try:
+        work()
+    except (CasConflict, LeaseGone):
+        return
