A late heartbeat of a former target does not pass for a new one

Cause: read in the code, not seen in a run: a daemon that has just started knows no former target, so a heartbeat that had been on its way since before would have ended the living one.

Change: another incarnation that has counted more than 6 calls is ignored while the present one beat within 2 s.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -71,6 +71,13 @@
     Then every key is served after 2 s
     And no key ever had two holders
 
+  Scenario: A late heartbeat of a former target does not pass for a new one
+    Given a fleet of 4 targets that serves
+    When a heartbeat comes to daemon 1 from a target that has counted 50 calls
+    Then daemon 1 goes on with the target that it had
+    When a heartbeat comes to daemon 1 from a target that has counted 1 calls
+    Then daemon 1 goes on with the new target
+
   Scenario: Keys that are asked for more than all others move to targets with room
     Given a fleet of 4 targets that serves
     When neighbouring keys of target 0 are asked for 120 times a second for 3 s
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -15,6 +15,7 @@
 from pearward_coordination.grants import GrantTiming
 from pearward_coordination.messages import ReleaseReply, RenewReply
 from pearward_daemon.mesh import target_lease
+from pearward_daemon.mesh.dialect import TargetBeat
 from pearward_state.members import TargetState
 from tests.fuzz.mesh_world import KEYS, TICK_S, Node, World, virtual_time
 
@@ -180,6 +181,26 @@
         _run(context, 0.1)
 
 
+@when("a heartbeat comes to daemon {number:d} from a target that has counted {calls:d} calls")
+def foreign_beat(context: Any, number: int, calls: int) -> None:
+    context.other = f"i-other-{calls}"
+    beat = TargetBeat(
+        context.other, "roster-app", "127.0.0.1:1", "a", 12, TargetState.READY, 0.0, calls, (), ()
+    )
+    context.world.nodes[number].daemon.core.side.beat(beat)
+
+
+@then("daemon {number:d} goes on with the target that it had")
+def same_target(context: Any, number: int) -> None:
+    node = context.world.nodes[number]
+    assert node.daemon.core.side.keeper.target == node.target.id
+
+
+@then("daemon {number:d} goes on with the new target")
+def new_target(context: Any, number: int) -> None:
+    assert context.world.nodes[number].daemon.core.side.keeper.target == context.other
+
+
 @then("some of them are held by another target")
 def moved(context: Any) -> None:
     world = context.world
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -31,6 +31,10 @@
 LATE_S = 4.0
 """Seconds without a heartbeat after which a target counts as leaving: they may be late by
 seconds, and a target that is gone is found out sooner by its connections."""
+FIRST_CALLS = 6
+"""Calls of a new incarnation that may have met a daemon that was not there yet."""
+PRESENT_S = 2.0
+"""Seconds after a heartbeat in which its sender counts as present: two intervals."""
 END_CHECK_S = 0.25
 """Seconds between looks for the end of a target that leaves, or whose port was closed."""
 DRAIN_SHARE = 0.6
@@ -149,8 +153,11 @@
         if beat.sequence <= self._sequences.get(beat.target, -1):
             return succeed(BeatAnswer())
         self._sequences[beat.target] = beat.sequence
-        if self._keeper.has_ended(beat.target):
-            self._log.decided("late_heartbeat_ignored", target=beat.target)
+        if self._keeper.has_ended(beat.target) or self._from_the_past(beat, now):
+            self._log.decided(
+                "late_heartbeat_ignored", target=beat.target, sequence=beat.sequence,
+                present=self._keeper.target, heard_s=round(now - self._last_beat, 3),
+            )  # fmt: skip
             return succeed(BeatAnswer())
         self._last_beat = now
         self._silent = False
@@ -167,6 +174,17 @@
         self.reconsider()
         return answer
 
+    def _from_the_past(self, beat: TargetBeat, now: float) -> bool:
+        """Whether a heartbeat of another incarnation is a late one of a former target.
+
+        A new incarnation begins to count its calls anew; one that has counted far, while
+        the present one still beats, has been on its way since before that began.
+        """
+        present = self._keeper.target
+        if not present or beat.target == present:
+            return False
+        return beat.sequence > FIRST_CALLS and now - self._last_beat < PRESENT_S
+
     def leave(self, leave: TargetLeave) -> None:
         """The target says that it ends soon, without heartbeats from now on."""
         if self._info is None or leave.target != self._info.target:
