Refusals within a quarter of the objective, to come back after a quarter of a second or more

Change: a request waits 0.24 of its objective for a slot; who is refused comes back after 0.25 s or the expected wait.

--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -25,7 +25,9 @@
 ages tell first; below this factor they tell chance."""
 SLOW_SHARE = 0.6
 """Part of the slots that must be taken for the ages to tell anything."""
-MIN_RETRY_AFTER_S = 0.05
+MIN_RETRY_AFTER_S = 0.25
+"""Seconds after which a queue that was full is worth asking again: hot keys have moved by
+then, and bursts of a few requests are over. Callers wait up to a third of their time."""
 MAX_RETRY_AFTER_S = 2.0
 
 
@@ -36,9 +38,9 @@
     slots: int
     queue: int = 96
     """Requests that may wait; by default eight for each slot of a usual target."""
-    patience: float = 0.4
-    """Part of the latency objective that a request may wait; one that is refused sooner
-    still finds time to be served on its next attempt."""
+    patience: float = 0.24
+    """Part of the latency objective that a request may wait. Refused within a quarter, it
+    counts as a new one when it comes back; later refusals are worth nothing and are priced."""
 
 
 @dataclass(slots=True, eq=False)
@@ -187,7 +189,7 @@
 
     def retry_after(self, wait_s: float) -> float:
         """Return when a slot is likely to be free for a request that is refused now."""
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s * 0.5))
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
     def _start(self, ticket: SlotTicket, now: float) -> None:
         ticket.started = now
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -152,7 +152,7 @@
         """The queue moves slower than was expected: let the caller try again in time."""
         self._wait_timer = None
         if not self._done and self._ticket is not None and self._ticket.waiting:
-            self._refuse(Reason.OVERLOADED, retry_after_s=MOVED_RETRY_S)
+            self._refuse(Reason.OVERLOADED, retry_after_s=self._side.retry_after_s())
 
     def start(self) -> None:
         """A slot is free: get a connection, if the target may still run the request."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -372,6 +372,10 @@
         """Return the seconds that a request may wait for a slot."""
         return self._queue.patience_s(ticket)
 
+    def retry_after_s(self) -> float:
+        """Return the seconds after which a slot is likely to be free."""
+        return self._queue.retry_after(0.0)
+
     def finished(self, ticket: SlotTicket, *, measured: bool) -> None:
         """A request gives its slot back, or its place in the queue."""
         now = boot_time()
