Pending keys cost little: what is owned is found once a map, releases are remembered once

Each answer of a witness went through all ranges several times, asked for each pending range again every 0.12 s, and was remembered anew each time.

Change: owned ranges are found once for each map, overlaps by bisection; a release is remembered once and only a confirming one leads to another look; a question goes out again after 0.5 s; tokens and answers kept are bounded. The caller's last word goes out 10 ms early.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -149,6 +149,11 @@
     When only the second one has been heard
     Then there is no next map
 
+  Scenario: A release that is told over and over is remembered once
+    Given owners with capacities 100, 50 and 50
+    When the daemon of the first one hears 1000 times that a predecessor let its keys go
+    Then it remembers one row
+
   Scenario: Witnesses are spread over failure domains and never the own instance
     Given 9 instances in 3 failure domains
     Then each target gets 5 witnesses of all 3 domains, none on its own instance
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -8,6 +8,7 @@
 
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
 from pearward_coordination.directory import Directory
+from pearward_coordination.grants import GrantKeeper, GrantTiming, ReleasedRow
 from pearward_coordination.key_load import KeyCount, KeyCounter, KeyLoadTable, KeyRate
 from pearward_coordination.keyplan import (
     KeyOwner,
@@ -28,7 +29,7 @@
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_protocol.entries import decode_key_map, encode_key_map
 from pearward_state.errors import InvalidRecord
-from pearward_state.keymap import KEY_SPACE, KeyMap
+from pearward_state.keymap import KEY_SPACE, KeyMap, Predecessor
 from pearward_state.members import Member, TargetState
 from pearward_state.outcome import Outcome, Reason
 from pearward_state.routes import WeightedService
@@ -431,6 +432,19 @@
     assert all(isinstance(row, KeyCount) and row.first <= row.last for row in context.counts)
 
 
+@when("the daemon of the first one hears 1000 times that a predecessor let its keys go")
+def told_often(context: Any) -> None:
+    context.keeper = GrantKeeper("service", NOW, GrantTiming())
+    for _ in range(1000):
+        context.keeper.released(Predecessor("gone", 1), ReleasedRow(0, 99, ""))
+
+
+@then("it remembers one row")
+def remembers_one(context: Any) -> None:
+    (rows,) = context.keeper._released_by.values()
+    assert rows == [ReleasedRow(0, 99, "")]
+
+
 # -- witnesses -------------------------------------------------------------------------------
 
 
--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -40,6 +40,8 @@
 """Factor by which a target's clock may run slow. Source: the interface of the targets."""
 SHORTEST_HOLD_S = 0.3
 """A hold that would be shorter is not granted."""
+TOKENS_KEPT = 256
+"""Hand-over tokens that are kept for those who ask for them, the newest."""
 BEAT_TRANSIT_S = 0.1
 """A hold is taken to have begun this long before its heartbeat was received."""
 GRANT_TRANSIT_S = 0.008
@@ -111,6 +113,8 @@
         self._started = started
         self._target = ""
         self._map: KeyMap | None = None
+        self._owned: tuple[KeyRange, ...] = ()
+        """Ranges that the map gives to the target."""
         self._lease_ends = NEVER
         self._given: list[_Given] = []
         self._released_by: dict[Predecessor, list[ReleasedRow]] = {}
@@ -154,6 +158,7 @@
         self._begun.clear()
         self._tokens.clear()
         self._heard = False
+        self._find_owned()
 
     def target_ended(self) -> None:
         """The target's process is known to be gone."""
@@ -173,13 +178,15 @@
         if self._map is not None and key_map.version <= self._map.version:
             return False
         self._map = key_map
-        self._begun = {
-            HeldRow(r.first, r.last, r.fence)
-            for r in key_map.owned_by(self._target)
-            if self._has_begun(r)
-        }
+        self._find_owned()
+        self._begun = {HeldRow(r.first, r.last, r.fence) for r in self._owned if self._has_begun(r)}
+        predecessors = {p for r in self._owned for p in r.predecessors}
+        self._released_by = {p: rows for p, rows in self._released_by.items() if p in predecessors}
         return True
 
+    def _find_owned(self) -> None:
+        self._owned = self._map.owned_by(self._target) if self._map is not None else ()
+
     def lease_until(self, until: float) -> None:
         """The daemon's own lease, as its witnesses renewed it, runs until *until*."""
         self._lease_ends = until
@@ -190,6 +197,7 @@
         """Take what the target says it holds and has let go."""
         for row in released:
             self._tokens.append(row)
+            del self._tokens[:-TOKENS_KEPT]
             self._cut(row.first, row.last)
         if not self._heard:
             # Granted by an earlier life of this daemon, whose grants ended before it did.
@@ -203,10 +211,14 @@
 
     def released(self, predecessor: Predecessor, row: ReleasedRow) -> None:
         """A predecessor's daemon confirmed that the target there let keys go."""
-        self._released_by.setdefault(predecessor, []).append(row)
+        rows = self._released_by.setdefault(predecessor, [])
+        if row.token or not covered(row.first, row.last, ((r.first, r.last) for r in rows)):
+            rows.append(row)
 
     def _has_begun(self, owned: KeyRange) -> bool:
         """Whether the target was granted all keys of a range under its present fence."""
+        if HeldRow(owned.first, owned.last, owned.fence) in self._begun:
+            return True
         spans = ((b.first, b.last) for b in self._begun if b.fence == owned.fence)
         return covered(owned.first, owned.last, spans)
 
@@ -242,7 +254,7 @@
         until = received + hold * CLOCK_SLACK
         sure_until = received - BEAT_TRANSIT_S + hold
         rows: list[GrantedRow] = []
-        for owned in self._map.owned_by(self._target):
+        for owned in self._owned:
             if not self._ready(owned, now):
                 continue
             begun = self._has_begun(owned)
@@ -319,7 +331,7 @@
         """Return the ranges that the map gives to the target and a predecessor still has."""
         if self._map is None or not self._target:
             return []
-        return [r for r in self._map.owned_by(self._target) if not self._ready(r, now)]
+        return [r for r in self._owned if not self._ready(r, now)]
 
     def ready_to_begin(self, now: float) -> bool:
         """Return whether a range could be granted now that the target does not hold yet."""
@@ -336,12 +348,8 @@
         for given in self._given:
             if given.until <= now:
                 continue
-            for r in self._map.ranges:
-                if r.first > given.last:
-                    break
-                if given.overlaps(r.first, r.last) and (
-                    r.owner != self._target or r.fence != given.fence
-                ):
+            for r in self._map.overlapping(given.first, given.last):
+                if r.owner != self._target or r.fence != given.fence:
                     return True
         return False
 
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -43,9 +43,10 @@
 
 __all__ = ["MeshCore", "SendControl"]
 
-ASK_INTERVAL_S = 0.12
-"""Seconds between two questions to the same daemon whether keys were let go."""
-ANSWERS_KEPT = 64
+ASK_INTERVAL_S = 0.5
+"""Seconds between two questions to the same daemon about the same keys: it answers by itself
+once they are let go, so a question is sent again only in case it was lost."""
+ANSWERS_KEPT = 1024
 """Questions of others that wait for keys to be let go, at most."""
 
 
@@ -271,7 +272,7 @@
                     pending.first, pending.last, key_map.version,
                 )  # fmt: skip
                 self._ask(question, now)
-        self._asked = {k: at for k, at in self._asked.items() if now - at < 10 * ASK_INTERVAL_S}
+        self._asked = {k: at for k, at in self._asked.items() if now - at < 4 * ASK_INTERVAL_S}
 
     def _ask(self, question: AskKeys, now: float) -> None:
         member = self._directory.member_of(question.target)
@@ -372,8 +373,8 @@
                     self.want_map(message.cell, sender.address)
                 self._send(sender.address, self._witnesses.release(message))
             case ReleaseReply():
-                self._lease.released(sender, message)
-                self._side.reconsider()
+                if self._lease.released(sender, message):
+                    self._side.reconsider()
             case AskKeys():
                 self._asked_for_keys(message, sender)
             case KeysLetGo():
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -38,7 +38,9 @@
 """Seconds for a connection to a daemon in the same region; another one is tried after it."""
 RETRY_AFTER_S = 0.1
 """Seconds after which a caller may come back where nothing better is known."""
-ANSWER_BACK_S = 0.02
+ANSWER_OUT_S = 0.01
+"""The last word goes out this long before the caller stops listening: it is 3 ms away."""
+ANSWER_BACK_S = 0.03
 """The owner's daemon stops this long before the caller does: it alone knows whether the
 request was still waiting, and its word must be here in time."""
 
@@ -110,7 +112,7 @@
     def begin(self) -> None:
         """Start, once a short body is whole."""
         self._forwarded = self._ingress.forwarded(self._request, self._intent.request_id)
-        left_s = max(0.0, self._deadline - boot_time())
+        left_s = max(0.0, self._deadline - boot_time() - ANSWER_OUT_S)
         self._timer = self._ingress.call_later(left_s, self._deadline_passed)
         if self._body_ended or self._body_length > REPLAYABLE:
             self._next_attempt()
--- a/packages/daemon/src/pearward_daemon/mesh/target_lease.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_lease.py
@@ -191,29 +191,32 @@
             elif (member := self._directory.instance(name)) is not None:
                 self._send(member.peer_address, ask)
 
-    def released(self, sender: PeerId, reply: ReleaseReply) -> None:
-        """Take a witness's answer."""
+    def released(self, sender: PeerId, reply: ReleaseReply) -> bool:
+        """Take a witness's answer; return whether keys can be granted by it."""
         key_map = self._maps.of(self._service)
         if key_map is None or not reply.released:
-            return
+            return False
         names = {name for names in key_map.witnesses_of(reply.owner) for name in names}
+        confirmed = False
         for name in names:
             member = self._directory.instance(name)
             if member is not None and member.peer_address == sender.address:
-                self._take(name, reply, key_map)
+                confirmed = self._take(name, reply, key_map) or confirmed
+        return confirmed
 
-    def _take(self, name: str, reply: ReleaseReply, key_map: KeyMap) -> None:
+    def _take(self, name: str, reply: ReleaseReply, key_map: KeyMap) -> bool:
         """Count a release; a majority of each of the target's sets is enough."""
         if not reply.released or reply.version != key_map.version:
-            return
+            return False
         self._released = {k: v for k, v in self._released.items() if k[1] == key_map.version}
         released = self._released.setdefault((reply.owner, reply.version), set())
         released.add(name)
         sets = key_map.witnesses_of(reply.owner)
         if all(len(released.intersection(s)) >= majority(len(s)) for s in sets):
-            self._confirm(key_map, reply.owner)
+            return self._confirm(key_map, reply.owner)
+        return False
 
-    def _confirm(self, key_map: KeyMap, target: str) -> None:
+    def _confirm(self, key_map: KeyMap, target: str) -> bool:
         """The former owner's lease is over: none of the pending keys can be held there."""
         confirmed = 0
         for pending in self._keeper.pending(boot_time()):
@@ -226,3 +229,4 @@
             self._log.decided(
                 "released_by_witnesses", former=target, map=key_map.version, ranges=confirmed
             )
+        return confirmed > 0
--- a/packages/state/src/pearward_state/keymap.py
+++ b/packages/state/src/pearward_state/keymap.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 __all__ = ["KEY_SPACE", "KeyMap", "KeyRange", "Predecessor", "TargetWitnesses", "covered"]
@@ -87,6 +87,13 @@
             return None
         return self.ranges[bisect_right(self._starts, key) - 1]
 
+    def overlapping(self, first: int, last: int) -> Iterator[KeyRange]:
+        """Yield the ranges that hold any of the keys from *first* to *last*."""
+        at = max(0, bisect_right(self._starts, first) - 1)
+        while at < len(self.ranges) and self.ranges[at].first <= last:
+            yield self.ranges[at]
+            at += 1
+
     def owned_by(self, target: str) -> tuple[KeyRange, ...]:
         """Return the ranges of one target."""
         return tuple(r for r in self.ranges if r.owner == target)
