An owner that joins gets its share of keys, however small the load

Change: an owner without a key gets its part of the keys, or of the load, from the one with the most keys. The test cluster waits until every keyed target holds keys.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -120,6 +120,16 @@
     Then the next map brings every owner to within 15 of the mean
     And every key that moved names its former owner and a higher fence
 
+  Scenario: An owner that joins gets its share, though hardly anything is asked for
+    Given owners with capacities 100, 100 and 100
+    When a fourth owner joins while nothing is asked for
+    Then the next map gives it between 10000 and 16384 keys
+
+  Scenario: An owner that joins under load gets part of the load
+    Given owners with capacities 100, 100 and 100
+    When 60 requests a second go to each and a fourth owner joins
+    Then the next map gives it between 15 and 46 requests a second
+
   Scenario: Small differences move nothing
     Given owners with capacities 100, 100 and 100
     When 42 requests a second go to the first and 36 to each other one
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -342,6 +342,33 @@
     _with_loads(context, [one, other, other], 200)
 
 
+@when("a fourth owner joins while nothing is asked for")
+def joins_idle(context: Any) -> None:
+    context.owners.append(KeyOwner("t3", 100.0))
+
+
+@when("{rate:g} requests a second go to each and a fourth owner joins")
+def joins_busy(context: Any, rate: float) -> None:
+    _with_loads(context, [rate, rate, rate], 300)
+    context.owners.append(KeyOwner("t3", 100.0))
+
+
+@then("the next map gives it between {low:d} and {high:d} keys")
+def newcomer_keys(context: Any, low: int, high: int) -> None:
+    planned = _planned(context)
+    assert planned is not None
+    assert low <= sum(r.size for r in planned.owned_by("t3")) <= high
+    assert decode_key_map(encode_key_map(planned)) == planned
+
+
+@then("the next map gives it between {low:d} and {high:d} requests a second")
+def newcomer_rate(context: Any, low: int, high: int) -> None:
+    planned = _planned(context)
+    assert planned is not None
+    rate = sum(r.rate for r in context.load.rates if planned.range_of(r.key).owner == "t3")
+    assert low <= rate <= high, rate
+
+
 @when("the first one has ended")
 def first_ended(context: Any) -> None:
     context.ended = frozenset({"t0"})
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -128,6 +128,7 @@
             rates[piece.owner] += piece.rate
     moved = _place_orphans(pieces, by_target, rates, fixed)
     moved = _level(pieces, by_target, rates, load.seen_s, limits) or moved
+    moved = _give_newcomers(pieces, by_target, rates) or moved
     if not moved:
         return None
     return _with_pieces(key_map, pieces, by_target, ended)
@@ -248,6 +249,57 @@
     return moved > 0
 
 
+def _give_newcomers(
+    pieces: list[_Piece], by_target: Mapping[str, KeyOwner], rates: dict[str, float]
+) -> bool:
+    """Give a share of the keys to each owner that has none, however small the load is."""
+    owning = {piece.owner for piece in pieces}
+    newcomers = [target for target in by_target if target not in owning]
+    for target in newcomers:
+        _give_share(pieces, by_target, rates, target)
+    return bool(newcomers)
+
+
+def _give_share(
+    pieces: list[_Piece],
+    by_target: Mapping[str, KeyOwner],
+    rates: dict[str, float],
+    target: str,
+) -> None:
+    """Move about its part of keys, or of the load, from the owner with the most keys."""
+    keys = dict.fromkeys(by_target, 0)
+    for piece in pieces:
+        if piece.owner in keys:
+            keys[piece.owner] += piece.last - piece.first + 1
+    donor = max(keys, key=lambda t: keys[t])
+    wanted_keys = min(KEY_SPACE // len(by_target), keys[donor] // 2)
+    wanted_rate = min(sum(rates.values()) / len(by_target), rates[donor] / 2)
+    got_keys, got_rate = 0, 0.0
+    for piece in [p for p in pieces if p.owner == donor]:
+        size = piece.last - piece.first + 1
+        if got_keys + size > wanted_keys and piece.rate == 0.0:
+            size = wanted_keys - got_keys
+            _split(pieces, piece, size)
+        if size <= 0 or got_rate + piece.rate > wanted_rate + 1e-9:
+            break
+        piece.owner = target
+        got_keys += size
+        got_rate += piece.rate
+        rates[donor] -= piece.rate
+        rates[target] += piece.rate
+        if got_keys >= wanted_keys:
+            break
+
+
+def _split(pieces: list[_Piece], piece: _Piece, size: int) -> None:
+    """Cut a piece without load after *size* keys; the rest becomes a piece of its own."""
+    if not 0 < size < piece.last - piece.first + 1:
+        return
+    rest = _Piece(piece.range, piece.first + size, piece.last, 0.0, piece.owner)
+    piece.last = piece.first + size - 1
+    pieces.insert(pieces.index(piece) + 1, rest)
+
+
 def _best_fit(own: list[_Piece], amount: float) -> _Piece | None:
     """Return the heaviest piece that does not turn the imbalance round."""
     for piece in own:
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -87,6 +87,8 @@
             self.start_daemon(node)
             self.start_target(node)
         self.wait_served()
+        keyed = [node for node in self.nodes if node.keyed]
+        wait_until(lambda: all(self.state(n)["rows"] for n in keyed), "all targets to hold keys")
 
     def stop(self) -> None:
         """End every process."""
