--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -367,7 +367,9 @@
     cluster = _cluster(context)
     node = context.stopped = _nodes(context, KEYED)[0]
     asking = _nodes(context, POOLED)[0]
-    key = str(_held(context, node)[0][0])
+    # After the scenario before, its daemon has only just come back and its target may be empty.
+    rows = wait_until(lambda: _held(context, node), "the target to hold keys", 10)
+    key = str(rows[0][0])
     context.answers_of = {}
     cluster.store_call("/standin/faults", json.dumps({"mode": "silent"}))
     ending = threading.Event()
