Read over: owned ranges from the cache, answer headers read once, dead code out

Change: the cache, the parsed facts and dataclasses.replace are used; the dead parts are gone. Behaviour is the same and no test was touched.

Conclusion: no change for users.

--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -337,9 +337,7 @@
         """Return whether a range could be granted now that the target does not hold yet."""
         if self._map is None or not self._target or self._lease_ends <= now:
             return False
-        return any(
-            not self._has_begun(r) and self._ready(r, now) for r in self._map.owned_by(self._target)
-        )
+        return any(not self._has_begun(r) and self._ready(r, now) for r in self._owned)
 
     def must_let_go(self, now: float) -> bool:
         """Return whether the target may hold keys that the map no longer gives to it."""
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -53,7 +53,6 @@
     objective: float
     """Time in s by which the answer is worth most."""
     arrived: float
-    key: int = -1
     started: float = 0.0
     waiting: bool = False
     gone: bool = False
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -127,11 +127,6 @@
 
     # -- properties -------------------------------------------------------------
 
-    @property
-    def table(self) -> RoutingTable | None:
-        """The configuration in force; None before one was read."""
-        return self._table
-
     @property
     def open_requests(self) -> int:
         """Callers' requests that are not answered yet."""
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -20,8 +20,6 @@
 """Seconds after which a silent daemon's entry goes: peers find out sooner by themselves."""
 KEEP_INTERVAL_S = 0.95
 """Seconds between renewals: two may be lost before the entry goes; each is priced."""
-STOP_MARGIN_S = 0.5
-"""Seconds before the platform's SIGKILL by which the daemon has ended by itself."""
 LOG_LINES_PER_S = 200
 """Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.python.failure import Failure
@@ -65,6 +66,8 @@
         self._done = False
         self._held_head: ResponseHead | None = None
         self._held_body: list[bytes] = []
+        self._facts: AnswerFacts | None = None
+        """What the headers of the answer that is coming in say; accepts() reads them."""
         self._verdict: Reason | None = None
         """Why the answer that is coming in will not be passed on."""
         self._timer: Any = None
@@ -77,11 +80,6 @@
         """What is asked for."""
         return self._head
 
-    @property
-    def deadline(self) -> float:
-        """Time in s of the steady clock until which the requester waits."""
-        return self._deadline
-
     @property
     def done(self) -> bool:
         """Whether it was answered or given up."""
@@ -264,15 +262,15 @@
 
     def accepts(self, headers: bytes) -> bool:
         """Return whether an answer is to this request, and not a surplus one to another."""
-        answered_id = self._side.facts(headers).request_id
+        self._facts = self._side.facts(headers)
+        answered_id = self._facts.request_id
         return not answered_id or answered_id == self._head.request_id
 
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         """The target answers: what is not its own whole answer goes no further."""
-        if self._done:
+        if self._done or self._facts is None:
             return
-        facts = self._side.facts(headers)
-        self._verdict = _verdict(status, facts)
+        self._verdict = _verdict(status, self._facts)
         if self._verdict is not None:
             return
         head = ResponseHead(
@@ -334,14 +332,7 @@
             self._connection.pause()
 
     def _answer_whole(self, head: ResponseHead, body: bytes) -> None:
-        whole = ResponseHead(
-            head.status,
-            head.outcome,
-            headers=head.headers,
-            version=head.version,
-            body_length=len(body),
-            load=head.load,
-        )
+        whole = replace(head, body_length=len(body))
         if len(body) <= SHORT_BODY:
             self._reply.respond(whole, ended=True, body=body)
         else:
@@ -393,19 +384,7 @@
 
     def _respond(self, head: ResponseHead) -> None:
         """Send an answer of this daemon's own, with the target's load."""
-        self._reply.respond(
-            ResponseHead(
-                head.status,
-                head.outcome,
-                head.reason,
-                retry_after_ms=head.retry_after_ms,
-                version=head.version,
-                detail=head.detail,
-                body_length=0,
-                load=self._side.load(),
-            ),
-            ended=True,
-        )
+        self._reply.respond(replace(head, load=self._side.load()), ended=True)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
