A member whose entry lapsed stays known while the store is away or it is heard

Entries had lapsed with the store; the store's short returns were missed by the watch (0.25 s between two calls), and 12 s after the first lapse the directory forgot all members. Seen again beside 70 busy processes, with the logs. Change: the 12 s count only while the store answers and nothing is heard of the member; the silence after which an owner's keys are given away is a setting, 12 s in the tests' cluster; make test repeats what failed steps said at its end. Ruled out: a lost lease (none ran out), a key map without an owner.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -103,6 +103,24 @@
     When the entry of "one" returns
     Then both may get requests
 
+  Scenario: A member whose entry lapsed is known as long as the store is away
+    Given members "one" and "two" of a service
+    And the store does not answer
+    When the entry of "one" goes
+    And 60 s pass
+    Then both may get requests
+    When the store answers again
+    And 60 s pass
+    Then only "two" may get requests
+
+  Scenario: A member whose entry lapsed is known as long as it reports
+    Given members "one" and "two" of a service
+    When the entry of "one" goes
+    And 60 s pass and "one" reports at last
+    Then both may get requests
+    When 120 s pass
+    Then only "two" may get requests
+
   Scenario: A target that its daemon calls draining gets no more requests
     Given members "one" and "two" of a service
     When the daemon of "one" says that its target takes no new work
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -269,6 +269,7 @@
 @given('members "one" and "two" of a service')
 def members(context: Any) -> None:
     context.directory = Directory("a")
+    context.directory.store_answers(NOW - 100.0)
     context.directory.entries_read([_member("one"), _member("two")], NOW)
 
 
@@ -282,6 +283,27 @@
     context.directory.unreachable(f"t-{name}", NOW)
 
 
+@given("the store does not answer")
+def store_away(context: Any) -> None:
+    context.directory.store_answers(None)
+
+
+@when("the store answers again")
+def store_back(context: Any) -> None:
+    context.directory.store_answers(NOW)
+
+
+@when("{seconds:d} s pass")
+def members_expire(context: Any, seconds: int) -> None:
+    context.directory.expire(NOW + seconds)
+
+
+@when('{seconds:d} s pass and "{name}" reports at last')
+def reports_at_last(context: Any, seconds: int, name: str) -> None:
+    context.directory.heard(f"t-{name}", NOW + seconds)
+    context.directory.expire(NOW + seconds)
+
+
 @when('the entry of "{name}" returns')
 def entry_returns(context: Any, name: str) -> None:
     context.directory.entry_written(_member(name))
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -268,7 +268,7 @@
 
 @then("its target holds the keys that it held")
 def same_keys(context: Any) -> None:
-    wait_until(lambda: _held(context, context.restarted) == context.rows, "its keys", 5)
+    wait_until(lambda: _held(context, context.restarted) == context.rows, "its keys")
 
 
 def _traffic(context: Any, until: float) -> None:
--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -2,7 +2,8 @@
 
 Fed by the members' entries in the platform's store and by what daemons see of each
 other. An entry that went because a lease lapsed says nothing of a daemon that can still be
-reached, so such a member stays until it proves unreachable. No I/O and no clock.
+reached, or while the store is away: such a member stays until it proves unreachable, or
+stays silent long after the store's return. No I/O and no clock.
 """
 
 from collections.abc import Iterable
@@ -15,8 +16,11 @@
 __all__ = ["Directory"]
 
 LAPSED_KEPT_S = 12.0
-"""Seconds for which a member whose entry went is still tried: the longest outage of the
-store that a daemon's authority outlasts, and some for its entry to return."""
+"""Seconds for which a member whose entry went is still tried, though the store answers and
+nothing was heard of it: an entry that can be written again returns in two."""
+HEARD_S = 2.0
+"""Seconds after an answer or a report of a member in which it surely lives."""
+NEVER = float("-inf")
 UNREACHABLE_S = 0.7
 """Seconds for which a daemon that could not be reached gets no request while others can."""
 
@@ -30,6 +34,8 @@
     unreachable_until: float = 0.0
     refused: bool = False
     """Its daemon said that the target takes no new work, sooner than its entry did."""
+    heard_at: float = NEVER
+    """When its daemon last answered or reported."""
     view: LoadView = field(default_factory=LoadView)
 
 
@@ -40,6 +46,7 @@
         self._failure_domain = failure_domain
         self._by_instance: dict[str, _Known] = {}
         self._by_target: dict[str, _Known] = {}
+        self._store_since: float | None = None
 
     # -- what becomes known -----------------------------------------------------
 
@@ -75,13 +82,26 @@
         if known is not None and known.lapsed_at is None:
             known.lapsed_at = now
 
+    def store_answers(self, since: float | None) -> None:
+        """Say since when the store has answered this daemon; None while it does not.
+
+        While it is away no entry can return, so a missing one says nothing.
+        """
+        self._store_since = since
+
+    def heard(self, target: str, now: float) -> None:
+        """The daemon beside a target answered or reported: it lives, entry or not."""
+        known = self._by_target.get(target)
+        if known is not None:
+            known.heard_at = now
+
     def unreachable(self, target: str, now: float) -> None:
         """The daemon beside a target could not be reached."""
         known = self._by_target.get(target)
         if known is None:
             return
         known.unreachable_until = now + UNREACHABLE_S
-        if known.lapsed_at is not None:
+        if self._gone_for(known, now) >= 0.0:
             self._forget(known)
 
     def refused(self, target: str) -> None:
@@ -93,9 +113,18 @@
     def expire(self, now: float) -> None:
         """Forget members whose entries have been gone for long."""
         for known in list(self._by_instance.values()):
-            if known.lapsed_at is not None and now - known.lapsed_at > LAPSED_KEPT_S:
+            if self._gone_for(known, now) > LAPSED_KEPT_S:
                 self._forget(known)
 
+    def _gone_for(self, known: _Known, now: float) -> float:
+        """Return the seconds for which a member has been missing without a known reason.
+
+        Negative where its entry is there, the store is away or the daemon was just heard.
+        """
+        if known.lapsed_at is None or self._store_since is None:
+            return NEVER
+        return now - max(known.lapsed_at, self._store_since, known.heard_at + HEARD_S)
+
     def _forget(self, known: _Known) -> None:
         member = known.member
         if self._by_instance.get(member.instance) is known:
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -240,6 +240,10 @@
             self._maps.adopt(key_map)
         self._witnesses.maps_read()
 
+    def store_answers(self, since: float | None) -> None:
+        """Take since when the store has answered."""
+        self._directory.store_answers(since)
+
     def former_targets(self, targets: list[str]) -> None:
         """Take the targets that earlier lives of this daemon granted keys to."""
         self._former = targets
@@ -358,6 +362,7 @@
         """Take a control message."""
         match message:
             case KeyReport():
+                self._directory.heard(message.target, boot_time())
                 version = self._planner.reported(message)
                 if version > message.version:
                     self._send_map(message.service, sender)
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -290,6 +290,7 @@
 
     def loaded(self, target: str, load: TargetLoad) -> None:
         """An answer told a target's load."""
+        self.directory.heard(target, boot_time())
         view = self.directory.view(target)
         if view is not None:
             view.reported(load, boot_time())
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -44,9 +44,6 @@
 """Seconds after the first owner is known before the first map is made: targets beat within."""
 MOVE_PAUSE_S = 1.5
 """Seconds between two plans that only level load: keys that move rest for half a second."""
-SILENT_S = 2.2
-"""Seconds without a report after which an owner loses its keys: a daemon that was killed
-reports again after 1.6 s."""
 LEAST_SPEED, MOST_SPEED = 0.4, 2.5
 """Speeds of targets of one service, over their mean, beyond which a measured speed is not
 believed: targets seen so far run at 0.6 to 1.6, and slow ones for some seconds at less."""
@@ -297,14 +294,14 @@
     def _silent_targets(self, key_map: KeyMap, service: _Service, now: float) -> list[str]:
         """Return targets whose daemons stopped reporting, or never reported and are gone."""
         assert self._on_duty_since is not None
-        if now - self._on_duty_since < GRACE_S + SILENT_S:
+        if now - self._on_duty_since < GRACE_S + self._settings.silent_s:
             return []
         silent: list[str] = []
         for target in key_map.targets:
             if target in service.ended:
                 continue
             report, age = self._report(service, target, now)
-            if report is not None and age < SILENT_S:
+            if report is not None and age < self._settings.silent_s:
                 continue
             if report is None and self._directory.is_registered(target):
                 continue
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -20,6 +20,9 @@
 """Seconds after which a silent daemon's entry goes: peers find out sooner by themselves."""
 KEEP_INTERVAL_S = 0.95
 """Seconds between renewals: two may be lost before the entry goes; each is priced."""
+SILENT_S = 2.2
+"""Seconds without a report after which an owner loses its keys: a daemon that was killed
+reports again after 1.6 s."""
 LOG_LINES_PER_S = 200
 """Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
 
@@ -60,6 +63,8 @@
     metrics: Address
     store: StoreSettings
     holds: GrantTiming
+    silent_s: float
+    """Seconds without a report after which an owner's keys are given to others."""
     retries: RetryRule
     drain_s: float
     """Seconds after its leave is acknowledged in which a target may get new requests."""
@@ -98,6 +103,7 @@
             metrics=_address(listen, "metrics"),
             store=_store(root.section("store")),
             holds=_holds(root.section("holds")),
+            silent_s=limits.number("silent_ms", SILENT_S * 1000, low=500) / 1000,
             retries=_retries(root.section("retries")),
             drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
             stop_s=limits.number("stop_s", 6, low=1),
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -68,6 +68,9 @@
     def key_maps_read(self, key_maps: list[KeyMap]) -> None:
         """The key maps of all services were read."""
 
+    def store_answers(self, since: float | None) -> None:
+        """The store has answered since then; None: it does not."""
+
     def former_targets(self, targets: list[str]) -> None:
         """Targets that earlier lives of this daemon granted keys to, the newest last."""
 
@@ -115,6 +118,7 @@
 
     def start(self) -> None:
         """Begin all loops."""
+        self._listener.store_answers(boot_time())
         self._run(self._keep_lease())
         self._start_watches()
 
@@ -329,6 +333,7 @@
         if not self._available:
             self._available = True
             self._log.decided("store_regained", lease=self._lease)
+            self._listener.store_answers(boot_time())
             # Watches that were cut without a word would go on waiting.
             self._start_watches()
 
@@ -336,3 +341,4 @@
         if self._available:
             self._available = False
             self._log.decided("store_lost", failure=True, error=str(error))
+            self._listener.store_answers(None)
--- a/packages/devtools/src/pearward_devtools/check.py
+++ b/packages/devtools/src/pearward_devtools/check.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -21,6 +22,8 @@
     [str(BIN / "lint-imports"), "--no-cache"],
 ]  # fmt: skip
 KNOWN_RED = Path("KNOWN-RED.txt")
+SAID = 6
+"""Lines of a failed step's message that are printed again after the counts."""
 
 
 def _lint() -> int:
@@ -68,9 +71,24 @@
             else:
                 failed += 1
                 click.echo(f"failed: {feature['name']}: {element['name']}")
+                click.echo(_why(element))
     return passed, failed, red
 
 
+def _why(element: dict[str, Any]) -> str:
+    """Return what the failed steps of a scenario said, where only the report's end is kept."""
+    lines: list[str] = []
+    for step in element.get("steps", []):
+        message = step.get("result", {}).get("error_message", ())
+        said = [message] if isinstance(message, str) else list(message)
+        if said:
+            lines += [
+                f"  {step['keyword']} {step['name']}",
+                *(f"    {row}" for row in said[-SAID:]),
+            ]
+    return "\n".join(lines)
+
+
 @click.command()
 @click.option("--lint-only", is_flag=True)
 @click.argument("arguments", nargs=-1)
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -24,6 +24,9 @@
 STORE_PORT, CALLERS, HEARTBEATS, READINESS, TARGET, PEERS, METRICS = range(8200, 8207)
 _NETWORKS = itertools.count(1)
 HOST = "app.example"
+SILENT_MS = 12_000
+"""Silence after which an owner loses its keys here: on a crowded machine a daemon that was
+killed needs up to seven seconds to stand again, and that is not what the tests are about."""
 
 
 @dataclass
@@ -140,6 +143,7 @@
                 "metrics": f"{ip}:{METRICS}",
             },
             "store": {"address": f"{self._network}.1:{STORE_PORT}"},
+            "limits": {"silent_ms": SILENT_MS},
             "log": {"lines_per_s": 1000},
         }
 
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -302,6 +302,7 @@
         metrics=here,
         store=StoreSettings("127.0.0.1:2", 3.0, 0.8),
         holds=timing,
+        silent_s=2.2,
         retries=RetryRule(0.2, 50, 10.0),
         drain_s=2.0,
         stop_s=6.0,
