A key that is too much for its owner goes to the fastest one; plans grow with the fleet

Change: a key at 1.25 times its owner's capacity goes to an owner that can run 1.3 times as much; an owner that is stuck no longer stops the levelling of others; four moves an owner, and larger pieces for an owner with very many requests. Three scenarios that fail on the former planner.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -138,6 +138,21 @@
     Then the next map brings every owner to within 15 of the mean
     And every key that moved names its former owner and a higher fence
 
+  Scenario: A key that is too much for its owner goes to the fastest one, which gives others away
+    Given owners with capacities 30, 70 and 40
+    When one key of the first is asked for 60 times a second and each owner's others 10 times
+    Then the next map gives that key to the owner with 70 and at most 2 requests a second beside it
+
+  Scenario: A key that is too much for its owner stays where nobody is much faster
+    Given owners with capacities 40, 50 and 40
+    When one key of the first is asked for 60 times a second and each owner's others 2 times
+    Then the next map leaves that key where it is
+
+  Scenario: Load is levelled in one plan however many owners there are
+    Given 43 owners with capacity 40
+    When 130 requests a second go to 200 neighbouring keys of the first and 5 to each other one
+    Then the next map brings every owner to within 15 of the mean
+
   Scenario: An owner that joins gets its share, though hardly anything is asked for
     Given owners with capacities 100, 100 and 100
     When a fourth owner joins while nothing is asked for
--- a/features/steps/mesh_decision_steps.py
+++ b/features/steps/mesh_decision_steps.py
@@ -356,7 +356,47 @@
 @when("{hot:g} requests a second go to 200 neighbouring keys of the first "
       "and {usual:g} to each other one")  # fmt: skip
 def heavy_keys(context: Any, hot: float, usual: float) -> None:
-    _with_loads(context, [hot, usual, usual], 200)
+    _with_loads(context, [hot, *[usual] * (len(context.owners) - 1)], 200)
+
+
+@given("{count:d} owners with capacity {capacity:g}")
+def many_owners(context: Any, count: int, capacity: float) -> None:
+    context.owners = [KeyOwner(f"t{number}", capacity) for number in range(count)]
+    context.map = first_map("service", context.owners)
+    context.ended = frozenset()
+    context.fixed = frozenset()
+
+
+@when("one key of the first is asked for {hot:g} times a second "
+      "and each owner's others {usual:g} times")  # fmt: skip
+def one_heavy_key(context: Any, hot: float, usual: float) -> None:
+    _with_loads(context, [usual] * len(context.owners), 200)
+    rates = {row.key: row.rate for row in context.load.rates}
+    context.heavy = 1000
+    rates[context.heavy] = hot
+    rows = tuple(KeyRate(key, rates[key]) for key in sorted(rates))
+    context.load = PlannedLoad(rows, 3.0)
+
+
+@then("the next map gives that key to the owner with {capacity:g} "
+      "and at most {most:g} requests a second beside it")  # fmt: skip
+def heavy_at_fastest(context: Any, capacity: float, most: float) -> None:
+    planned = _planned(context)
+    assert planned is not None
+    owner = planned.range_of(context.heavy).owner
+    assert [o.capacity for o in context.owners if o.target == owner] == [capacity]
+    beside = sum(
+        row.rate
+        for row in context.load.rates
+        if row.key != context.heavy and planned.range_of(row.key).owner == owner
+    )
+    assert beside <= most, beside
+
+
+@then("the next map leaves that key where it is")
+def heavy_stays(context: Any) -> None:
+    planned = _planned(context) or context.map
+    assert planned.range_of(context.heavy).owner == context.map.range_of(context.heavy).owner
 
 
 @when("{one:g} requests a second go to the first and {other:g} to each other one")
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -52,9 +52,16 @@
     """Standard deviations by which an owner's count must be over its share: a few requests
     more than usual are chance, and each move costs the keys a pause."""
     moves: int = 24
-    """Pieces that change hands in one plan, at most."""
+    """Pieces that change hands in one plan, at most; four for each owner if that is more."""
     pieces: int = 24
-    """Pieces that an owner's load is cut into."""
+    """Pieces that an owner's share of the load is cut into."""
+    most_pieces: int = 128
+    """Pieces that one owner's load is cut into, at most, however much it is."""
+    too_much: float = 1.25
+    """What one key asks for, over its owner's capacity, from which a faster owner is sought:
+    it rests for half a second, which a hot time of some four seconds has to make up for."""
+    faster: float = 1.3
+    """How much more that owner must be able to run; speeds are known to a tenth."""
 
 
 def first_map(service: str, owners: Sequence[KeyOwner]) -> KeyMap:
@@ -121,12 +128,13 @@
         return None
     by_target = {owner.target: owner for owner in owners}
     total = sum(row.rate for row in load.rates)
-    pieces = _pieces(key_map, load.rates, total / (len(owners) * limits.pieces))
+    pieces = _pieces(key_map, load.rates, total / (len(owners) * limits.pieces), limits)
     rates = {owner.target: 0.0 for owner in owners}
     for piece in pieces:
         if piece.owner in rates:
             rates[piece.owner] += piece.rate
     moved = _place_orphans(pieces, by_target, rates, fixed)
+    moved = _place_heaviest(pieces, by_target, rates, limits) or moved
     moved = _level(pieces, by_target, rates, load.seen_s, limits) or moved
     moved = _give_newcomers(pieces, by_target, rates) or moved
     if not moved:
@@ -134,11 +142,18 @@
     return _with_pieces(key_map, pieces, by_target, ended)
 
 
-def _pieces(key_map: KeyMap, rates: Sequence[KeyRate], most: float) -> list[_Piece]:
-    """Cut all ranges into pieces of about *most* requests a second; one key is never cut."""
+def _pieces(
+    key_map: KeyMap, rates: Sequence[KeyRate], least: float, limits: PlanLimits
+) -> list[_Piece]:
+    """Cut all ranges into pieces of about *least* requests a second; one key is never cut.
+
+    Pieces of an owner with very many requests are larger, so that a few moves help it.
+    """
+    by_owner = _rates_by_owner(key_map, rates)
     pieces: list[_Piece] = []
     at = 0
     for r in key_map.ranges:
+        most = max(least, by_owner[r.owner] / limits.most_pieces)
         start, rate = r.first, 0.0
         while at < len(rates) and rates[at].key <= r.last:
             row = rates[at]
@@ -151,6 +166,17 @@
     return pieces
 
 
+def _rates_by_owner(key_map: KeyMap, rates: Sequence[KeyRate]) -> dict[str, float]:
+    """Return the requests a second for the keys of each owner."""
+    result = {r.owner: 0.0 for r in key_map.ranges}
+    at = 0
+    for r in key_map.ranges:
+        while at < len(rates) and rates[at].key <= r.last:
+            result[r.owner] += rates[at].rate
+            at += 1
+    return result
+
+
 def _utilisation(target: str, by_target: Mapping[str, KeyOwner], rates: dict[str, float]) -> float:
     return rates[target] / max(by_target[target].capacity, 1e-6)
 
@@ -201,6 +227,32 @@
     return result
 
 
+def _place_heaviest(
+    pieces: list[_Piece],
+    by_target: Mapping[str, KeyOwner],
+    rates: dict[str, float],
+    limits: PlanLimits,
+) -> bool:
+    """Give a key that asks for more than its owner can run to the fastest owner.
+
+    A key cannot be shared, so nothing else helps it; what the fastest owner had goes
+    elsewhere when the rest is levelled. Only the heaviest key is looked at.
+    """
+    heaviest = max(pieces, key=lambda p: p.rate)
+    if heaviest.owner not in by_target:
+        return False
+    owner = by_target[heaviest.owner]
+    fastest = max(by_target.values(), key=lambda o: o.capacity)
+    if heaviest.rate <= owner.capacity * limits.too_much:
+        return False
+    if fastest.capacity < owner.capacity * limits.faster:
+        return False
+    rates[owner.target] -= heaviest.rate
+    rates[fastest.target] += heaviest.rate
+    heaviest.owner = fastest.target
+    return True
+
+
 def _level(
     pieces: list[_Piece],
     by_target: Mapping[str, KeyOwner],
@@ -230,8 +282,9 @@
     for own in by_owner.values():
         own.sort(key=lambda p: -p.rate)
     moved = 0
-    while moved < limits.moves:
-        busiest = max(rates, key=used)
+    stuck: set[str] = set()
+    while moved < max(limits.moves, 4 * len(by_target)) and len(stuck) < len(rates):
+        busiest = max((t for t in rates if t not in stuck), key=used)
         idlest = min(rates, key=used)
         excess = rates[busiest] - mean * by_target[busiest].capacity
         room = mean * by_target[idlest].capacity - rates[idlest]
@@ -239,7 +292,9 @@
             break
         fitting = _best_fit(by_owner[busiest], min(excess, room))
         if fitting is None:
-            break
+            # What it has left are keys that are too heavy for anybody.
+            stuck.add(busiest)
+            continue
         by_owner[busiest].remove(fitting)
         by_owner[idlest].append(fitting)
         fitting.owner = idlest
