A randomised soak of the users' platform, checked on what callers got and targets ran

Cause: nothing played overlapping faults with real processes of the mesh; its features take one fault at a time. Change: mesh/soak.py plays a seed (kills, pauses, stops, drains, one-way cuts, stalls and delays between daemons, eight faults of the store), mesh/soak_checks.py finds broken promises without I/O; a daemon may be reached at another address than it listens on; targets write their runs down. One short seed in make test; every check has a scenario in which it fails.

--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,30 @@
+Feature: A randomised soak of real processes, and what it checks
+
+  Scenario: A short soak keeps every promise
+    When seed 11 is played for 12 s
+    Then no promise is broken and requests were served
+
+  Scenario: A seed always plays the same faults
+    Then seed 5 plans the same faults twice, and seed 6 others
+
+  Scenario Outline: A broken promise is found: <fault>
+    Given a soak of two requests without a broken promise
+    When "<fault>" is found in its records
+    Then exactly one broken promise is told, which names "<name>"
+
+    Examples:
+      | fault                                    | name    |
+      | a success with another body              | r1      |
+      | a request run twice                      | r2      |
+      | a refused request that ran               | r2      |
+      | a lower fence after a higher one         | key 7   |
+      | two targets under one fence              | key 7   |
+      | a run at another service                 | r1      |
+      | a request after a leave was acknowledged | r1      |
+      | a request that ran and was not answered  | r1      |
+
+  Scenario: A daemon that was killed may leave a request without an answer
+    Given a soak of two requests without a broken promise
+    When "a request that ran and was not answered" is found in its records
+    And the asked daemon was killed meanwhile
+    Then no broken promise is told
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,87 @@
+"""Steps of the soak and of its checks."""
+
+from dataclasses import replace
+from typing import Any
+
+from behave import given, then, when
+
+from pearward_devtools.mesh.soak import plan, play
+from pearward_devtools.mesh.soak_checks import Answer, Leave, Restart, Run, broken_promises
+
+REFUSED = 503
+
+
+@when("seed {seed:d} is played for {seconds:d} s")
+def play_seed(context: Any, seed: int, seconds: int) -> None:
+    context.broken, context.served = play(seed, seconds)
+
+
+@then("no promise is broken and requests were served")
+def held(context: Any) -> None:
+    assert not context.broken, context.broken[:5]
+    assert context.served
+
+
+@then("seed {one:d} plans the same faults twice, and seed {other:d} others")
+def same_faults(context: Any, one: int, other: int) -> None:
+    assert plan(one, 30.0, 6) == plan(one, 30.0, 6) != plan(other, 30.0, 6)
+    assert plan(one, 30.0, 6)
+
+
+@given("a soak of two requests without a broken promise")
+def records(context: Any) -> None:
+    context.answers = [
+        Answer("r1", "n1", True, 200, True, 10.0, 10.2),
+        Answer("r2", "n1", False, 200, True, 11.0, 11.2),
+    ]
+    context.runs = [
+        Run("r1", "t1", "roster", "/roster/safe/x", "7", 5, 10.1),
+        Run("r2", "t2", "roster", "/roster/unsafe/x", "7", 6, 11.1),
+    ]
+    context.leaves = [Leave("t1", 9.5)]
+    context.kills = []
+    assert _broken(context) == []
+
+
+def _broken(context: Any) -> list[str]:
+    return broken_promises(context.answers, context.runs, context.leaves, context.kills)
+
+
+@when('"{fault}" is found in its records')
+def fault_found(context: Any, fault: str) -> None:
+    answers, runs = context.answers, context.runs
+    match fault:
+        case "a success with another body":
+            answers[0] = replace(answers[0], whole=False)
+        case "a request run twice":
+            runs.append(replace(runs[1], at=11.15))
+        case "a refused request that ran":
+            answers[1] = replace(answers[1], status=REFUSED)
+        case "a lower fence after a higher one":
+            runs[1] = replace(runs[1], fence=4)
+        case "two targets under one fence":
+            runs[1] = replace(runs[1], fence=5)
+        case "a run at another service":
+            runs[0] = replace(runs[0], service="sheets")
+        case "a request after a leave was acknowledged":
+            context.leaves.append(Leave("t1", 7.0))
+        case "a request that ran and was not answered":
+            answers[0] = replace(answers[0], status=0, whole=False)
+        case _:
+            raise AssertionError(fault)
+
+
+@when("the asked daemon was killed meanwhile")
+def was_killed(context: Any) -> None:
+    context.kills.append(Restart("n1", 10.15))
+
+
+@then('exactly one broken promise is told, which names "{name}"')
+def one_broken(context: Any, name: str) -> None:
+    broken = _broken(context)
+    assert len(broken) == 1 and broken[0].startswith(name), broken
+
+
+@then("no broken promise is told")
+def none_broken(context: Any) -> None:
+    assert _broken(context) == []
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -65,7 +65,7 @@
         self._reactor = reactor
         self._settings = settings
         self._beat_site = beat_site
-        self._me = PeerId(secrets.token_hex(8), str(settings.peers))
+        self._me = PeerId(secrets.token_hex(8), str(settings.peers_reached_at))
         self._log = DecisionLog(settings.log_lines_per_s, boot_time)
         self._pool = PeerPool(self._me, self, reactor, window=WINDOW, bind_ip=settings.peers.ip)
         client = ServerClient(reactor, settings.target_address)
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -60,6 +60,8 @@
     heartbeats: Address
     readiness: Address
     peers: Address
+    peers_reached_at: Address
+    """Where other daemons reach *peers*; another address only where something lies between."""
     metrics: Address
     store: StoreSettings
     holds: GrantTiming
@@ -91,6 +93,7 @@
         target = root.section("target")
         listen = root.section("listen")
         limits = root.section("limits")
+        peers = _address(listen, "peers")
         settings = cls(
             instance=root.text("instance"),
             failure_domain=root.text("failure_domain"),
@@ -99,7 +102,8 @@
             callers=_address(listen, "callers"),
             heartbeats=_address(listen, "heartbeats"),
             readiness=_address(listen, "readiness"),
-            peers=_address(listen, "peers"),
+            peers=peers,
+            peers_reached_at=_address(listen, "peers_reached_at", str(peers)),
             metrics=_address(listen, "metrics"),
             store=_store(root.section("store")),
             holds=_holds(root.section("holds")),
@@ -117,9 +121,9 @@
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
-def _address(reader: FieldReader, name: str) -> Address:
+def _address(reader: FieldReader, name: str, default: str | None = None) -> Address:
     """Return an IP address and port."""
-    value = reader.text(name)
+    value = reader.text(name, default)
     ip, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(ip)
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -23,6 +23,9 @@
 
 STORE_PORT, CALLERS, HEARTBEATS, READINESS, TARGET, PEERS, METRICS = range(8200, 8207)
 _NETWORKS = itertools.count(1)
+PROXY_CONTROL = 8207
+PROXY_OFFSET = 100
+"""Added to the last byte of a daemon's IP where the proxy listens in its place."""
 HOST = "app.example"
 SILENT_MS = 12_000
 """Silence after which an owner loses its keys here: on a crowded machine a daemon that was
@@ -54,11 +57,13 @@
 class MeshCluster:
     """All processes of one test."""
 
-    def __init__(self, services: dict[str, int], keyed: str) -> None:
+    def __init__(self, services: dict[str, int], keyed: str, *, proxied: bool = False) -> None:
         self._network = f"127.{os.getpid() % 100 + 60}.{next(_NETWORKS)}"
         self._directory = tempfile.TemporaryDirectory()
         self._services = services
         self._keyed = keyed
+        self._proxied = proxied
+        self._proxy: subprocess.Popen[bytes] | None = None
         self._store: subprocess.Popen[bytes] | None = None
         self.version = 1
         self.nodes: list[MeshNode] = []
@@ -86,6 +91,8 @@
         )  # fmt: skip
         wait_until(lambda: self._answers(f"{self._network}.1:{STORE_PORT}"), "the store")
         self.configure()
+        if self._proxied:
+            self._start_proxy()
         for node in self.nodes:
             self.start_daemon(node)
             self.start_target(node)
@@ -99,6 +106,7 @@
             for process in (node.daemon, node.target):
                 _end(process)
         _end(self._store)
+        _end(self._proxy)
         self._directory.cleanup()
 
     def start_daemon(self, node: MeshNode) -> None:
@@ -121,6 +129,25 @@
             f"{node.name}-target", *arguments, *(["--keyed"] if node.keyed else [])
         )
 
+    def _start_proxy(self) -> None:
+        """Start the proxy that stands between the daemons."""
+        control = f"{self._network}.2:{PROXY_CONTROL}"
+        links = [part for n in self.nodes for part in ("--link", f"{self._seen(n)}={n.ip}:{PEERS}")]
+        self._proxy = self._spawn(
+            "proxy", "-m", "pearward_devtools.fault_proxy", "--control", control, *links
+        )
+        wait_until(lambda: self._answers(control), "the proxy")
+
+    def _seen(self, node: MeshNode) -> str:
+        """Return the IP at which the proxy stands in for a daemon."""
+        network, _, number = node.ip.rpartition(".")
+        return f"{network}.{int(number) + PROXY_OFFSET}"
+
+    def link_faults(self, faults: list[dict[str, Any]]) -> None:
+        """Set the faults between daemons; see fault_proxy."""
+        body = json.dumps(faults).encode()
+        self._http(f"{self._network}.2:{PROXY_CONTROL}", "POST", "/faults", body)
+
     def _spawn(
         self, name: str, *arguments: str, environment: dict[str, str] | None = None
     ) -> subprocess.Popen[bytes]:
@@ -140,6 +167,7 @@
                 "heartbeats": f"{ip}:{HEARTBEATS}",
                 "readiness": f"{ip}:{READINESS}",
                 "peers": f"{ip}:{PEERS}",
+                "peers_reached_at": f"{self._seen(node) if self._proxied else ip}:{PEERS}",
                 "metrics": f"{ip}:{METRICS}",
             },
             "store": {"address": f"{self._network}.1:{STORE_PORT}"},
@@ -234,6 +262,15 @@
             for key in range(0, 65_536, 4096)
         )  # fmt: skip
 
+    def all_pooled_served(self) -> bool:
+        """Return whether every daemon serves the services that are not divided by key."""
+        pooled = [name for name in self._services if name != self._keyed]
+        return all(
+            self.call(node, f"/{name}/safe/", headers={"Request-Id": "w"}).status == 200
+            for node in self.nodes
+            for name in pooled
+        )
+
     def kill(self, node: MeshNode) -> None:
         """Kill a daemon."""
         assert node.daemon is not None
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -52,17 +52,22 @@
         self.state = "ready"
         self.rows: list[Row] = []
         self.freed: list[list[Any]] = []
-        self.ran: list[dict[str, str]] = []
+        self.ran: list[dict[str, Any]] = []
         self.running = 0
+        self.leave_acknowledged: float | None = None
+        """When a daemon first acknowledged that this target drains, on the steady clock."""
         self.keyed = False
         self._client = ServerClient(reactor, beats_to, idle_limit_s=5.0)
         self._sequence = 0
         self._silent = False
 
-    def holds(self, key: int) -> bool:
-        """Return whether a key is held now."""
+    def fence_of(self, key: int) -> int:
+        """Return the fence under which a key is held now; 0 where it is not held."""
         now = time.monotonic()
-        return any(r.first <= key <= r.last and r.until > now and not r.let_go for r in self.rows)
+        for r in self.rows:
+            if r.first <= key <= r.last and r.until > now and not r.let_go:
+                return r.fence
+        return 0
 
     def leave(self) -> None:
         """Say without notice that it ends."""
@@ -80,6 +85,7 @@
         self._sequence += 1
         sent = time.monotonic()
         freed = list(self.freed)
+        leaving_said = self.state == "draining"
         body = {
             "address": self.address,
             "information": {
@@ -97,6 +103,10 @@
         def answered(result: tuple[int, bytes]) -> None:
             status, data = result
             if status == 200:
+                if leaving_said and self.leave_acknowledged is None:
+                    self.leave_acknowledged = time.monotonic()
+                    left = {"target": self.id, "leave_acknowledged": self.leave_acknowledged}
+                    print(json.dumps(left), flush=True)
                 self.freed = [row for row in self.freed if row not in freed]
                 self._take(sent, json.loads(data))
 
@@ -162,15 +172,18 @@
             request.setResponseCode(NOT_HELD)
             return b""
         key = request.getHeader("Shard-Key")
-        if target.keyed and key is not None and not target.holds(int(key)):
+        fence = target.fence_of(int(key)) if target.keyed and key is not None else 0
+        if target.keyed and key is not None and not fence:
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(NOT_HELD)
             return b""
-        target.ran.append(
+        self._note_run(
             {
                 "id": request_id,
                 "target": target.id,
                 "key": key or "",
+                "fence": fence,
+                "at": time.monotonic(),
                 "caller": request.getHeader("Caller-Service") or "",
                 "deadline": request.getHeader("Deadline-Ms") or "",
                 "method": request.method.decode(),
@@ -192,6 +205,11 @@
         request.notifyFinish().addErrback(over)
         return NOT_DONE_YET
 
+    def _note_run(self, run: dict[str, Any]) -> None:
+        """Remember a run; the line outlasts the process."""
+        self._target.ran.append(run)
+        print(json.dumps(run), flush=True)
+
     def _answer(self, request: Any, request_id: str, arguments: dict[str, str]) -> None:
         target = self._target
         self._work_ended(request)
@@ -249,6 +267,7 @@
                         "rows": rows,
                         "ran": target.ran,
                         "running": target.running,
+                        "leave_acknowledged": target.leave_acknowledged,
                     }
                 ).encode()
             case b"/standin/drain":
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -299,6 +299,7 @@
         heartbeats=here,
         readiness=here,
         peers=here,
+        peers_reached_at=here,
         metrics=here,
         store=StoreSettings("127.0.0.1:2", 3.0, 0.8),
         holds=timing,
