Headers of a request that do not come in the configured time end its connection with 408

Cause: the configuration's headerTimeoutMs was read and never applied; a caller that stops in the middle of its headers held its connection until the idle time. Bodies and rests between requests are not timed by it.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -126,6 +126,16 @@
     When the daemon of "one" says that its target takes no new work
     Then only "two" may get requests
 
+  Scenario Outline: Changes of a large fleet are taken together: <members> members
+    Given a store in which one of <members> members changes every <every> s
+    When a daemon follows the members for 20 s
+    Then it has made at most <calls> calls for changes, and missed none older than 2 s
+
+    Examples:
+      | members | every | calls |
+      | 14      | 2     | 12    |
+      | 83      | 0.33  | 17    |
+
   # -- key maps ------------------------------------------------------------------------------
 
   Scenario: The first map divides the keys by capacity
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -173,8 +173,10 @@
     def _table_changed(self, table: RoutingTable) -> None:
         """Put a newer configuration in force."""
         self._ingress.set_table(table)
-        idle_s = table.limits.idle_timeout_s + IDLE_MARGIN_S
-        self._callers.set_limits(HttpLimits(table.limits.header_bytes, HEADER_COUNT, idle_s))
+        limits = table.limits
+        idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        header_s = limits.header_timeout_s
+        self._callers.set_limits(HttpLimits(limits.header_bytes, HEADER_COUNT, idle_s, header_s))
 
     # -- peers -----------------------------------------------------------------------------
 
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -45,6 +45,11 @@
 """Seconds that one call waits for changes: each is priced, and the store allows 30."""
 GATHER_S = 0.25
 """Seconds after a change before the next call, so that changes in a row cost one."""
+GATHER_S_PER_MEMBER = 0.015
+"""The same for each member, where that is more: a change costs as many calls as there are
+daemons, and the fleet has as many changes. At 83 members this is 1.2 s."""
+MOST_GATHER_S = 1.5
+"""Who joins is to get requests within four seconds of its first heartbeat."""
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 0.8
 """Pauses after a failed call double up to this: what lapsed is to be back within 2 s."""
@@ -101,6 +106,8 @@
         self._stopped = False
         self._round = 0
         self._writing = False
+        self._registered: set[str] = set()
+        """Keys of the members' entries that are there, as far as is known."""
 
     # -- properties -------------------------------------------------------------
 
@@ -265,13 +272,16 @@
             if event.value is not None:
                 self._listener.configuration_read(event.value)
 
-        await self._follow(number, read, self._store.configuration_changes, changed)
+        await self._follow(
+            number, read, self._store.configuration_changes, changed, lambda: GATHER_S
+        )
 
     async def _follow_members(self, number: int) -> None:
         async def read() -> int:
             # One call for everything: pages are priced by the call, not by the item.
             snapshot = await self._store.scan("")
             members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
+            self._registered = {item.key for item in members}
             self._listener.members_read(self._decoded(members, decode_member))
             if not any(item.key == self._own_key for item in members):
                 self._own_entry_gone()
@@ -282,10 +292,12 @@
 
         def changed(event: WatchEvent) -> None:
             if event.value is None:
+                self._registered.discard(event.key)
                 self._listener.member_gone(event.key.removeprefix(MEMBERS))
                 if event.key == self._own_key:
                     self._own_entry_gone()
                 return
+            self._registered.add(event.key)
             item = KeyValue(event.key, event.value, event.revision)
             for member in self._decoded([item], decode_member):
                 self._listener.member_written(member)
@@ -293,7 +305,10 @@
         async def wait(after: int, wait_s: float) -> Changes:
             return await self._store.changes(MEMBERS, after, wait_s)
 
-        await self._follow(number, read, wait, changed)
+        await self._follow(number, read, wait, changed, self._gather_members_s)
+
+    def _gather_members_s(self) -> float:
+        return min(MOST_GATHER_S, max(GATHER_S, len(self._registered) * GATHER_S_PER_MEMBER))
 
     async def _follow(
         self,
@@ -301,8 +316,12 @@
         read: Callable[[], Awaitable[int]],
         wait: Callable[[int, float], Awaitable[Changes]],
         changed: Callable[[WatchEvent], None],
+        gather: Callable[[], float],
     ) -> None:
-        """Read once, then take changes as they come; read again after a gap."""
+        """Read once, then take changes as they come; read again after a gap.
+
+        *gather* tells for how many seconds changes are left to add up before the next call.
+        """
         after: int | None = None
         retry_s = FIRST_RETRY_S
         while not self._stopped and number == self._round:
@@ -316,7 +335,7 @@
                     changed(event)
                 after = max(after, changes.revision)
                 retry_s = FIRST_RETRY_S
-                await sleep(self._reactor, GATHER_S if changes.events else 0.0)
+                await sleep(self._reactor, gather() if changes.events else 0.0)
             except HistoryGone:
                 self._log.decided("store_history_gone", after=after)
                 after = None
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -17,18 +17,24 @@
 
 
 SWEEP_S = 1.0
-"""Seconds between looks for idle connections."""
+"""Seconds between looks for connections that are idle, or slow with a request's headers."""
+HEADER_S = 60.0
+"""Seconds for a request's headers to arrive in, before a configuration sets a limit."""
+TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class HttpLimits:
     """Limits of what the parser accepts."""
 
-    __slots__ = ("header_bytes", "header_count", "idle_s")
+    __slots__ = ("header_bytes", "header_count", "header_s", "idle_s")
 
-    def __init__(self, header_bytes: int, header_count: int, idle_s: float) -> None:
+    def __init__(
+        self, header_bytes: int, header_count: int, idle_s: float, header_s: float = HEADER_S
+    ) -> None:
         self.header_bytes = header_bytes
         self.header_count = header_count
         self.idle_s = idle_s
+        self.header_s = header_s
 
 
 class BodySink(Protocol):
@@ -213,6 +219,9 @@
     factory: "CallerFactory"
     _closing = False
     _last_active = 0.0
+    _head_began: float | None = None
+    """When the first bytes of a request came whose headers are not whole yet."""
+    _receiving_body = False
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -233,6 +242,14 @@
         if not self._handlingRequest and self._last_active < since:
             self.transport.abortConnection() if self.requests else self.loseConnection()
 
+    def end_if_slow(self, since: float) -> None:
+        """End the connection if a request's headers have been coming in since before *since*."""
+        if self._head_began is not None and self._head_began < since:
+            self._head_began = None
+            self._closing = True
+            self.transport.write(TOO_SLOW)
+            self.loseConnection()
+
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self.factory.closed(self)
@@ -241,13 +258,21 @@
         # What follows the answer on a connection that is to end belongs to nobody.
         if not self._closing:
             self._last_active = self.factory.now()
+            if self._head_began is None and not self._receiving_body and not self._handlingRequest:
+                self._head_began = self._last_active
             super().dataReceived(data)
 
     def requestDone(self, request: CallerRequest) -> None:
         self._closing = not self.persistent
         super().requestDone(request)
 
+    def allContentReceived(self) -> None:
+        self._receiving_body = False
+        super().allContentReceived()
+
     def allHeadersReceived(self) -> None:
+        self._head_began = None
+        self._receiving_body = True
         super().allHeadersReceived()
         # The stock channel tells a request its command only after the body.
         self.requests[-1].headers_received(self._command, self._path, self._version, self.length)
@@ -280,7 +305,7 @@
         return len(self._channels)
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Apply other limits: sizes to new connections, the idle time to all."""
+        """Apply other limits: sizes to new connections, times to all."""
         self._limits = limits
 
     def buildProtocol(self, addr: Any) -> CallerChannel:
@@ -298,10 +323,11 @@
         return self._now
 
     def _sweep(self) -> None:
-        """End connections that have been idle for too long."""
+        """End connections that have been idle, or slow with headers, for too long."""
         self._now = self._reactor.seconds()
         for channel in list(self._channels):
             channel.end_if_idle(self._now - self._limits.idle_s)
+            channel.end_if_slow(self._now - self._limits.header_s)
         self._reactor.callLater(SWEEP_S, self._sweep)
 
     def opened(self, channel: CallerChannel) -> None:
