--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,11 @@
 PACKAGES := packages/state packages/coordination packages/protocol packages/transport \
 	packages/daemon packages/cli packages/devtools platform
 EXAMPLES ?= 400
+SEED ?= 1
+SEEDS ?= 5
+SECONDS ?= 20
 
-.PHONY: run test lint fuzz fuzz-teeth bench capacity pins setup
+.PHONY: run test lint fuzz fuzz-teeth soak bench capacity pins setup
 
 setup: $(STAMP)
 
@@ -34,6 +37,10 @@
 fuzz: setup
 	EXAMPLES=$(EXAMPLES) $(BIN)/behave --tags=fuzz features
 
+soak: setup
+	$(BIN)/python -m pearward_devtools.mesh.soak --seed $(SEED) --seeds $(SEEDS) \
+		--seconds $(SECONDS) $(if $(KEEP),--keep $(KEEP),)
+
 bench: setup
 	$(BIN)/python -m pearward_devtools.bench $(if $(ONLY),--only $(ONLY),)
 
