--- /dev/null
+++ b/features/steps/mesh_target_steps.py
@@ -0,0 +1,238 @@
+"""Steps of what a target runs and which target is chosen: slots, choice, attempts, budget."""
+
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+
+from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
+from pearward_coordination.retry_window import RetryRule, RetryWindow
+from pearward_coordination.selection import (
+    Candidate,
+    LoadView,
+    TargetLoad,
+    WeightedTurns,
+    choose_target,
+)
+from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
+from pearward_state.outcome import Outcome, Reason
+from pearward_state.routes import WeightedService
+
+NOW = 100.0
+
+# -- slots ------------------------------------------------------------------------------------
+
+
+def _ticket(
+    now: float, objective_s: float = 0.6, deadline_s: float = 1.5, rank: int = 2
+) -> SlotTicket:
+    return SlotTicket(rank, now + deadline_s, now + objective_s, now)
+
+
+@given("a target with {slots:d} slots whose requests run {seconds:g} s")
+def slots(context: Any, slots: int, seconds: float) -> None:
+    queue = context.queue = SlotQueue(SlotLimits(slots))
+    for _ in range(200):
+        ticket = _ticket(NOW)
+        queue.offer(ticket, NOW - seconds)
+        queue.finish(ticket, NOW, measured=True)
+
+
+@when("{count:d} requests come")
+@when("{count:d} more requests with an objective of {objective:g} s come")
+def requests_come(context: Any, count: int, objective: float = 0.6) -> None:
+    context.offered = [context.queue.offer(_ticket(NOW, objective), NOW) for _ in range(count)]
+
+
+@when("{seconds:g} s pass in which none of them ends")
+def time_passes(context: Any, seconds: float) -> None:
+    context.now = NOW + seconds
+
+
+@then("both start")
+def both_start(context: Any) -> None:
+    assert context.offered == [True, True]
+
+
+@then("both wait")
+def both_wait(context: Any) -> None:
+    assert context.offered == [False, False]
+
+
+@then("the last is refused, to come back after {low:g} to {high:g} s")
+def last_refused(context: Any, low: float, high: float) -> None:
+    last = context.offered[-1]
+    assert isinstance(last, Refused)
+    assert low <= last.retry_after_s <= high, last
+
+
+@then("a request with an objective of {objective:g} s is refused")
+def one_refused(context: Any, objective: float) -> None:
+    offered = context.queue.offer(_ticket(context.now, objective), context.now)
+    assert isinstance(offered, Refused), offered
+
+
+@when("a request runs and requests of rank 2, 1 and 2 wait")
+def ranks_wait(context: Any) -> None:
+    context.running = _ticket(NOW)
+    assert context.queue.offer(context.running, NOW) is True
+    context.waiting = [_ticket(NOW, objective_s=2.0, rank=rank) for rank in (2, 1, 2)]
+    for ticket in context.waiting:
+        assert context.queue.offer(ticket, NOW) is False
+
+
+@then("the one of rank 1 starts next")
+def rank_first(context: Any) -> None:
+    context.queue.finish(context.running, NOW + 0.1, measured=True)
+    started, late = context.queue.next_starts(NOW + 0.1)
+    assert (started, late) == ([context.waiting[1]], [])
+
+
+@when("a request runs and one waits whose deadline is near")
+def near_deadline(context: Any) -> None:
+    context.running = _ticket(NOW)
+    context.queue.offer(context.running, NOW)
+    context.waiting = [_ticket(NOW, objective_s=2.0, deadline_s=0.5)]
+    assert context.queue.offer(context.waiting[0], NOW) is False
+
+
+@then("that one is given up when the slot is free")
+def given_up(context: Any) -> None:
+    context.queue.finish(context.running, NOW + 0.4, measured=True)
+    started, late = context.queue.next_starts(NOW + 0.4)
+    assert (started, late) == ([], context.waiting)
+
+
+# -- choice ----------------------------------------------------------------------------------
+
+
+def _share_of_first(candidates: list[Candidate], now: float = NOW) -> float:
+    rng = Random(7)
+    chosen = [choose_target(candidates, now, rng) for _ in range(400)]
+    return sum(1 for c in chosen if c is candidates[0]) / len(chosen)
+
+
+def _view(service_s: float = 0.1, running: int = 0) -> LoadView:
+    return LoadView(TargetLoad(running, 0, 12, service_s), reported_at=NOW)
+
+
+@given("targets that run a request in {slow:g} s and in {fast:g} s")
+def speeds(context: Any, slow: float, fast: float) -> None:
+    context.candidates = [Candidate("a", True, _view(slow)), Candidate("b", True, _view(fast))]
+
+
+@given("two equal targets of which the first has {taken:d} of {slots:d} slots taken")
+def crowded(context: Any, taken: int, slots: int) -> None:
+    context.candidates = [
+        Candidate("a", True, _view(running=taken)),
+        Candidate("b", True, _view()),
+    ]
+
+
+@given("two equal targets of which the first has just failed twice")
+def failed_twice(context: Any) -> None:
+    view = _view()
+    view.failed(NOW)
+    view.failed(NOW)
+    context.candidates = [Candidate("a", True, view), Candidate("b", True, _view())]
+
+
+@given("two equal targets of which the second is in another failure domain")
+def other_domain(context: Any) -> None:
+    context.candidates = [Candidate("a", True, _view()), Candidate("b", False, _view())]
+
+
+@then("the second one gets nearly all requests")
+def second_wins(context: Any) -> None:
+    assert _share_of_first(context.candidates) < 0.05
+
+
+@then("after {seconds:g} s the first one gets requests again")
+def first_again(context: Any, seconds: float) -> None:
+    assert _share_of_first(context.candidates, NOW + seconds) > 0.2
+
+
+@then("the first one gets more than half of all requests")
+def first_preferred(context: Any) -> None:
+    assert _share_of_first(context.candidates) > 0.6
+
+
+@given('a route that goes to "{first}" by {one:d} and to "{second}" by {other:d}')
+def weighted(context: Any, first: str, one: int, second: str, other: int) -> None:
+    parts = [WeightedService(first, one), WeightedService(second, other)]
+    context.turns = WeightedTurns(parts, Random(3))
+
+
+@when("{count:d} requests take it")
+def take_route(context: Any, count: int) -> None:
+    context.chosen = [context.turns.next() for _ in range(count)]
+
+
+@then('"{service}" gets {count:d} of them, give or take {slack:d}')
+def gets(context: Any, service: str, count: int, slack: int) -> None:
+    assert abs(context.chosen.count(service) - count) <= slack, context.chosen.count(service)
+
+
+# -- after a failed attempt -------------------------------------------------------------------
+
+
+@given("a {kind} request to a {service} service with {left:g} s left")
+def planned_request(context: Any, kind: str, service: str, left: float) -> None:
+    times = RequestTimes(NOW, NOW + 0.6, NOW + left)
+    context.plan = AttemptPlan(times, kind == "safe", service == "keyed", 2)
+
+
+@given("its body is being passed on")
+def passed_on(context: Any) -> None:
+    context.plan.sent_on = True
+
+
+@when('an attempt ends as "{outcome}" because of "{reason}"')
+def attempt_ends(context: Any, outcome: str, reason: str) -> None:
+    reached = outcome == "unknown" or reason == "target-refused"
+    if reached:
+        context.plan.arrived()
+    context.step = context.plan.after_failure(Outcome(outcome), Reason(reason), "t1", NOW + 0.01)
+
+
+@when("two attempts that reached targets failed")
+def two_failed(context: Any) -> None:
+    attempt_ends(context, "unknown", "server-failed")
+    assert context.step is NextStep.REPEAT
+    attempt_ends(context, "unknown", "server-failed")
+
+
+@when("three targets had no slot for it")
+def three_full(context: Any) -> None:
+    for _ in range(3):
+        attempt_ends(context, "not-run", "overloaded")
+
+
+@then('the next step is "{step}"')
+def next_step(context: Any, step: str) -> None:
+    assert context.step is NextStep(step), context.step
+
+
+# -- budget ----------------------------------------------------------------------------------
+
+
+@given("a budget of {ratio:g} of the requests and {allowance:g} more within {window:g} s, "
+       "for {daemons:d} daemons")  # fmt: skip
+def budget(context: Any, ratio: float, allowance: float, window: float, daemons: int) -> None:
+    rule = RetryRule(ratio, allowance, window)
+    context.windows = [RetryWindow(rule) for _ in range(daemons)]
+
+
+@when("each daemon takes {count:d} requests and asks for as many repeats")
+def ask_repeats(context: Any, count: int) -> None:
+    context.given = 0
+    for window in context.windows:
+        for number in range(count):
+            window.request(NOW + number * 0.05)
+        for number in range(count):
+            context.given += window.take(NOW + number * 0.05, len(context.windows))
+
+
+@then("no more than {most:d} repeats are given in all")
+def repeats_bounded(context: Any, most: int) -> None:
+    assert 50 < context.given <= most, context.given
