The wait for an instance's own link counts as running time of its target

Change: the daemon counts the bytes it hands to its peers, takes its link to drain at the rate of the settings, and adds the wait to the running time that it tells with each answer. Links of 1000 Mbit/s are not affected (test).

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -92,6 +92,16 @@
     When each daemon takes 100 requests and asks for as many repeats
     Then no more than 344 repeats are given in all
 
+  Scenario: A free target behind a full link is passed over
+    Given two targets of a service, the first half as slow as the other, both behind 13 Mbit/s
+    When the first has just sent 600000 bytes to others
+    Then the second is chosen, and the first again 2 s later
+
+  Scenario: A fast link is never waited for
+    Given two targets of a service, the first half as slow as the other, both behind 1000 Mbit/s
+    When the first has just sent 600000 bytes to others
+    Then the first is chosen
+
   # -- members -------------------------------------------------------------------------------
 
   Scenario: A member whose entry lapsed is tried as long as it can be reached
--- a/features/steps/mesh_target_steps.py
+++ b/features/steps/mesh_target_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
+from pearward_coordination.link_load import LinkLoad
 from pearward_coordination.retry_window import RetryRule, RetryWindow
 from pearward_coordination.selection import (
     Candidate,
@@ -173,6 +174,44 @@
     assert abs(context.chosen.count(service) - count) <= slack, context.chosen.count(service)
 
 
+@given("two targets of a service, the first half as slow as the other, "
+       "both behind {rate:g} Mbit/s")  # fmt: skip
+def behind_links(context: Any, rate: float) -> None:
+    context.links = [LinkLoad(rate), LinkLoad(rate)]
+    context.service_s = [0.1, 0.2]
+
+
+@when("the first has just sent {size:d} bytes to others")
+def sent_bytes(context: Any, size: int) -> None:
+    for _ in range(10):
+        context.links[0].sent(size // 10, NOW)
+
+
+def _chosen_at(context: Any, now: float) -> str:
+    candidates = []
+    for number, (link, service_s) in enumerate(zip(context.links, context.service_s, strict=True)):
+        view = LoadView()
+        view.reported(TargetLoad(0, 0, 12, service_s + link.wait_s(now)), now)
+        candidates.append(Candidate(f"t{number}", True, view))
+    chosen = choose_target(candidates, now, Random(1))
+    assert chosen is not None
+    return chosen.target
+
+
+@then("the second is chosen, and the first again {seconds:g} s later")
+def second_chosen(context: Any, seconds: float) -> None:
+    assert _chosen_at(context, NOW) == "t1"
+    for _ in range(30):
+        # Small answers go on: the mean forgets the long ones.
+        context.links[0].sent(200, NOW + seconds / 2)
+    assert _chosen_at(context, NOW + seconds) == "t0"
+
+
+@then("the first is chosen")
+def first_chosen(context: Any) -> None:
+    assert _chosen_at(context, NOW) == "t0"
+
+
 # -- after a failed attempt -------------------------------------------------------------------
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -60,6 +60,7 @@
     "bounds": {"holdMaxMs": 10000, "retryBudgetRatio": 0.2, "retryBudgetSlack": 64,
                "budgetWindowS": 10, "drainMs": 2000, "gracePeriodS": 6},
     "platform": {"address": "10.200.1.7:8627", "ttl_min_ms": 1000},
+    "limits": {"cpuShare": 0.86, "memoryMb": 300, "linkMbps": 13.0},
 }  # fmt: skip
 
 # -- the configuration document ----------------------------------------------------------------
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -10,7 +10,7 @@
 from twisted.web.server import Site
 
 from pearward_coordination.messages import ControlMessage, PeerId
-from pearward_protocol.heads import RequestHead
+from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_state.routes import RoutingTable
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
@@ -192,7 +192,7 @@
         newer = head.version > self._core.key_maps.version(head.service)
         if newer and connection.peer is not None:
             self._core.want_map(head.service, connection.peer.address)
-        return self._side.take(head, ended, body, PeerReply(connection, stream))
+        return self._side.take(head, ended, body, _CountedReply(connection, stream, self._side))
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Take a control message."""
@@ -233,6 +233,24 @@
         )
 
 
+class _CountedReply(PeerReply):
+    """Answers a peer and tells the target's side how many bytes the link has to carry."""
+
+    def __init__(self, connection: PeerConnection, stream: int, side: TargetSide) -> None:
+        super().__init__(connection, stream)
+        self._side = side
+
+    def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
+        """Send the head of the answer, or the whole of a short one."""
+        self._side.sent_to_peer(len(head.headers) + len(body))
+        super().respond(head, ended=ended, body=body)
+
+    def send_data(self, data: bytes, *, ended: bool = False) -> bool:
+        """Send a chunk; return whether more may follow at once."""
+        self._side.sent_to_peer(len(data))
+        return super().send_data(data, ended=ended)
+
+
 class _Status(Resource):
     """Readiness and metrics."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -23,6 +23,8 @@
 SILENT_S = 2.2
 """Seconds without a report after which an owner loses its keys: a daemon that was killed
 reports again after 1.6 s."""
+LINK_MBIT_PER_S = 1000.0
+"""Rate of an instance's link where the settings do not tell: it is never waited for."""
 LOG_LINES_PER_S = 200
 """Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
 
@@ -72,6 +74,8 @@
     """Seconds after its leave is acknowledged in which a target may get new requests."""
     stop_s: float
     """Seconds from SIGTERM to the platform's SIGKILL."""
+    link_mbit_per_s: float
+    """Rate of the instance's own link."""
     log_lines_per_s: int
 
     @classmethod
@@ -111,6 +115,7 @@
             retries=_retries(root.section("retries")),
             drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
             stop_s=limits.number("stop_s", 6, low=1),
+            link_mbit_per_s=limits.number("link_mbit_per_s", LINK_MBIT_PER_S, low=0.1),
             log_lines_per_s=root.section("log").integer("lines_per_s", LOG_LINES_PER_S, low=1),
         )
         for reader in (target, listen, limits, root):
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -307,6 +307,7 @@
         retries=RetryRule(0.2, 50, 10.0),
         drain_s=2.0,
         stop_s=6.0,
+        link_mbit_per_s=1000.0,
         log_lines_per_s=1,
     )
 
