A daemon that is behind on the key map does not say that keys were let go

A target that is to get keys, and does not hold them yet, was asked for them on behalf of the next owner; its daemon answered 'let go' though it had not heard of the newer map, and then granted them under the older one. Behind links of 6 Mbit/s a map is late by seconds. Ruled out: the witnesses' way, which asks for the version of the map. Change: a release is told only by a daemon whose map is as new as the asker's; questions about another service's targets are not answered at all. Before: the new scenario fails, 'let go' is answered.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -212,6 +212,12 @@
     When only the second one has been heard
     Then there is no next map
 
+  Scenario: A daemon that is behind on the key map does not say that keys were let go
+    Given owners with capacities 100, 50 and 50
+    And the second one is to take the first one's keys, which it does not hold yet
+    When those keys are given to the third one, and its daemon asks for them
+    Then the second one's daemon says nothing until it knows that, and then that they are free
+
   Scenario: A release that is told over and over is remembered once
     Given owners with capacities 100, 50 and 50
     When the daemon of the first one hears 1000 times that a predecessor let its keys go
--- a/features/steps/mesh_key_map_steps.py
+++ b/features/steps/mesh_key_map_steps.py
@@ -1,5 +1,6 @@
 """Steps of key maps: sizes, moves, loads, stored maps, witnesses."""
 
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -216,6 +217,46 @@
     assert all(isinstance(row, KeyCount) and row.first <= row.last for row in context.counts)
 
 
+def _given_to(key_map: KeyMap, owner: str, before: list[Predecessor]) -> KeyMap:
+    """Return the next map, in which the first range has another owner."""
+    fence = key_map.fence + 1
+    moved = replace(key_map.ranges[0], owner=owner, fence=fence, predecessors=tuple(before))
+    ranges = (moved, *key_map.ranges[1:])
+    return replace(key_map, version=key_map.version + 1, ranges=ranges, fence=fence)
+
+
+@given("the second one is to take the first one's keys, which it does not hold yet")
+def second_is_to_take(context: Any) -> None:
+    keeper = context.keeper = GrantKeeper("service", 0.0, GrantTiming())
+    keeper.target_changed("t1")
+    keeper.lease_until(NOW + 60.0)
+    context.map = _given_to(context.map, "t1", [Predecessor("t0", 1)])
+    keeper.adopt(context.map)
+    keeper.heartbeat(NOW, (), ())
+    rows, _ = keeper.grant(NOW, NOW)
+    assert all(row.first > context.map.ranges[0].last for row in rows), rows
+
+
+@when("those keys are given to the third one, and its daemon asks for them")
+def asks_for_keys(context: Any) -> None:
+    second = Predecessor("t1", context.map.fence)
+    context.next = _given_to(context.map, "t2", [Predecessor("t0", 1), second])
+
+
+@then("the second one's daemon says nothing until it knows that, and then that they are free")
+def says_when_known(context: Any) -> None:
+    moved = context.next.ranges[0]
+
+    def answer() -> list[ReleasedRow] | None:
+        return context.keeper.release_of(
+            "t1", moved.first, moved.last, context.map.fence, context.next.version, NOW
+        )
+
+    assert answer() is None
+    context.keeper.adopt(context.next)
+    assert answer() is not None
+
+
 @when("the daemon of the first one hears 1000 times that a predecessor let its keys go")
 def told_often(context: Any) -> None:
     context.keeper = GrantKeeper("service", NOW, GrantTiming())
--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -352,13 +352,17 @@
         return False
 
     def release_of(
-        self, target: str, first: int, last: int, fence: int, now: float
+        self, target: str, first: int, last: int, fence: int, version: int, now: float
     ) -> list[ReleasedRow] | None:
-        """Answer whether *target*, once beside this daemon, has let keys go.
+        """Answer whether *target*, once beside this daemon, has let keys go for good.
 
         Returns rows that together hold the keys from *first* to *last*, with the tokens
         where there are some, or None while the target may still hold one of the keys.
+        *version* is that of the map that took them away: a daemon that acts on an older
+        one may yet grant them, though nothing is held now.
         """
+        if self._map is None or self._map.version < version:
+            return None
         if target == self._target:
             if not self._heard or self.may_hold(first, last, now, below=fence + 1):
                 return None
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -414,6 +414,10 @@
         """Answer now, or when the keys are let go."""
         if question.version > self._maps.version(question.service):
             self.want_map(question.service, asker.address)
+        if question.service != self._settings.service:
+            # Not a target of this instance: its witnesses know when its lease is over.
+            self._log.decided("question_not_for_here", service=question.service)
+            return
         if len(self._askers) < ANSWERS_KEPT:
             self._askers[question] = asker
         self._answer_askers()
@@ -423,8 +427,9 @@
         now = boot_time()
         for question, asker in list(self._askers.items()):
             rows = self._side.keeper.release_of(
-                question.target, question.first, question.last, question.fence, now
-            )
+                question.target, question.first, question.last, question.fence,
+                question.version, now,
+            )  # fmt: skip
             if rows is None:
                 continue
             del self._askers[question]
