--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -97,3 +97,4 @@
       | a witness renews only by a map as new as its own  |
       | a majority of witnesses releases                  |
       | a restarted witness releases after a full lease   |
+      | a release is told only by a map as new as asked   |
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import ExitStack
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -16,6 +17,7 @@
 from pearward_coordination.messages import ReleaseReply, RenewReply
 from pearward_daemon.mesh import target_lease
 from pearward_daemon.mesh.dialect import TargetBeat
+from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState
 from tests.fuzz.mesh_world import KEYS, TICK_S, Node, World, virtual_time
 
@@ -358,6 +360,44 @@
     _leaves_and_is_cut(world)
 
 
+def _asked_while_behind(world: World) -> None:
+    """Keys are given to one target and, before it has them, to another; the first does not hear."""
+    daemons = [node.daemon for node in world.nodes if node.daemon is not None]
+    links = {(0, 2), (2, 0)}
+    world.cut_links |= links
+    for owner in (2, 1):
+        newer = _first_range_to(world, owner)
+        for daemon in daemons:
+            daemon.core.key_maps.adopt(newer)
+        # From here on the first one hears of no newer map.
+        daemons[2].core.key_maps.adopt = lambda key_map: False  # type: ignore[method-assign]
+        world.run(0.3)
+    world.cut_links -= links
+    world.run(2.0)
+
+
+def _first_range_to(world: World, number: int) -> KeyMap:
+    """Return the next map, in which the first range belongs to another target."""
+    daemon, target = world.nodes[0].daemon, world.nodes[number].target
+    assert daemon is not None and target is not None
+    key_map = daemon.core.key_maps.of("roster-app")
+    assert key_map is not None
+    first, *rest = key_map.ranges
+    before = (*first.predecessors, Predecessor(first.owner, first.fence))
+    fence = key_map.fence + 1
+    moved = replace(first, owner=target.id, fence=fence, predecessors=before)
+    return replace(key_map, version=key_map.version + 1, ranges=(moved, *rest), fence=fence)
+
+
+_release_of = grants.GrantKeeper.release_of
+
+
+def _release_by_any_map(
+    self: Any, target: str, first: int, last: int, fence: int, version: int, now: float
+) -> Any:
+    return _release_of(self, target, first, last, fence, 0, now)
+
+
 Case = tuple[Any, str, Any, Callable[[World], None]]
 _CASES: dict[str, Case] = {
     "a hold ends within the lease": (
@@ -380,6 +420,9 @@
         target_witness.TargetWitness, "__init__", _released_from_the_start,
         _leaves_is_cut_and_forgotten,
     ),
+    "a release is told only by a map as new as asked": (
+        grants.GrantKeeper, "release_of", _release_by_any_map, _asked_while_behind,
+    ),
 }  # fmt: skip
 
 
