A planned stop of a daemon moves its target's keys only where the others have room

Change: the entry of a stopping daemon says so; the planner decides once whether the other owners have room (0.75 of their capacity), else the keys stay, and the report of the next life is waited for 4 s. The entry stays for the next life; the planner's duty passes on at once. Tests: two scenarios in virtual time, with and without room.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -71,6 +71,18 @@
     Then every key is served after 2 s
     And no key ever had two holders
 
+  Scenario: A planned stop leaves the keys where they are while the others have no room for them
+    Given a fleet of 4 targets that serves
+    When each target is asked for 64 requests a second while daemon 1 is stopped and started again
+    Then no key changed its holder
+    And every key is served after 1 s
+
+  Scenario: A planned stop moves the keys away while the others have room, and no key rests long
+    Given a fleet of 4 targets that serves
+    When each target is asked for 8 requests a second while daemon 1 is stopped and started again
+    Then target 1 held no key when its daemon ended
+    And no key rested for more than 1.2 s in all
+
   Scenario: A late heartbeat of a former target does not pass for a new one
     Given a fleet of 4 targets that serves
     When a heartbeat comes to daemon 1 from a target that has counted 50 calls
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -183,6 +183,46 @@
         _run(context, 0.1)
 
 
+STOPPING_S, DOWN_S = 3.0, 1.4
+"""How long a daemon that was told to stop goes on, and how long it then takes to stand again."""
+
+
+@when("each target is asked for {rate:d} requests a second "
+      "while daemon {number:d} is stopped and started again")  # fmt: skip
+def stop_and_start(context: Any, rate: int, number: int) -> None:
+    world = context.world
+    node = world.nodes[number]
+
+    def ask(seconds: float) -> None:
+        for _ in range(round(seconds * 4)):
+            for asked in [n for n in world.nodes if n.target.rows]:
+                world.load(asked, world.key_of(asked), rate // 4)
+            _run(context, 0.25)
+
+    ask(4.0)
+    # What load has levelled is not the stop's doing.
+    context.before = _holders(world)
+    context.unserved.clear()
+    node.daemon.core.stop()
+    ask(STOPPING_S)
+    context.held_at_end = [key for key in KEYS if node.target.holds(key)]
+    node.daemon.core.session.stop(keep_entry=True)
+    world.end_daemon(node)
+    ask(DOWN_S)
+    world.start_daemon(node)
+    ask(3.0)
+
+
+@then("target {number:d} held no key when its daemon ended")
+def held_none(context: Any, number: int) -> None:
+    assert not context.held_at_end
+
+
+@then("no key rested for more than {seconds:g} s in all")
+def rested(context: Any, seconds: float) -> None:
+    assert len(context.unserved) * TICK_S <= seconds, len(context.unserved) * TICK_S
+
+
 @when("a heartbeat comes to daemon {number:d} from a target that has counted {calls:d} calls")
 def foreign_beat(context: Any, number: int, calls: int) -> None:
     context.other = f"i-other-{calls}"
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -412,7 +412,9 @@
             for line in path.read_text(encoding="utf-8").splitlines():
                 with contextlib.suppress(json.JSONDecodeError):
                     found.append(json.loads(line))
-        return [line for line in found if line.get("id") == context.request_id]
+        # Targets write down what they run as well; only lines of daemons have a type.
+        own = [line for line in found if "message_type" in line]
+        return [line for line in own if line.get("id") == context.request_id]
 
     def complete() -> bool:
         kinds = {line["message_type"] for line in lines()}
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -38,9 +38,6 @@
 STOP_CHECK_S = 0.1
 STOP_MARGIN_S = 0.4
 """Seconds before the platform's SIGKILL by which this daemon ends by itself."""
-LAST_WORK_S = 2.2
-"""Seconds before the platform's SIGKILL from which the target gets no new request: where
-its keys could not be moved, what it has begun is to end in time."""
 HEADER_BYTES = 64 * 1024
 """Bytes of a request's headers before a configuration sets a limit."""
 HEADER_COUNT = 200
@@ -140,7 +137,7 @@
         least_s = READY_OFF_S if self._side.info is not None else READY_OFF_S / 2
         if waited_s >= least_s:
             self._ingress.refuse_new(RESTART_S)
-        if waited_s >= self._settings.stop_s - LAST_WORK_S:
+            # What the target works on ends now; its keys wait there for the next life.
             self._side.refuse_new()
         idle = not self._ingress.open_requests and not self._side.open_requests
         if over or (idle and waited_s >= least_s):
@@ -149,12 +146,17 @@
             self._reactor.callLater(STOP_CHECK_S, self._check_stopped)
 
     def _end(self, waited_s: float) -> None:
-        """Begin nothing more, take the entry back, then let what came meanwhile end."""
+        """Begin nothing more, take the entry back, then let what came meanwhile end.
+
+        Beside a living target the entry stays for the next life to write over.
+        """
         self._side.refuse_new()
+        keep = self._side.info is not None
         self._log.decided(
-            "entry_taken_back", waited_s=round(waited_s, 3), open=self._ingress.open_requests
-        )
-        self._core.session.stop().addBoth(lambda _: self._end_when_idle())
+            "ending", waited_s=round(waited_s, 3), open=self._ingress.open_requests,
+            entry_kept=keep,
+        )  # fmt: skip
+        self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._end_when_idle())
 
     def _end_when_idle(self) -> None:
         """End once the requests have ended that came while the store was waited for."""
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -152,9 +152,13 @@
         self._renew()
 
     def stop(self) -> None:
-        """Let others have the target's work."""
+        """Give the duty up, and the work of a target that any other can do.
+
+        Who is told to stop while its target lives is started again in a moment: keys stay.
+        """
         self._stopping = True
         self._side.stop()
+        self._publish()
         self._send_report()
 
     # -- regular work -----------------------------------------------------------------
@@ -320,6 +324,7 @@
             slots=info.slots,
             state=info.state,
             cold_until=round(info.cold_until, 1),
+            stopping=self._stopping,
         )
         keyed = self._settings.service in table.keyed_services
         # Known here at once; the others learn it from the store.
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -44,6 +44,13 @@
 """Seconds after the first owner is known before the first map is made: targets beat within."""
 MOVE_PAUSE_S = 1.5
 """Seconds between two plans that only level load: keys that move rest for half a second."""
+RESTART_SILENT_S = 4.0
+"""The same after a planned stop: a daemon that ended stands again after 1.4 s, and reports
+when its target has beaten, up to 0.9 s later; what else is lost then waits as long."""
+ROOM = 0.75
+"""Utilisation of the owners that stay up to which they take the keys of one whose daemon is
+stopped: two moves rest its keys for a second in all, staying rests them for two and a half,
+and beyond this everybody's requests wait."""
 LEAST_SPEED, MOST_SPEED = 0.4, 2.5
 """Speeds of targets of one service, over their mean, beyond which a measured speed is not
 believed: targets seen so far run at 0.6 to 1.6, and slow ones for some seconds at less."""
@@ -66,6 +73,9 @@
     load: KeyLoadTable = field(default_factory=KeyLoadTable)
     moved_at: float = 0.0
     owners_since: float | None = None
+    stopping: dict[str, bool] = field(default_factory=dict)
+    """Targets whose daemons were told to stop, and are to be started again; whether the
+    others have room for their keys meanwhile."""
     working: bool = False
     revision: int = 0
     """Revision of the map's entry in the store; 0 while it is not known."""
@@ -106,7 +116,7 @@
         """Return the member that has the duty, as this daemon sees it; leaving ones come last."""
         return min(
             self._directory.registered,
-            key=lambda m: (m.state is TargetState.DRAINING, m.instance),
+            key=lambda m: (m.stopping or m.state is TargetState.DRAINING, m.instance),
             default=None,
         )
 
@@ -170,6 +180,7 @@
             if key_map is None:
                 await self._write_first(name, service, now)
                 return
+            self._note_stopping(service, now)
             silent = frozenset(self._silent_targets(key_map, service, now))
             planned = self._levelled(key_map, service, silent, now)
             if planned is None:
@@ -221,7 +232,7 @@
         for member in sorted(self._directory.members, key=lambda m: m.instance):
             if member.service != name or not member.target or member.target in service.ended:
                 continue
-            if member.state is TargetState.DRAINING:
+            if member.state is TargetState.DRAINING or service.stopping.get(member.target):
                 continue
             report, age = self._report(service, member.target, now)
             if report is None or age > REPORT_AGE_S:
@@ -285,6 +296,8 @@
             fresh = report is not None and age <= REPORT_AGE_S
             if member is not None and member.state is TargetState.DRAINING:
                 continue
+            if service.stopping.get(target):
+                continue
             if not (fresh and report is not None and report.draining):
                 unheard.add(target)
         return frozenset(unheard)
@@ -301,13 +314,41 @@
             if target in service.ended:
                 continue
             report, age = self._report(service, target, now)
-            if report is not None and age < self._settings.silent_s:
+            if report is not None and age < self._patience_s(target, service):
                 continue
             if report is None and self._directory.is_registered(target):
                 continue
             silent.append(target)
         return silent
 
+    def _patience_s(self, target: str, service: _Service) -> float:
+        """Return the seconds without a report after which an owner loses its keys."""
+        waits = service.stopping.get(target) is False
+        return RESTART_SILENT_S if waits else self._settings.silent_s
+
+    def _note_stopping(self, service: _Service, now: float) -> None:
+        """Decide once for each planned stop whether its target's keys go elsewhere meanwhile."""
+        for member in self._directory.members:
+            if not member.stopping:
+                service.stopping.pop(member.target, None)
+            elif member.target not in service.stopping:
+                room = self._room_without(service, member.target, now)
+                service.stopping[member.target] = room
+                self._log.decided(
+                    "planned_stop_seen", target=member.target, keys_move=room,
+                    service=member.service,
+                )  # fmt: skip
+
+    def _room_without(self, service: _Service, target: str, now: float) -> bool:
+        """Return whether the owners that stay can run what is asked of all."""
+        asked = sum(row.rate for row in service.load.rates(now))
+        can = sum(
+            report.capacity
+            for other, (report, at) in service.reports.items()
+            if other != target and other not in service.stopping and now - at <= REPORT_AGE_S
+        )
+        return asked <= can * ROOM
+
     # -- witnesses -------------------------------------------------------------------
 
     def _with_witnesses(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap:
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from pearward_protocol.entries import (
     HOLDERS,
@@ -129,9 +129,11 @@
         self._run(self._keep_lease())
         self._start_watches()
 
-    def stop(self) -> "Deferred[None]":
-        """End the loops and the lease, so that the entry goes at once."""
+    def stop(self, *, keep_entry: bool) -> "Deferred[None]":
+        """End the loops and, unless the entry is kept, the lease, so that it goes at once."""
         self._stopped = True
+        if keep_entry:
+            return succeed(None)
         return Deferred.fromCoroutine(self._end_lease())
 
     def publish(self, member: Member | None, keyed: bool) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -31,8 +31,6 @@
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
-MOVED_RETRY_S = 0.05
-"""Seconds after which the owner of a key is asked again."""
 KEY_PATIENCE = 0.55
 """Part of the latency objective that a request waits for its key to arrive; keys rest for
 0.1 to 0.5 s when they move between living targets."""
@@ -103,7 +101,7 @@
         if barred is Reason.NOT_READY and self._park():
             return
         if barred is not None:
-            self._refuse(barred, retry_after_s=MOVED_RETRY_S)
+            self._refuse(barred, retry_after_s=self._side.back_after_s())
             return
         self._cancel_wait()
         if self._ticket is not None:
@@ -144,7 +142,7 @@
         """The former owner takes longer than a caller should wait: let it try again."""
         self._wait_timer = None
         if not self._done and self._ticket is None:
-            self._refuse(Reason.NOT_READY, retry_after_s=MOVED_RETRY_S)
+            self._refuse(Reason.NOT_READY, retry_after_s=self._side.back_after_s())
 
     def _waited_too_long(self) -> None:
         """The queue moves slower than was expected: let the caller try again in time."""
@@ -180,7 +178,7 @@
         barred = self._side.barred(self._head)
         if barred is not None:
             connection.abort()
-            self._refuse(barred, retry_after_s=MOVED_RETRY_S)
+            self._refuse(barred, retry_after_s=self._side.back_after_s())
             return
         left_ms = int((self._deadline - boot_time()) * MS_PER_S)
         if left_ms <= 0:
@@ -343,7 +341,7 @@
         """The target's whole answer says that it is not the caller's."""
         if verdict is Reason.TARGET_REFUSED:
             self._sent = False
-            self._refuse(verdict, retry_after_s=MOVED_RETRY_S)
+            self._refuse(verdict, retry_after_s=self._side.back_after_s())
         else:
             self._fail_after_sent(verdict)
 
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -43,6 +43,10 @@
 PARKED_LIMIT = 512
 """Requests that wait for the target's keys, at most; further ones are refused."""
 DEFAULT_SLOTS = 8
+MOVED_RETRY_S = 0.05
+"""Seconds after which the owner of a key is asked again."""
+BACK_S = 1.2
+"""Seconds after which a daemon that ends now serves its target again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,7 +235,8 @@
         self._publish(TargetInfo(beat.target, beat.slots, self._state(), cold_until))
 
     def _state(self) -> TargetState:
-        leaving = self._leaving_since is not None or self._silent or self._stopping
+        given_up = self._stopping and not self._keyed
+        leaving = self._leaving_since is not None or self._silent or given_up
         return TargetState.DRAINING if leaving else TargetState.READY
 
     def _publish(self, info: TargetInfo | None) -> None:
@@ -247,7 +252,7 @@
             self._publish(TargetInfo(info.target, info.slots, self._state(), info.cold_until))
 
     def stop(self) -> None:
-        """This daemon stops: let others have the target's work, though it lives on."""
+        """This daemon stops: let others have the target's work, unless only it holds the keys."""
         self._stopping = True
         self._publish_state()
         self.reconsider()
@@ -393,6 +398,10 @@
         """Return the seconds after which a slot is likely to be free."""
         return self._queue.retry_after(0.0)
 
+    def back_after_s(self) -> float:
+        """Return the seconds after which a request that is barred here may come again."""
+        return BACK_S if self._refusing else MOVED_RETRY_S
+
     def finished(self, ticket: SlotTicket, *, measured: bool) -> None:
         """A request gives its slot back, or its place in the queue."""
         now = boot_time()
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -64,6 +64,7 @@
             "slots": member.slots,
             "state": member.state.value,
             "cold_until": member.cold_until,
+            "stopping": member.stopping,
         }
     )
 
@@ -82,6 +83,7 @@
             slots=int(data["slots"]),
             state=TargetState(data["state"]),
             cold_until=float(data["cold_until"]),
+            stopping=bool(data.get("stopping", False)),
         )
 
     return _decoded(value, read)
--- a/packages/state/src/pearward_state/members.py
+++ b/packages/state/src/pearward_state/members.py
@@ -30,6 +30,8 @@
     state: TargetState
     cold_until: float = 0.0
     """Unix time in s until which the target, newly started, is slow; 0 if it is not."""
+    stopping: bool = False
+    """The daemon was told to stop; its target lives on and keeps its keys for the next life."""
 
 
 @dataclass(frozen=True, slots=True)
