A planned stop is decided on by a planner that has heard the owners, and for its own service

Read-over of the change: a planner that had just got the duty knew no capacity and no load, and found room for everything; members of other services were looked at as well.

--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -154,7 +154,8 @@
     def stop(self) -> None:
         """Give the duty up, and the work of a target that any other can do.
 
-        Who is told to stop while its target lives is started again in a moment: keys stay.
+        Who is told to stop while its target lives is started again in a moment: whether its
+        keys move meanwhile is the planner's decision.
         """
         self._stopping = True
         self._side.stop()
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -180,7 +180,7 @@
             if key_map is None:
                 await self._write_first(name, service, now)
                 return
-            self._note_stopping(service, now)
+            self._note_stopping(name, service, now)
             silent = frozenset(self._silent_targets(key_map, service, now))
             planned = self._levelled(key_map, service, silent, now)
             if planned is None:
@@ -326,17 +326,23 @@
         waits = service.stopping.get(target) is False
         return RESTART_SILENT_S if waits else self._settings.silent_s
 
-    def _note_stopping(self, service: _Service, now: float) -> None:
-        """Decide once for each planned stop whether its target's keys go elsewhere meanwhile."""
+    def _note_stopping(self, name: str, service: _Service, now: float) -> None:
+        """Decide once for each planned stop whether its target's keys go elsewhere meanwhile.
+
+        Who has only just got the duty decides when the owners' reports have had time to come.
+        """
+        assert self._on_duty_since is not None
+        informed = now - self._on_duty_since >= GRACE_S
         for member in self._directory.members:
+            if member.service != name:
+                continue
             if not member.stopping:
                 service.stopping.pop(member.target, None)
-            elif member.target not in service.stopping:
+            elif informed and member.target not in service.stopping:
                 room = self._room_without(service, member.target, now)
                 service.stopping[member.target] = room
                 self._log.decided(
-                    "planned_stop_seen", target=member.target, keys_move=room,
-                    service=member.service,
+                    "planned_stop_seen", target=member.target, keys_move=room, service=name,
                 )  # fmt: skip
 
     def _room_without(self, service: _Service, target: str, now: float) -> bool:
--- a/packages/state/src/pearward_state/members.py
+++ b/packages/state/src/pearward_state/members.py
@@ -31,7 +31,7 @@
     cold_until: float = 0.0
     """Unix time in s until which the target, newly started, is slow; 0 if it is not."""
     stopping: bool = False
-    """The daemon was told to stop; its target lives on and keeps its keys for the next life."""
+    """The daemon was told to stop; it is started again if its target lives on."""
 
 
 @dataclass(frozen=True, slots=True)
