--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -52,7 +52,9 @@
     """Standard deviations by which an owner's count must be over its share: a few requests
     more than usual are chance, and each move costs the keys a pause."""
     moves: int = 24
-    """Pieces that change hands in one plan, at most; four for each owner if that is more."""
+    """Pieces that change hands in one plan, at most; more where there are many owners."""
+    moves_per_owner: int = 4
+    """The same for each owner: a hot owner's load is to be spread over all others at once."""
     pieces: int = 24
     """Pieces that an owner's share of the load is cut into."""
     most_pieces: int = 128
@@ -282,8 +284,9 @@
     for own in by_owner.values():
         own.sort(key=lambda p: -p.rate)
     moved = 0
+    most_moves = max(limits.moves, limits.moves_per_owner * len(by_target))
     stuck: set[str] = set()
-    while moved < max(limits.moves, 4 * len(by_target)) and len(stuck) < len(rates):
+    while moved < most_moves and len(stuck) < len(rates):
         busiest = max((t for t in rates if t not in stuck), key=used)
         idlest = min(rates, key=used)
         excess = rates[busiest] - mean * by_target[busiest].capacity
