--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -13,7 +13,15 @@
 from .grants import HeldRow
 from .key_load import KeyRate
 
-__all__ = ["KeyOwner", "PlanLimits", "PlannedLoad", "first_map", "plan_moves", "without_targets"]
+__all__ = [
+    "KeyOwner",
+    "PlanLimits",
+    "PlannedLoad",
+    "first_map",
+    "plan_moves",
+    "rates_by_owner",
+    "without_targets",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +159,7 @@
 
     Pieces of an owner with very many requests are larger, so that a few moves help it.
     """
-    by_owner = _rates_by_owner(key_map, rates)
+    by_owner = rates_by_owner(key_map, rates)
     pieces: list[_Piece] = []
     at = 0
     for r in key_map.ranges:
@@ -168,7 +176,7 @@
     return pieces
 
 
-def _rates_by_owner(key_map: KeyMap, rates: Sequence[KeyRate]) -> dict[str, float]:
+def rates_by_owner(key_map: KeyMap, rates: Sequence[KeyRate]) -> dict[str, float]:
     """Return the requests a second for the keys of each owner."""
     result = {r.owner: 0.0 for r in key_map.ranges}
     at = 0
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -19,6 +19,7 @@
     PlannedLoad,
     first_map,
     plan_moves,
+    rates_by_owner,
     without_targets,
 )
 from pearward_coordination.messages import KeyReport
@@ -275,11 +276,12 @@
         if planned is None:
             return None
         service.moved_at = now
+        asked = rates_by_owner(key_map, load.rates)
         self._log.decided(
             "keys_moved", service=key_map.service, version=planned.version,
             why="owners lost or leaving" if orphaned else "uneven load", silent=sorted(silent),
             unheard=len(unheard), asked_and_can={
-                o.target: [round(_asked(key_map, load, o.target)), round(o.capacity)]
+                o.target: [round(asked.get(o.target, 0.0)), round(o.capacity)]
                 for o in owners
             },
         )  # fmt: skip
@@ -396,13 +398,3 @@
         )  # fmt: skip
         self._maps.adopt(planned)
         self._spread(planned)
-
-
-def _asked(key_map: KeyMap, load: PlannedLoad, target: str) -> float:
-    """Return the requests a second for the keys that a target owns."""
-    owned = (key_map.range_of(row.key) for row in load.rates)
-    return sum(
-        row.rate
-        for row, r in zip(load.rates, owned, strict=True)
-        if r is not None and r.owner == target
-    )
