The step of the operators' word waits until the fourth daemon's lease has run out

It may come to coordinate before the lease has run out that it got from the three (1.0 s), and serves its own keys until then, as it should: it served key-0 22 ms after it had taken the role. Change: the step waits for the daemon's own word that it holds no lease any more, then asserts the same: not one of the four keys is served.

--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -347,6 +347,8 @@
 def wait_on(context: Any) -> None:
     fourth = context.notes["fourth"]
     wait_until(lambda: context.cluster.status(fourth)["coordinating"], "a coordinator")
+    # It may come to coordinate before the lease has run out that it had from all three.
+    wait_until(lambda: not context.cluster.status(fourth)["lease_held"], "its lease to run out")
     served = [_serves(context, "premview", f"key-{n}") for n in range(4)]
     # The fourth has lost two of its three witnesses: it serves nothing, its own keys included.
     assert not any(served), served
