Long answers take turns on the instance's link, the shortest rest first; short ones never wait

Whatever was handed to the kernel went out in that order, so that answers of 400 bytes to calls waited behind long ones for up to seconds: calls ran out of their 600 ms, and with them half of the posts that had made them. Change: the daemon counts all bytes that it hands to other daemons, and hands long answers over in chunks, 20 ms of the link ahead at most; among those that can still come in time the shortest rest goes first. A target's slot is free as soon as its answer is here, a stop waits for what waits, and an answer that is no longer wanted is dropped. The wait for the link is told apart from the running time: only requests for long answers choose their target by it. The steps of a free target behind a full link ask the same of the queue that took the load's place; what they assert is the same, and short requests are asserted as well.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -94,13 +94,14 @@
 
   Scenario: A free target behind a full link is passed over
     Given two targets of a service, the first half as slow as the other, both behind 13 Mbit/s
-    When the first has just sent 600000 bytes to others
-    Then the second is chosen, and the first again 2 s later
+    When the first has just got 600000 bytes of long answers to send
+    Then a long request goes to the second, and to the first again 2 s later
+    And a short request goes to the first
 
   Scenario: A fast link is never waited for
     Given two targets of a service, the first half as slow as the other, both behind 1000 Mbit/s
-    When the first has just sent 600000 bytes to others
-    Then the first is chosen
+    When the first has just got 600000 bytes of long answers to send
+    Then a long request goes to the first
 
   # -- members -------------------------------------------------------------------------------
 
--- /dev/null
+++ b/features/mesh_link.feature
@@ -0,0 +1,53 @@
+Feature: Long answers take turns on the instance's link
+
+  Scenario: What is handed over ahead stays small, so that a short answer never waits
+    Given a link of 6 Mbit/s on which 5 answers of 90000 bytes wait
+    When turns are given for 0.5 s
+    Then no more than 0.04 s of the link was ever handed over ahead
+    And the link was busy all the time
+
+  Scenario: The shortest rest goes first among the answers that can come in time
+    Given a link of 6 Mbit/s on which answers of 200000, 50000 and 90000 bytes wait
+    When turns are given until all are handed over
+    Then they ended in the order 50000, 90000, 200000
+
+  Scenario: An answer that comes too late anyway lets those pass that can come in time
+    Given a link of 6 Mbit/s on which answers of 50000 and 200000 bytes wait, the first of them late
+    When turns are given until all are handed over
+    Then they ended in the order 200000, 50000
+
+  Scenario: An answer whose receiver takes no more holds nobody up
+    Given a link of 6 Mbit/s on which answers of 50000 and 90000 bytes wait
+    When the receiver of the first takes no more
+    And turns are given for 1 s
+    Then only the one of 90000 bytes has ended
+
+  Scenario: On a fast link nothing waits
+    Given a link of 1000 Mbit/s on which 5 answers of 90000 bytes wait
+    When turns are given for 0.005 s
+    Then all have ended
+
+  # -- streams --------------------------------------------------------------------------------
+
+  Scenario: A short answer passes a long one
+    Given a daemon whose link carries 1 Mbit/s
+    When 90000 bytes and then 300 bytes are answered to two peers
+    Then the short one is sent whole at once, and of the long one no more than a chunk
+    And 1 s later all of the long one is sent, and its head came first
+
+  Scenario: A long answer leaves the target's slot as soon as the target has sent it
+    Given a daemon whose link carries 1 Mbit/s
+    When 90000 bytes and then 300 bytes are answered to two peers
+    Then the target may go on, and the daemon still counts one answer
+
+  Scenario: An answer that nobody wants any more is not sent
+    Given a daemon whose link carries 1 Mbit/s
+    When 90000 bytes and then 300 bytes are answered to two peers
+    And the requester of the long one gives up
+    Then nothing more of it is sent, and the daemon counts no answer
+
+  Scenario: The reset that follows a whole answer waits for the answer
+    Given a daemon whose link carries 1 Mbit/s
+    When 90000 bytes and then 300 bytes are answered to two peers
+    And the request of the long one is reset, as the rest of its body is not wanted
+    Then 1 s later all of the long one is sent, and the reset after it
--- a/features/steps/mesh_target_steps.py
+++ b/features/steps/mesh_target_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
-from pearward_coordination.link_load import LinkLoad
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.retry_window import RetryRule, RetryWindow
 from pearward_coordination.selection import (
     Candidate,
@@ -177,37 +177,61 @@
 @given("two targets of a service, the first half as slow as the other, "
        "both behind {rate:g} Mbit/s")  # fmt: skip
 def behind_links(context: Any, rate: float) -> None:
-    context.links = [LinkLoad(rate), LinkLoad(rate)]
+    context.links = [LinkQueue(rate), LinkQueue(rate)]
     context.service_s = [0.1, 0.2]
 
 
-@when("the first has just sent {size:d} bytes to others")
-def sent_bytes(context: Any, size: int) -> None:
+@when("the first has just got {size:d} bytes of long answers to send")
+def got_bytes(context: Any, size: int) -> None:
     for _ in range(10):
-        context.links[0].sent(size // 10, NOW)
-
-
-def _chosen_at(context: Any, now: float) -> str:
+        ticket = context.links[0].join(NOW + 1.0, size // 10, NOW)
+        ticket.unsent = size // 10
+        ticket.ended = True
+
+
+def _hand_over(link: LinkQueue, until: float) -> None:
+    """Let a link's answers have their turns until a time."""
+    now = NOW
+    while now < until:
+        ticket = link.next(now)
+        if ticket is None:
+            now += 0.005
+            continue
+        size = min(link.chunk, ticket.unsent)
+        ticket.unsent -= size
+        ticket.remaining -= size
+        link.handed_over(size, now)
+        if not ticket.unsent:
+            link.leave(ticket)
+
+
+def _chosen_at(context: Any, now: float, *, long_answer: bool = True) -> str:
     candidates = []
     for number, (link, service_s) in enumerate(zip(context.links, context.service_s, strict=True)):
         view = LoadView()
-        view.reported(TargetLoad(0, 0, 12, service_s + link.wait_s(now)), now)
+        view.reported(TargetLoad(0, 0, 12, service_s, link.long_wait_s(now)), now)
         candidates.append(Candidate(f"t{number}", True, view))
-    chosen = choose_target(candidates, now, Random(1))
+    chosen = choose_target(candidates, now, Random(1), long_answer=long_answer)
     assert chosen is not None
     return chosen.target
 
 
-@then("the second is chosen, and the first again {seconds:g} s later")
+@then("a long request goes to the second, and to the first again {seconds:g} s later")
 def second_chosen(context: Any, seconds: float) -> None:
     assert _chosen_at(context, NOW) == "t1"
+    _hand_over(context.links[0], NOW + seconds)
     for _ in range(30):
-        # Small answers go on: the mean forgets the long ones.
-        context.links[0].sent(200, NOW + seconds / 2)
+        # Single answers go on: the mean wait forgets the crowd.
+        context.links[0].leave(context.links[0].join(NOW + seconds, 60_000, NOW + seconds))
     assert _chosen_at(context, NOW + seconds) == "t0"
 
 
-@then("the first is chosen")
+@then("a short request goes to the first")
+def short_to_first(context: Any) -> None:
+    assert _chosen_at(context, NOW, long_answer=False) == "t0"
+
+
+@then("a long request goes to the first")
 def first_chosen(context: Any) -> None:
     assert _chosen_at(context, NOW) == "t0"
 
--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -42,8 +42,9 @@
 class Directory:
     """The members that this daemon knows."""
 
-    def __init__(self, failure_domain: str) -> None:
+    def __init__(self, failure_domain: str, instance: str = "") -> None:
         self._failure_domain = failure_domain
+        self._instance = instance
         self._by_instance: dict[str, _Known] = {}
         self._by_target: dict[str, _Known] = {}
         self._store_since: float | None = None
@@ -194,6 +195,7 @@
                 member.failure_domain == self._failure_domain,
                 known.view,
                 cold=member.cold_until > unix_now,
+                local=member.instance == self._instance,
             )
             (usual if known.unreachable_until <= now else rest).append(candidate)
         return usual or rest
--- a/packages/coordination/src/pearward_coordination/link_load.py
+++ b/packages/coordination/src/pearward_coordination/link_load.py
@@ -1,41 +1,41 @@
-"""How long what is sent now waits for the instance's own link, from what was sent before.
+"""How many bytes wait for the instance's own link, from what was handed over before.
 
-An instance's link may be far slower than its target: where answers are long, a free target
-behind a full link answers later than a busy one elsewhere. The daemon counts what it sends
-and takes the link to drain at its rate. No I/O and no clock.
+The daemon counts what it hands to the kernel and takes the link to drain at its rate. No
+I/O and no clock.
 """
 
 __all__ = ["LinkLoad"]
 
 BITS_PER_BYTE = 8
 BYTES_PER_MBIT = 1_000_000 / BITS_PER_BYTE
-MEAN_WEIGHT = 0.1
-"""Weight of the newest answer in the mean wait: some ten answers, a second of a usual target."""
+PAYLOAD_SHARE = 0.92
+"""Part of the link's rate that is counted on: headers of packets take 0.04 of it, and what
+this daemon does not see, as answers to callers of its own, passes it too."""
 
 
 class LinkLoad:
     """The outgoing link of one instance."""
 
     def __init__(self, mbit_per_s: float) -> None:
-        self._bytes_per_s = mbit_per_s * BYTES_PER_MBIT
+        self._bytes_per_s = mbit_per_s * BYTES_PER_MBIT * PAYLOAD_SHARE
         self._backlog = 0.0
         """Bytes that were handed over and are not on the wire yet."""
         self._at = 0.0
-        self._mean_s = 0.0
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Bytes that the link carries in a second."""
+        return self._bytes_per_s
 
     def sent(self, size: int, now: float) -> None:
         """Note that *size* bytes were handed to a connection."""
         self._drain(now)
-        self._mean_s += MEAN_WEIGHT * (self._backlog / self._bytes_per_s - self._mean_s)
         self._backlog += size
 
-    def wait_s(self, now: float) -> float:
-        """Return the seconds that an answer is expected to wait for the link.
-
-        The mean counts as well: whoever hears this sends a little later.
-        """
+    def backlog_s(self, now: float) -> float:
+        """Return the seconds until all that was handed over is on the wire."""
         self._drain(now)
-        return max(self._backlog / self._bytes_per_s, self._mean_s)
+        return self._backlog / self._bytes_per_s
 
     def _drain(self, now: float) -> None:
         self._backlog = max(0.0, self._backlog - (now - self._at) * self._bytes_per_s)
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/link_queue.py
@@ -0,0 +1,120 @@
+"""In which order long answers go out over an instance's link, and when the next part may.
+
+An instance's link may be far slower than its target. Whatever is handed to the kernel goes
+out in that order, so a short answer behind a few long ones comes too late for its caller.
+Long answers therefore wait here and are handed over in chunks, as fast as the link takes
+them; short ones and control messages never wait. The shortest rest goes first among the
+answers that can still come in time: that brings most answers in time where the link cannot
+carry all. No I/O and no clock.
+"""
+
+from dataclasses import dataclass
+
+from .link_load import LinkLoad
+
+__all__ = ["LinkQueue", "LinkTicket"]
+
+AHEAD_S = 0.02
+"""Seconds of the link that may be handed over ahead: what a short answer waits at most."""
+LEAST_CHUNK = 8 * 1024
+"""Bytes that are handed over at once at least; each chunk costs a wake-up."""
+MOST_CHUNK = 64 * 1024
+"""Bytes that are handed over at once at most: one frame."""
+MEAN_WEIGHT = 0.1
+"""Weight of the newest long answer in the means of sizes and waits: ten answers."""
+
+
+@dataclass(slots=True, eq=False)
+class LinkTicket:
+    """One long answer's place."""
+
+    objective: float
+    """Time in s by which the answer is worth most."""
+    remaining: int
+    """Bytes that are not handed over yet, those included that the target still has to send."""
+    unsent: int = 0
+    """Of those, the bytes that are here."""
+    blocked: bool = False
+    """The receiver takes no more for now."""
+    ended: bool = False
+    """The target has sent all: the end may be handed over as well."""
+
+    @property
+    def sendable(self) -> bool:
+        """Whether there is anything to hand over now."""
+        return not self.blocked and (self.unsent > 0 or self.ended)
+
+
+class LinkQueue:
+    """The long answers that wait for one instance's link."""
+
+    def __init__(self, mbit_per_s: float) -> None:
+        self._load = LinkLoad(mbit_per_s)
+        self._tickets: dict[LinkTicket, None] = {}
+        self._mean_size = 0.0
+        self._mean_wait_s = 0.0
+        ahead = int(self._load.bytes_per_s * AHEAD_S)
+        self._chunk = min(MOST_CHUNK, max(LEAST_CHUNK, ahead))
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def chunk(self) -> int:
+        """Bytes that are handed over at once."""
+        return self._chunk
+
+    @property
+    def waiting(self) -> int:
+        """Long answers that are not handed over whole."""
+        return len(self._tickets)
+
+    # -- changes ------------------------------------------------------------------
+
+    def handed_over(self, size: int, now: float) -> None:
+        """Note that *size* bytes, of whatever kind, were handed to a connection."""
+        self._load.sent(size, now)
+
+    def join(self, objective: float, size: int, now: float) -> LinkTicket:
+        """Let a long answer of *size* bytes wait for its turns."""
+        wait_s = self.backlog_s(now)
+        self._mean_wait_s += MEAN_WEIGHT * (wait_s - self._mean_wait_s)
+        if size > 0:
+            weight = MEAN_WEIGHT if self._mean_size else 1.0
+            self._mean_size += weight * (size - self._mean_size)
+        ticket = LinkTicket(objective, size)
+        self._tickets[ticket] = None
+        return ticket
+
+    def leave(self, ticket: LinkTicket) -> None:
+        """Forget an answer that was handed over whole, or that nobody wants any more."""
+        self._tickets.pop(ticket, None)
+
+    # -- questions ------------------------------------------------------------------
+
+    def next(self, now: float) -> LinkTicket | None:
+        """Return the answer whose next chunk goes out now; None while the link has enough."""
+        if self.free_in_s(now) > 0.0:
+            return None
+        sendable = (ticket for ticket in self._tickets if ticket.sendable)
+        return min(sendable, key=lambda ticket: self._order(ticket, now), default=None)
+
+    def free_in_s(self, now: float) -> float:
+        """Return the seconds until the link takes another chunk."""
+        return max(0.0, self._load.backlog_s(now) - AHEAD_S)
+
+    def backlog_s(self, now: float) -> float:
+        """Return the seconds that the link needs for all that waits."""
+        waiting = sum(ticket.remaining for ticket in self._tickets)
+        return self._load.backlog_s(now) + waiting / self._load.bytes_per_s
+
+    def long_wait_s(self, now: float) -> float:
+        """Return the seconds that a long answer is expected to need for the link.
+
+        The mean counts as well: whoever hears this sends a little later.
+        """
+        own_s = self._mean_size / self._load.bytes_per_s
+        return max(self.backlog_s(now), self._mean_wait_s) + own_s
+
+    def _order(self, ticket: LinkTicket, now: float) -> tuple[bool, int]:
+        late = now + ticket.remaining / self._load.bytes_per_s > ticket.objective
+        return late, ticket.remaining
--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -44,6 +44,8 @@
     slots: int
     service_s: float
     """Mean running time of a request in seconds."""
+    link_s: float = 0.0
+    """Seconds that a long answer is expected to need for the link of the target's instance."""
 
 
 @dataclass(slots=True)
@@ -90,6 +92,8 @@
     """Whether it is in the requester's failure domain."""
     view: LoadView
     cold: bool = False
+    local: bool = False
+    """Whether it is on the requester's instance: no link lies between."""
 
 
 def distance_s(kilobytes: float) -> float:
@@ -97,7 +101,9 @@
     return min(MOST_CROSS_DOMAIN_S, CROSS_DOMAIN_S + kilobytes * CROSS_DOMAIN_S_PER_KB)
 
 
-def expected_latency(candidate: Candidate, now: float, far_s: float) -> float:
+def expected_latency(
+    candidate: Candidate, now: float, far_s: float, *, long_answer: bool = False
+) -> float:
     """Return the seconds that a request sent now is expected to take, penalties included."""
     view = candidate.view
     load = view.load
@@ -108,22 +114,31 @@
     service_s = load.service_s * (1.6 if candidate.cold else 1.0)
     latency = service_s * (1.0 + crowd + queue)
     latency += view.recent_failures(now) * FAILURE_PENALTY_S
+    if long_answer and not candidate.local:
+        latency += load.link_s
     return latency if candidate.near else latency + far_s
 
 
 def choose_target(
-    candidates: Iterable[Candidate], now: float, rng: Random, kilobytes: float = 0.0
+    candidates: Iterable[Candidate],
+    now: float,
+    rng: Random,
+    kilobytes: float = 0.0,
+    *,
+    long_answer: bool = False,
 ) -> Candidate | None:
     """Return the candidate with the least expected latency; near ties are broken at random.
 
-    *kilobytes* is the usual size of a request and its answer together. The random part
-    keeps requesters with the same picture from all choosing the same one.
+    *kilobytes* is the usual size of a request and its answer together; a *long_answer* waits
+    for the link of the target's instance. The random part keeps requesters with the same
+    picture from all choosing the same one.
     """
     best: Candidate | None = None
     best_cost = 0.0
     far_s = distance_s(kilobytes)
     for candidate in candidates:
-        cost = expected_latency(candidate, now, far_s) * (0.9 + 0.2 * rng.random())
+        cost = expected_latency(candidate, now, far_s, long_answer=long_answer)
+        cost *= 0.9 + 0.2 * rng.random()
         if best is None or cost < best_cost:
             best, best_cost = candidate, cost
     return best
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -9,8 +9,9 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import ControlMessage, PeerId
-from pearward_protocol.heads import RequestHead, ResponseHead
+from pearward_protocol.heads import RequestHead
 from pearward_state.routes import RoutingTable
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
@@ -18,12 +19,12 @@
 from pearward_transport.peer import InboundHandler, PeerConnection, PeerListener, PeerPool
 from pearward_transport.store import FleetStore
 
-from ..exchange import PeerReply
 from .core import MeshCore
 from .dialect import Dialect
 from .ingress import WINDOW, MeshIngress
 from .log import DecisionLog
 from .metrics import LateMetrics
+from .paced_stream import LinkPacer, PacedStream
 from .settings import MeshSettings
 from .target_side import TargetSide
 
@@ -41,6 +42,7 @@
 HEADER_BYTES = 64 * 1024
 """Bytes of a request's headers before a configuration sets a limit."""
 HEADER_COUNT = 200
+MS_PER_S = 1000
 IDLE_S = 60.0
 """Seconds for which a caller's connection may rest before a configuration sets a limit."""
 IDLE_MARGIN_S = 1.0
@@ -64,11 +66,17 @@
         self._beat_site = beat_site
         self._me = PeerId(secrets.token_hex(8), str(settings.peers_reached_at))
         self._log = DecisionLog(settings.log_lines_per_s, boot_time)
-        self._pool = PeerPool(self._me, self, reactor, window=WINDOW, bind_ip=settings.peers.ip)
+        link = LinkQueue(settings.link_mbit_per_s)
+        self._pacer = LinkPacer(reactor, link)
+        self._note_sent = lambda size: link.handed_over(size, boot_time())
+        self._pool = PeerPool(
+            self._me, self, reactor, window=WINDOW, bind_ip=settings.peers.ip,
+            on_sent=self._note_sent,
+        )  # fmt: skip
         client = ServerClient(reactor, settings.target_address)
         self._core = MeshCore(
             reactor, settings, store, dialect, self._log, self._me, client,
-            self._pool.send_control,
+            self._pool.send_control, link,
         )  # fmt: skip
         self._side = self._core.side
         self._metrics = LateMetrics(settings.instance)
@@ -90,7 +98,7 @@
         """Listen and begin; the Deferred fires when the daemon has stopped."""
         settings = self._settings
         listen = self._reactor.listenTCP
-        peers = PeerListener(self._me, self, self._reactor, WINDOW)
+        peers = PeerListener(self._me, self, self._reactor, WINDOW, self._note_sent)
         listen(settings.peers.port, peers, interface=settings.peers.ip, backlog=512)
         self._core.start(self._table_changed)
         heartbeats = self._beat_site(self._side)
@@ -139,12 +147,17 @@
             self._ingress.refuse_new(RESTART_S)
             # What the target works on ends now; its keys wait there for the next life.
             self._side.refuse_new()
-        idle = not self._ingress.open_requests and not self._side.open_requests
+        idle = not self._open_requests
         if over or (idle and waited_s >= least_s):
             self._end(waited_s)
         else:
             self._reactor.callLater(STOP_CHECK_S, self._check_stopped)
 
+    @property
+    def _open_requests(self) -> int:
+        """Requests that are not answered whole, here or towards other daemons."""
+        return self._ingress.open_requests + self._side.open_requests + self._pacer.waiting
+
     def _end(self, waited_s: float) -> None:
         """Begin nothing more, take the entry back, then let what came meanwhile end.
 
@@ -153,7 +166,7 @@
         self._side.refuse_new()
         keep = self._side.info is not None
         self._log.decided(
-            "ending", waited_s=round(waited_s, 3), open=self._ingress.open_requests,
+            "ending", waited_s=round(waited_s, 3), open=self._open_requests,
             entry_kept=keep,
         )  # fmt: skip
         self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._end_when_idle())
@@ -163,7 +176,7 @@
         assert self._stopping_since is not None
         waited_s = boot_time() - self._stopping_since
         over = waited_s >= self._settings.stop_s - STOP_MARGIN_S
-        open_requests = self._ingress.open_requests + self._side.open_requests
+        open_requests = self._open_requests
         if open_requests and not over:
             self._reactor.callLater(STOP_CHECK_S, self._end_when_idle)
             return
@@ -194,7 +207,11 @@
         newer = head.version > self._core.key_maps.version(head.service)
         if newer and connection.peer is not None:
             self._core.want_map(head.service, connection.peer.address)
-        return self._side.take(head, ended, body, _CountedReply(connection, stream, self._side))
+        objective = boot_time() + head.objective_ms / MS_PER_S
+        return PacedStream(
+            connection, stream, self._pacer, objective,
+            lambda reply: self._side.take(head, ended, body, reply),
+        )  # fmt: skip
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Take a control message."""
@@ -235,24 +252,6 @@
         )
 
 
-class _CountedReply(PeerReply):
-    """Answers a peer and tells the target's side how many bytes the link has to carry."""
-
-    def __init__(self, connection: PeerConnection, stream: int, side: TargetSide) -> None:
-        super().__init__(connection, stream)
-        self._side = side
-
-    def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
-        """Send the head of the answer, or the whole of a short one."""
-        self._side.sent_to_peer(len(head.headers) + len(body))
-        super().respond(head, ended=ended, body=body)
-
-    def send_data(self, data: bytes, *, ended: bool = False) -> bool:
-        """Send a chunk; return whether more may follow at once."""
-        self._side.sent_to_peer(len(data))
-        return super().send_data(data, ended=ended)
-
-
 class _Status(Resource):
     """Readiness and metrics."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import (
     Announce,
     AskKeys,
@@ -70,6 +71,7 @@
         me: PeerId,
         client: ServerClient,
         send: SendControl,
+        link: LinkQueue,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -77,9 +79,9 @@
         self._log = log
         self._me = me
         self._send = send
-        self._directory = Directory(settings.failure_domain)
+        self._directory = Directory(settings.failure_domain, settings.instance)
         self._maps = KeyMaps(log)
-        self._side = TargetSide(reactor, settings, dialect, log, client)
+        self._side = TargetSide(reactor, settings, dialect, log, client, link)
         self._planner = KeyPlanner(settings, store, self._directory, self._maps, log, self._spread)
         self._witnesses = Witnesses(settings.holds, self._maps)
         self._lease = TargetLease(
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -232,13 +232,16 @@
         rules = self._table.rules(service) if self._table is not None else None
         return rules is not None and rules.keyed
 
-    def place(self, service: str, key: int | None, tried: frozenset[str]) -> Placement | None:
+    def place(
+        self, service: str, key: int | None, tried: frozenset[str], *, long_answer: bool
+    ) -> Placement | None:
         """Return where the next attempt goes; None where nobody may be asked now."""
         if key is not None:
             return self._owner_of(service, key)
         now = boot_time()
         candidates = self.directory.candidates(service, now, unix_time(), tried)
-        chosen = choose_target(candidates, now, self._rng, self._kilobytes.get(service, 0.0))
+        kilobytes = self._kilobytes.get(service, 0.0)
+        chosen = choose_target(candidates, now, self._rng, kilobytes, long_answer=long_answer)
         return self._placement(chosen.target, 0) if chosen is not None else None
 
     def _owner_of(self, service: str, key: int) -> Placement | None:
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -16,7 +16,7 @@
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
-from pearward_state.routes import Route
+from pearward_state.routes import RequestKind, Route
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
 from pearward_transport.http_server import CallerRequest
@@ -169,7 +169,10 @@
         self._wait = None
         if self._done:
             return
-        placement = self._ingress.place(self._service, self._key, frozenset(self._plan.tried))
+        placement = self._ingress.place(
+            self._service, self._key, frozenset(self._plan.tried),
+            long_answer=self._route.kind is RequestKind.DOWNLOAD,
+        )  # fmt: skip
         if placement is None:
             self._no_target()
             return
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -8,7 +8,7 @@
 
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
 from pearward_coordination.key_load import KeyCounter
-from pearward_coordination.link_load import LinkLoad
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.selection import TargetLoad
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
@@ -82,6 +82,7 @@
         dialect: Dialect,
         log: DecisionLog,
         client: ServerClient,
+        link: LinkQueue,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -91,7 +92,7 @@
         self._keeper = GrantKeeper(settings.service, boot_time(), settings.holds)
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS))
         self._counter = KeyCounter()
-        self._link = LinkLoad(settings.link_mbit_per_s)
+        self._link = link
         self._requests: dict[SlotTicket, TargetRequest] = {}
         self._open: set[TargetRequest] = set()
         self._parked: dict[TargetRequest, None] = {}
@@ -147,18 +148,13 @@
         return self._reactor.callLater(delay_s, call)
 
     def load(self) -> TargetLoad:
-        """Return the target's load as this daemon counts it.
-
-        An answer also waits for the instance's link, so that counts as running time.
-        """
+        """Return the load of the target and its instance's link as this daemon counts it."""
         queue = self._queue
         now = boot_time()
-        service_s = queue.service_s(now) + self._link.wait_s(now)
-        return TargetLoad(queue.running, queue.waiting, queue.slots, service_s)
-
-    def sent_to_peer(self, size: int) -> None:
-        """Bytes of an answer were handed to the connection of another daemon."""
-        self._link.sent(size, boot_time())
+        return TargetLoad(
+            queue.running, queue.waiting, queue.slots, queue.service_s(now),
+            self._link.long_wait_s(now),
+        )  # fmt: skip
 
     # -- heartbeats -------------------------------------------------------------------
 
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -30,6 +30,8 @@
 SILENT_MS = 12_000
 """Silence after which an owner loses its keys here: on a crowded machine a daemon that was
 killed needs up to seven seconds to stand again, and that is not what the tests are about."""
+LINK_MBIT_PER_S = 40.0
+"""Rate that daemons take their links for: long answers go out in turns, none for long."""
 
 
 @dataclass
@@ -171,7 +173,7 @@
                 "metrics": f"{ip}:{METRICS}",
             },
             "store": {"address": f"{self._network}.1:{STORE_PORT}"},
-            "limits": {"silent_ms": SILENT_MS},
+            "limits": {"silent_ms": SILENT_MS, "link_mbit_per_s": LINK_MBIT_PER_S},
             "log": {"lines_per_s": 1000},
         }
 
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -34,6 +34,7 @@
 _OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(_OUTCOMES)}
 _REASONS = {reason.value: reason for reason in Reason}
 _US_PER_S = 1_000_000
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,6 +183,7 @@
         message.waiting = head.load.waiting
         message.slots = head.load.slots
         message.serviceUs = int(head.load.service_s * _US_PER_S)
+        message.linkMs = int(head.load.link_s * _MS_PER_S)
     if head.reason is not None:
         message.reason = head.reason.value
         message.retryAfterMs = head.retry_after_ms
@@ -224,4 +226,10 @@
     slots = message.slots
     if not slots:
         return None
-    return TargetLoad(message.running, message.waiting, slots, message.serviceUs / _US_PER_S)
+    return TargetLoad(
+        message.running,
+        message.waiting,
+        slots,
+        message.serviceUs / _US_PER_S,
+        message.linkMs / _MS_PER_S,
+    )
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -43,6 +43,7 @@
   waiting @9 :UInt16;
   slots @10 :UInt16;
   serviceUs @11 :UInt32;
+  linkMs @12 :UInt32;
 }
 
 struct HeldRow {
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -114,8 +114,10 @@
         on_ready: Callable[["PeerConnection"], None] | None = None,
         on_lost: Callable[["PeerConnection"], None] | None = None,
         expected: frozenset[str] = frozenset(),
+        on_sent: Callable[[int], None] | None = None,
     ) -> None:
         self._expected = expected
+        self._on_sent = on_sent
         self._me = me
         self._handler = handler
         self._reactor = reactor
@@ -198,6 +200,8 @@
         output = self._mux.take_output()
         if output and self._connected:
             self.transport.writeSequence(output)
+            if self._on_sent is not None:
+                self._on_sent(sum(map(len, output)))
         for stream in self._mux.take_closed():
             self._streams.pop(stream, None)
 
@@ -298,11 +302,19 @@
 
     noisy = False
 
-    def __init__(self, me: PeerId, handler: PeerHandler, reactor: Any, window: int) -> None:
+    def __init__(
+        self,
+        me: PeerId,
+        handler: PeerHandler,
+        reactor: Any,
+        window: int,
+        on_sent: Callable[[int], None] | None = None,
+    ) -> None:
         self._me = me
         self._handler = handler
         self._reactor = reactor
         self._window = window
+        self._on_sent = on_sent
         self._connections: set[PeerConnection] = set()
 
     @property
@@ -318,6 +330,7 @@
             opener=False,
             window=self._window,
             on_lost=self._connections.discard,
+            on_sent=self._on_sent,
         )
         self._connections.add(connection)
         return connection
@@ -418,12 +431,14 @@
         *,
         window: int,
         bind_ip: str = "",
+        on_sent: Callable[[int], None] | None = None,
     ) -> None:
         self._me = me
         self._handler = handler
         self._reactor = reactor
         self._window = window
         self._bind = (bind_ip, 0) if bind_ip else None
+        self._on_sent = on_sent
         self._links: dict[str, _Link] = {}
 
     @property
@@ -480,6 +495,7 @@
                 on_ready=on_ready,
                 on_lost=on_lost,
                 expected=expected,
+                on_sent=self._on_sent,
             )
         )
         return endpoint.connect(factory)
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -17,6 +17,7 @@
 from twisted.internet.task import Clock
 
 from pearward_coordination.grants import GrantTiming
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import ControlMessage, PeerId
 from pearward_coordination.retry_window import RetryRule
 from pearward_daemon.mesh import (
@@ -230,6 +231,7 @@
             me,
             _Client(node),  # type: ignore[arg-type]
             send,
+            LinkQueue(settings.link_mbit_per_s),
         )
         node.daemon = Daemon(core_, clock, me)
         core_.start(lambda table: None)
