A connection between daemons that carries control messages alone is given up when it is silent

Cause: silence was only looked for while streams were open. A connection that died without a word took control messages into the void for good: heartbeats, renewals and reports were lost, a coordinator was never heard, and keys stayed without an owner for 30 s and more. Change: a sent control message counts as owed a sign of life; it is pinged after 0.5 s and the connection ends after 1.5 s of silence. Steps that fail now leave each daemon's own status beside the logs.

--- a/features/environment.py
+++ b/features/environment.py
@@ -70,6 +70,18 @@
     context.notes = {}
 
 
+def after_step(context: Any, step: Any) -> None:
+    """Keep what the daemons say of themselves at the moment that a step fails."""
+    keep = os.environ.get("KEEP_LOGS")
+    if not keep or context.cluster is None or step.status.name == "passed":
+        return
+    folder = Path(keep) / context.feature.name
+    folder.mkdir(parents=True, exist_ok=True)
+    for node in context.cluster.nodes:
+        status = json.dumps(context.cluster.status(node), indent=1)
+        (folder / f"status-{node.name}.json").write_text(status)
+
+
 def after_scenario(context: Any, scenario: Any) -> None:
     """End all faults and bring back what a scenario took away."""
     cluster = context.cluster
--- /dev/null
+++ b/features/steps/peer_link_steps.py
@@ -0,0 +1,101 @@
+"""Steps of connections between daemons that go silent, in virtual time."""
+
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from pearward_coordination.messages import PeerId, Pull
+from pearward_protocol.heads import Hello
+from pearward_protocol.streams import Multiplexer
+from pearward_transport.peer import PeerConnection
+
+STEP_S = 0.1
+SEND_EVERY_S = 0.4
+
+
+class _Transport(StringTransport):  # type: ignore[misc]
+    """Keeps what is written and notes an abort."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Nothing is delayed here."""
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:
+        """The kernel has no part in this."""
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+
+class _Handler:
+    """Takes what peers send."""
+
+    def control_received(self, sender: PeerId, message: Any) -> None:
+        """Nothing is expected."""
+
+    def peer_answered(self, peer: PeerId, expected: frozenset[str]) -> None:
+        """Nothing is concluded."""
+
+
+@given("a connection to another daemon that has not greeted")
+def not_greeted(context: Any) -> None:
+    context.clock = Clock()
+    context.transport = _Transport()
+    me = PeerId("me", "127.0.0.1:1")
+    connection = PeerConnection(
+        me, _Handler(), context.clock, opener=True, window=1024  # type: ignore[arg-type]
+    )  # fmt: skip
+    connection.makeConnection(context.transport)
+    context.connection = connection
+    context.other = Multiplexer(opener=False)
+
+
+@given("a connection to another daemon without open streams")
+def greeted(context: Any) -> None:
+    not_greeted(context)
+    context.other.send_hello(Hello("other", "127.0.0.1:2"))
+    context.connection.dataReceived(b"".join(context.other.take_output()))
+    assert context.connection.usable
+
+
+def _pass(context: Any, seconds: float, *, sends: bool, answers: bool) -> None:
+    since = 0.0
+    for _ in range(round(seconds / STEP_S)):
+        context.clock.advance(STEP_S)
+        since += STEP_S
+        if sends and since >= SEND_EVERY_S:
+            since = 0.0
+            context.connection.send_control(Pull(("keymaps/roster",)))
+        if answers:
+            list(context.other.receive(context.transport.value()))
+            context.transport.clear()
+            if output := context.other.take_output():
+                context.connection.dataReceived(b"".join(output))
+
+
+@when("a control message is sent every 0.4 s and nothing comes back for {seconds:g} s")
+def no_answer(context: Any, seconds: float) -> None:
+    _pass(context, seconds, sends=True, answers=False)
+
+
+@when("a control message is sent every 0.4 s and pings are answered for {seconds:g} s")
+def pings_answered(context: Any, seconds: float) -> None:
+    _pass(context, seconds, sends=True, answers=True)
+
+
+@when("nothing is sent and nothing comes back for {seconds:g} s")
+def rest(context: Any, seconds: float) -> None:
+    _pass(context, seconds, sends=False, answers=False)
+
+
+@then("the connection was aborted")
+def aborted(context: Any) -> None:
+    assert context.transport.aborted
+
+
+@then("the connection is up")
+def is_up(context: Any) -> None:
+    assert not context.transport.aborted
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -44,8 +44,9 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
 CHECK_INTERVAL_S = 0.5
+"""Seconds between looks for silent connections, and of silence before a ping."""
 SILENCE_LIMIT_S = 1.5
-"""A connection with open streams that stays silent for longer, pings included, is dead."""
+"""A connection that owes a sign of life and stays silent for longer, pings included, is dead."""
 CONTROL_BACKLOG = 64
 """Control messages kept for a peer that is being connected to; the oldest go first."""
 
@@ -130,6 +131,8 @@
         self._paused = False
         self._connected = False
         self._last_received = 0.0
+        self._sent_since = False
+        """Whether a control message was sent since anything was received."""
         self._check: Any = None
 
     # -- properties ---------------------------------------------------------
@@ -188,6 +191,7 @@
 
     def send_control(self, message: ControlMessage) -> None:
         """Send a control message."""
+        self._sent_since = True
         self._mux.send_control(message)
         self._flush()
 
@@ -219,6 +223,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         self._last_received = self._reactor.seconds()
+        self._sent_since = False
         try:
             for event in self._mux.receive(data):
                 self._dispatch(event)
@@ -250,9 +255,13 @@
         self._paused = True
 
     def _check_silence(self) -> None:
-        """Ping a silent peer that owes an answer, and give it up if it stays silent."""
+        """Ping a silent peer that owes a sign of life, and give it up if it stays silent.
+
+        Control messages go on being sent into a connection that has died without a word:
+        most are never answered, so without a ping nothing would show it.
+        """
         silent_s = self._reactor.seconds() - self._last_received
-        if self._streams or self._peer is None:
+        if self._streams or self._peer is None or self._sent_since:
             if silent_s >= SILENCE_LIMIT_S:
                 self.transport.abortConnection()
                 return
