A cell of which all members were taken for lost takes back those that report

Cause: a retired member joins anew when no shard names it any more, and shards name it until a new owner has taken them. Where links are delayed or cut on a crowded machine all four members of a cell could be taken for lost, one record after the other; nobody was left to own anything, and the cell stayed like that. Change: where no member may own shards, retired ones that report, are not lost and have not certainly ended, are members again; every earlier owner but the new one is still waited for.

--- /dev/null
+++ b/features/cell_record.feature
@@ -0,0 +1,18 @@
+Feature: The next record of a cell
+
+  Scenario: A cell of which all members were taken for lost takes back those that report
+    Given a cell of 4 members that were all taken for lost
+    When 3 of them report again and the next record is planned
+    Then those 3 are members again and own every shard between them
+    And every shard still waits for each earlier owner but the new one
+    And the fourth owns nothing
+
+  Scenario: Nobody is taken back who has certainly ended
+    Given a cell of 4 members that were all taken for lost
+    When 3 of them report again though the first of them has certainly ended
+    Then only the other 2 are members again
+
+  Scenario: While somebody can own shards, a retired member does not return by itself
+    Given a cell of 4 members of which one was taken for lost
+    When that one reports again and the next record is planned
+    Then it stays retired as long as a shard names it
--- /dev/null
+++ b/features/steps/cell_record_steps.py
@@ -0,0 +1,119 @@
+"""Steps of a cell's record, planned without any daemon."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from pearward_coordination.assignment import CellView, Joiner, next_record
+from pearward_state.records import CellRecord, Member, MemberState
+from pearward_state.table import Kind, ServerRow, ServiceRow, ServiceTable
+
+SERVICE = "premview"
+
+
+def _names(count: int) -> list[str]:
+    return [f"i{number}" for number in range(count)]
+
+
+def _joiner(name: str) -> Joiner:
+    return Joiner(name, f"at-{name}", f"s-{name}", f"domain-{name}", f"peer-{name}", "")
+
+
+def _table(names: list[str]) -> ServiceTable:
+    servers = {f"s-{name}": ServerRow(f"s-{name}") for name in names}
+    return ServiceTable(ServiceRow(SERVICE, Kind.KEYED, shards_per_server=4), servers, version=1)
+
+
+def _planned(record: CellRecord, table: ServiceTable, **view: Any) -> CellRecord:
+    planned = next_record(record, CellView(table, **view), f"w{record.version}")
+    assert planned is not None
+    return planned
+
+
+def _formed(context: Any, count: int) -> None:
+    context.names = _names(count)
+    context.cell_table = _table(context.names)
+    joiners = tuple(_joiner(name) for name in context.names)
+    context.record = _planned(CellRecord(SERVICE, SERVICE), context.cell_table, joiners=joiners)
+
+
+def _members(record: CellRecord) -> dict[str, Member]:
+    return {m.incarnation: m for m in record.members}
+
+
+def _states(record: CellRecord) -> dict[str, MemberState]:
+    return {name: m.state for name, m in _members(record).items()}
+
+
+@given("a cell of {count:d} members that were all taken for lost")
+def all_lost(context: Any, count: int) -> None:
+    _formed(context, count)
+    lost = frozenset(context.names)
+    context.record = _planned(context.record, context.cell_table, lost=lost)
+    assert set(_states(context.record).values()) == {MemberState.RETIRED}
+
+
+@given("a cell of {count:d} members of which one was taken for lost")
+def one_lost(context: Any, count: int) -> None:
+    _formed(context, count)
+    context.record = _planned(
+        context.record, context.cell_table, lost=frozenset({context.names[0]})
+    )
+
+
+@when("{count:d} of them report again and the next record is planned")
+def some_report(context: Any, count: int) -> None:
+    context.reporting = context.names[:count]
+    joiners = tuple(_joiner(name) for name in context.reporting)
+    context.planned = _planned(context.record, context.cell_table, joiners=joiners)
+
+
+@when("{count:d} of them report again though the first of them has certainly ended")
+def one_ended(context: Any, count: int) -> None:
+    joiners = tuple(_joiner(name) for name in context.names[:count])
+    ended = frozenset({context.names[0]})
+    context.planned = _planned(context.record, context.cell_table, joiners=joiners, ended=ended)
+
+
+@when("that one reports again and the next record is planned")
+def lost_one_reports(context: Any) -> None:
+    view = CellView(context.cell_table, joiners=(_joiner(context.names[0]),))
+    context.planned = next_record(context.record, view, "w9") or context.record
+
+
+@then("those {count:d} are members again and own every shard between them")
+def members_again(context: Any, count: int) -> None:
+    states = _states(context.planned)
+    active = [name for name, state in states.items() if state is MemberState.ACTIVE]
+    assert sorted(active) == context.reporting, states
+    owners = {context.planned.members[s.owner].incarnation for s in context.planned.shards}
+    assert owners == set(context.reporting), owners
+
+
+@then("every shard still waits for each earlier owner but the new one")
+def waits_for_earlier(context: Any) -> None:
+    before = {s.start: s for s in context.record.shards}
+    for shard in context.planned.shards:
+        old = before[shard.start]
+        earlier = {context.record.members[i].incarnation for i in old.predecessors}
+        owner = context.planned.members[shard.owner].incarnation
+        waits = {context.planned.members[i].incarnation for i in shard.predecessors}
+        assert waits == earlier - {owner}, (shard, earlier, waits)
+        assert shard.epoch > old.epoch
+
+
+@then("the fourth owns nothing")
+def fourth_owns_nothing(context: Any) -> None:
+    assert _states(context.planned)[context.names[3]] is MemberState.RETIRED
+
+
+@then("only the other {count:d} are members again")
+def only_others(context: Any, count: int) -> None:
+    states = _states(context.planned)
+    active = sorted(name for name, state in states.items() if state is MemberState.ACTIVE)
+    assert active == context.names[1 : 1 + count], states
+
+
+@then("it stays retired as long as a shard names it")
+def stays_retired(context: Any) -> None:
+    assert _states(context.planned)[context.names[0]] is MemberState.RETIRED
--- a/packages/coordination/src/pearward_coordination/assignment.py
+++ b/packages/coordination/src/pearward_coordination/assignment.py
@@ -149,6 +149,21 @@
             for member in earlier:
                 self._retire(member, joiner.incarnation)
 
+    def readmit_retired(self) -> None:
+        """Take retired members that report back where nobody is left to own anything.
+
+        Usually a retired member joins anew when no shard names it any more; with nobody
+        to take the shards over they would name it for ever.
+        """
+        if self._shares():
+            return
+        reporting = {joiner.incarnation for joiner in self._view.joiners}
+        for name in reporting - self._view.lost - self._view.ended:
+            member = self._members.get(name)
+            if member is not None and member.state is MemberState.RETIRED:
+                self._members[name] = replace(member, state=MemberState.ACTIVE)
+                self._changed = True
+
     def retire_lost(self) -> None:
         """Mark members that are lost or ended; their shards need new owners."""
         for member in list(self._members.values()):
@@ -348,6 +363,7 @@
     draft = _Draft(record, view)
     draft.admit_joiners()
     draft.retire_lost()
+    draft.readmit_retired()
     draft.drain_members()
     draft.forget_evidence()
     draft.divide()
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from pearward_state.records import CellRecord, Instance
+from pearward_state.records import CellRecord, Instance, MemberState
 from pearward_state.table import Policy, ServiceTable
 
 from .assignment import CellView, Joiner, next_record
@@ -156,7 +156,7 @@
         return servers >= set(table.servers) or now - self._began >= FORMATION_S
 
     def _joiners(self, record: CellRecord, fresh: dict[str, _Report]) -> tuple[Joiner, ...]:
-        """Return the daemons that report, are healthy and are not in the record."""
+        """Return the daemons that report, are healthy and have no part in the record."""
         return tuple(
             Joiner(
                 name,
@@ -167,13 +167,18 @@
                 r.heartbeat.caller,
             )
             for name, r in sorted(fresh.items())
-            if name not in record.by_incarnation
+            if not self._takes_part(record, name)
             and name not in self._ended_seen
             and r.heartbeat.healthy
             and not r.heartbeat.draining
             and self._at_address.get(r.peer.address) == name
         )
 
+    @staticmethod
+    def _takes_part(record: CellRecord, name: str) -> bool:
+        index = record.by_incarnation.get(name)
+        return index is not None and record.members[index].state is not MemberState.RETIRED
+
     def _ended(self, record: CellRecord) -> frozenset[str]:
         """Return members that certainly can no longer act."""
         return frozenset(record.by_incarnation.keys() & self._ended_seen)
