A long request is refused where the link would bring its answer too late

Change: requests of download routes are offered with the link's queue in mind: what is handed over, what waits and is not late already, and what the target still runs. A target that cannot make the objective refuses, so that another one is asked; the last one that is asked takes the request as long as the caller would still get the answer. Tests: features/mesh_link.feature, admission.

--- a/features/mesh_link.feature
+++ b/features/mesh_link.feature
@@ -51,3 +51,21 @@
     When 90000 bytes and then 300 bytes are answered to two peers
     And the request of the long one is reset, as the rest of its body is not wanted
     Then 1 s later all of the long one is sent, and the reset after it
+
+  # -- admission ------------------------------------------------------------------------------
+
+  Scenario Outline: A long request is refused where the link would bring its answer too late: <case>
+    Given a link of 6 Mbit/s on which <waiting> answers of 90000 bytes wait, <late> of them late
+    And <running> more are still run by the target
+    When a long request that runs 0.1 s, with 0.8 s to its objective and 4 s left, comes to <which> target
+    Then the long request is <outcome>
+
+    Examples:
+      | case                              | waiting | late | running | which     | outcome |
+      | the link is free                  | 1       | 0    | 0       | the first | begun   |
+      | there is time for those ahead     | 3       | 0    | 0       | the first | begun   |
+      | too many are ahead                | 8       | 0    | 0       | the first | refused |
+      | too many will be ahead            | 1       | 0    | 7       | the first | refused |
+      | those ahead are late and let pass | 8       | 8    | 0       | the first | begun   |
+      | nobody else will be asked         | 8       | 0    | 0       | the last  | begun   |
+      | it would come after the end       | 40      | 0    | 0       | the last  | refused |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
-from pearward_coordination.link_queue import LinkQueue, LinkTicket
+from pearward_coordination.link_queue import LinkQueue, LinkTicket, LongRequest
 from pearward_daemon.mesh import paced_stream
 from pearward_daemon.mesh.paced_stream import LinkPacer, PacedStream
 from pearward_protocol.heads import ResponseHead
@@ -114,6 +114,32 @@
     assert len(context.over) == len(context.tickets), context.over
 
 
+# -- admission ------------------------------------------------------------------------------------
+
+
+@given("a link of {rate:g} Mbit/s on which {count:d} answers of {size:d} bytes wait, "
+       "{late:d} of them late")  # fmt: skip
+def some_late(context: Any, rate: float, count: int, size: int, late: int) -> None:
+    _waiting(context, rate, [size] * count, late)
+
+
+@given("{count:d} more are still run by the target")
+def still_run(context: Any, count: int) -> None:
+    context.under_way = count
+
+
+@when("a long request that runs {runs:g} s, with {objective:g} s to its objective and "
+      "{left:g} s left, comes to the {which} target")  # fmt: skip
+def long_request(context: Any, runs: float, objective: float, left: float, which: str) -> None:
+    asked = LongRequest(runs, objective, left, which == "last")
+    context.too_late_s = context.link.too_late_s(asked, context.under_way, context.now)
+
+
+@then("the long request is {outcome}")
+def begun_or_refused(context: Any, outcome: str) -> None:
+    assert (context.too_late_s > 0.0) == (outcome == "refused"), context.too_late_s
+
+
 # -- streams --------------------------------------------------------------------------------------
 
 
--- a/packages/coordination/src/pearward_coordination/attempt_plan.py
+++ b/packages/coordination/src/pearward_coordination/attempt_plan.py
@@ -70,6 +70,11 @@
         """Whether a target may yet be looked for, where none can be asked now."""
         return not self.full and now + OWNER_WAIT_S <= self.times.owner_wait_ends
 
+    @property
+    def asks_last(self) -> bool:
+        """Whether the target that is asked now is the last that is asked for a slot."""
+        return self.full + 1 >= FULL_TRIES
+
     def arrived(self) -> bool:
         """Note that a target has received the request; return whether it is the first."""
         self.arrivals += 1
--- a/packages/coordination/src/pearward_coordination/link_queue.py
+++ b/packages/coordination/src/pearward_coordination/link_queue.py
@@ -12,7 +12,7 @@
 
 from .link_load import LinkLoad
 
-__all__ = ["LinkQueue", "LinkTicket"]
+__all__ = ["LinkQueue", "LinkTicket", "LongRequest"]
 
 AHEAD_S = 0.02
 """Seconds of the link that may be handed over ahead: what a short answer waits at most."""
@@ -45,6 +45,20 @@
         return not self.blocked and (self.unsent > 0 or self.ended)
 
 
+@dataclass(frozen=True, slots=True)
+class LongRequest:
+    """A request for a long answer, before it is begun."""
+
+    runs_s: float
+    """Seconds until the target is expected to have its answer ready."""
+    objective: float
+    """Time in s by which the answer is worth most."""
+    deadline: float
+    """Time in s after which nobody waits for the answer."""
+    last_target: bool
+    """Whether no other target will be asked."""
+
+
 class LinkQueue:
     """The long answers that wait for one instance's link."""
 
@@ -107,6 +121,32 @@
         waiting = sum(ticket.remaining for ticket in self._tickets)
         return self._load.backlog_s(now) + waiting / self._load.bytes_per_s
 
+    def too_late_s(self, asked: LongRequest, under_way: int, now: float) -> float:
+        """Return by how many seconds a long answer would come too late; 0 or less is in time.
+
+        *under_way* long answers are still run by the target and come before it. The last
+        target that is asked takes it as long as the caller would still get it.
+        """
+        ready = now + asked.runs_s
+        too_late_s = ready + self._sent_after_s(under_way, now, passes_late=True) - asked.objective
+        if too_late_s > 0.0 and asked.last_target:
+            sent_s = self._sent_after_s(under_way, now, passes_late=False)
+            too_late_s = ready + sent_s - asked.deadline
+        return too_late_s
+
+    def _sent_after_s(self, under_way: int, now: float, *, passes_late: bool) -> float:
+        """Return the seconds that the link needs for all that comes first, and one more.
+
+        An answer that is in time passes those that come too late anyway.
+        """
+        ahead = sum(
+            ticket.remaining
+            for ticket in self._tickets
+            if not (passes_late and self._is_late(ticket, now))
+        )
+        to_come = (under_way + 1) * self._mean_size
+        return self._load.backlog_s(now) + (ahead + to_come) / self._load.bytes_per_s
+
     def long_wait_s(self, now: float) -> float:
         """Return the seconds that a long answer is expected to need for the link.
 
@@ -116,5 +156,7 @@
         return max(self.backlog_s(now), self._mean_wait_s) + own_s
 
     def _order(self, ticket: LinkTicket, now: float) -> tuple[bool, int]:
-        late = now + ticket.remaining / self._load.bytes_per_s > ticket.objective
-        return late, ticket.remaining
+        return self._is_late(ticket, now), ticket.remaining
+
+    def _is_late(self, ticket: LinkTicket, now: float) -> bool:
+        return now + ticket.remaining / self._load.bytes_per_s > ticket.objective
--- a/packages/daemon/src/pearward_daemon/attempts.py
+++ b/packages/daemon/src/pearward_daemon/attempts.py
@@ -157,6 +157,11 @@
     def __init__(self, attempt: LocalAttempt) -> None:
         self._attempt = attempt
 
+    @property
+    def passes_link(self) -> bool:
+        """The requester is on this instance."""
+        return False
+
     def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
         """Send the head of the answer, or the whole of a short one."""
         self._attempt.answered(head, ended, body)
--- a/packages/daemon/src/pearward_daemon/exchange.py
+++ b/packages/daemon/src/pearward_daemon/exchange.py
@@ -13,6 +13,10 @@
 class ReplySink(Protocol):
     """Where the owner's side sends an answer."""
 
+    @property
+    def passes_link(self) -> bool:
+        """Whether the answer leaves this instance for another one."""
+
     def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
         """Send the head of the answer, or the whole of a short one."""
 
@@ -65,6 +69,11 @@
         self._connection = connection
         self._stream = stream
 
+    @property
+    def passes_link(self) -> bool:
+        """Another daemon is on another instance."""
+        return True
+
     def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
         """Send the head of the answer, or the whole of a short one."""
         self._connection.respond(self._stream, head, ended=ended, body=body)
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -171,7 +171,7 @@
             return
         placement = self._ingress.place(
             self._service, self._key, frozenset(self._plan.tried),
-            long_answer=self._route.kind is RequestKind.DOWNLOAD,
+            long_answer=self._long,
         )  # fmt: skip
         if placement is None:
             self._no_target()
@@ -186,6 +186,11 @@
         else:
             self._connect(placement)
 
+    @property
+    def _long(self) -> bool:
+        """Whether the answer is long: the link of the target's instance counts as well."""
+        return self._route.kind is RequestKind.DOWNLOAD
+
     @property
     def _key(self) -> int | None:
         return self._intent.key if self._keyed else None
@@ -244,7 +249,7 @@
             path=self._request.uri,
             headers=self._forwarded,
             deadline_ms=max(1, int((self._deadline - now - ANSWER_BACK_S) * MS_PER_S)),
-            request_class=RequestClass.INTERACTIVE,
+            request_class=RequestClass.EXPORT if self._long else RequestClass.INTERACTIVE,
             tenant="",
             repeatable=self._route.kind.repeatable,
             prior_age_ms=0,
@@ -256,8 +261,14 @@
             rank=self._route.rank,
             objective_ms=max(0, int((self._plan.times.objective - now) * MS_PER_S)),
             caller_service=self._ingress.caller_service,
+            last_target=self._long and self._asks_last(placement),
         )
 
+    def _asks_last(self, placement: Placement) -> bool:
+        """Return whether no other target would be asked if this one refuses."""
+        others = self._plan.tried | {placement.target}
+        return self._plan.asks_last or not self._ingress.has_other(self._service, others)
+
     def _open_local(self, placement: Placement) -> None:
         self._note_attempt(placement)
         attempt = self._attempt = LocalAttempt(self, self._ingress.window)
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -10,7 +10,7 @@
 from pearward_coordination.slots import Refused, SlotTicket
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.streams import SHORT_BODY, ResetCode
-from pearward_state.outcome import Outcome, Reason
+from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import ServerUnreachable
 from pearward_transport.http_client import ServerConnection
@@ -78,6 +78,11 @@
         """What is asked for."""
         return self._head
 
+    @property
+    def needs_link(self) -> bool:
+        """Whether a long answer will have to pass the instance's link."""
+        return self._head.request_class is RequestClass.EXPORT and self._reply.passes_link
+
     @property
     def done(self) -> bool:
         """Whether it was answered or given up."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -8,7 +8,7 @@
 
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
 from pearward_coordination.key_load import KeyCounter
-from pearward_coordination.link_queue import LinkQueue
+from pearward_coordination.link_queue import LinkQueue, LongRequest
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.selection import TargetLoad
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
@@ -381,11 +381,25 @@
 
     def offer(self, request: TargetRequest, ticket: SlotTicket) -> bool | Refused:
         """Ask for a slot: True is given now, False is given later."""
-        offered = self._queue.offer(ticket, boot_time())
+        now = boot_time()
+        if request.needs_link and (too_late_s := self._link_too_late_s(request, ticket, now)) > 0.0:
+            return Refused(self._queue.retry_after(too_late_s))
+        offered = self._queue.offer(ticket, now)
         if not isinstance(offered, Refused):
             self._requests[ticket] = request
         return offered
 
+    def _link_too_late_s(self, request: TargetRequest, ticket: SlotTicket, now: float) -> float:
+        """Return by how many seconds the link would bring a long answer too late."""
+        asked = LongRequest(
+            runs_s=self._queue.expected_wait(ticket, now) + self._queue.service_s(now),
+            objective=ticket.objective,
+            deadline=ticket.deadline,
+            last_target=request.head.last_target,
+        )
+        under_way = sum(1 for other in self._requests.values() if other.needs_link)
+        return self._link.too_late_s(asked, under_way, now)
+
     def patience_s(self, ticket: SlotTicket) -> float:
         """Return the seconds that a request may wait for a slot."""
         return self._queue.patience_s(ticket)
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -78,6 +78,8 @@
     """Milliseconds left, when the frame was sent, within which an answer is worth most."""
     caller_service: str = ""
     """Service beside which the request began."""
+    last_target: bool = False
+    """Whether no other target will be asked for a slot."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
         message.rank = head.rank
         message.objectiveMs = head.objective_ms
         message.callerService = head.caller_service
+        message.lastTarget = head.last_target
     return message.to_bytes()
 
 
@@ -165,6 +168,7 @@
                 message.rank,
                 message.objectiveMs,
                 message.callerService,
+                message.lastTarget,
             )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"request head: {error}") from error
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -28,6 +28,7 @@
   rank @16 :UInt8;
   objectiveMs @17 :UInt32;
   callerService @18 :Text;
+  lastTarget @19 :Bool;
 }
 
 struct ResponseHead {
