One timer looks for silent connections of a daemon, in place of one for each

Cause: each end of a connection had a timer of its own every 0.5 s. At 83 instances a daemon has up to 164 of them, some 330 wake-ups a second that do nothing; their number grows with the fleet. Change: the pool and the listener each look at all of their connections at once: 4 wake-ups a second.

--- a/features/steps/peer_link_steps.py
+++ b/features/steps/peer_link_steps.py
@@ -9,7 +9,7 @@
 from pearward_coordination.messages import PeerId, Pull
 from pearward_protocol.heads import Hello
 from pearward_protocol.streams import Multiplexer
-from pearward_transport.peer import PeerConnection
+from pearward_transport.peer import PeerConnection, SilenceChecks
 
 STEP_S = 0.1
 SEND_EVERY_S = 0.4
@@ -45,9 +45,9 @@
     context.clock = Clock()
     context.transport = _Transport()
     me = PeerId("me", "127.0.0.1:1")
-    connection = PeerConnection(
-        me, _Handler(), context.clock, opener=True, window=1024  # type: ignore[arg-type]
-    )  # fmt: skip
+    checks = SilenceChecks(context.clock)
+    handler: Any = _Handler()
+    connection = PeerConnection(me, handler, context.clock, checks, opener=True, window=1024)
     connection.makeConnection(context.transport)
     context.connection = connection
     context.other = Multiplexer(opener=False)
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -37,6 +37,7 @@
     "PeerHandler",
     "PeerListener",
     "PeerPool",
+    "SilenceChecks",
     "StreamHandler",
 ]
 
@@ -100,6 +101,32 @@
         """Note who listens at an address, and who was expected there when it was dialled."""
 
 
+class SilenceChecks:
+    """Looks for silent connections: one timer for all, since a daemon has hundreds."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._connections: dict[PeerConnection, None] = {}
+        self._timer: Any = None
+
+    def add(self, connection: "PeerConnection") -> None:
+        """Look at a connection from now on."""
+        self._connections[connection] = None
+        if self._timer is None:
+            self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._look)
+
+    def discard(self, connection: "PeerConnection") -> None:
+        """Look at a connection no more."""
+        self._connections.pop(connection, None)
+
+    def _look(self) -> None:
+        self._timer = None
+        for connection in list(self._connections):
+            connection.check_silence()
+        if self._connections:
+            self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._look)
+
+
 @implementer(IPushProducer)
 class PeerConnection(TwistedProtocol):
     """One end of a connection; the side that dialled opens the streams."""
@@ -109,6 +136,7 @@
         me: PeerId,
         handler: PeerHandler,
         reactor: Any,
+        checks: SilenceChecks,
         *,
         opener: bool,
         window: int,
@@ -133,7 +161,7 @@
         self._last_received = 0.0
         self._sent_since = False
         """Whether a control message was sent since anything was received."""
-        self._check: Any = None
+        self._checks = checks
 
     # -- properties ---------------------------------------------------------
 
@@ -217,7 +245,7 @@
         self.transport.setTcpKeepAlive(True)
         self.transport.registerProducer(self, True)
         self._last_received = self._reactor.seconds()
-        self._check = self._reactor.callLater(CHECK_INTERVAL_S, self._check_silence)
+        self._checks.add(self)
         self._mux.send_hello(Hello(self._me.incarnation, self._me.address))
         self._flush()
 
@@ -235,8 +263,7 @@
 
     def connectionLost(self, reason: Failure = Failure(ConnectionAborted())) -> None:  # noqa: B008
         self._connected = False
-        if self._check is not None and self._check.active():
-            self._check.cancel()
+        self._checks.discard(self)
         streams, self._streams = self._streams, {}
         for handler in streams.values():
             handler.connection_lost()
@@ -254,7 +281,7 @@
     def stopProducing(self) -> None:
         self._paused = True
 
-    def _check_silence(self) -> None:
+    def check_silence(self) -> None:
         """Ping a silent peer that owes a sign of life, and give it up if it stays silent.
 
         Control messages go on being sent into a connection that has died without a word:
@@ -270,7 +297,6 @@
                 self._flush()
         else:
             self._last_received = self._reactor.seconds()
-        self._check = self._reactor.callLater(CHECK_INTERVAL_S, self._check_silence)
 
     def _dispatch(self, event: Event) -> None:
         match event:
@@ -324,6 +350,7 @@
         self._reactor = reactor
         self._window = window
         self._on_sent = on_sent
+        self._checks = SilenceChecks(reactor)
         self._connections: set[PeerConnection] = set()
 
     @property
@@ -336,6 +363,7 @@
             self._me,
             self._handler,
             self._reactor,
+            self._checks,
             opener=False,
             window=self._window,
             on_lost=self._connections.discard,
@@ -448,6 +476,7 @@
         self._window = window
         self._bind = (bind_ip, 0) if bind_ip else None
         self._on_sent = on_sent
+        self._checks = SilenceChecks(reactor)
         self._links: dict[str, _Link] = {}
 
     @property
@@ -499,6 +528,7 @@
                 self._me,
                 self._handler,
                 self._reactor,
+                self._checks,
                 opener=True,
                 window=self._window,
                 on_ready=on_ready,
