A build leaves packages that are the same alone; statuses are kept where daemons do not get ready

Change: packages without a difference stay; a build of changed sources still has to wait for runs to end.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,6 +12,8 @@
     packages/daemon platform; do
     for package in "$folder"/src/*/; do
         name=$(basename "$package")
+        # What is the same stays: daemons that run load modules late.
+        diff -rq --exclude=__pycache__ "$package" "$deps/$name" > /dev/null 2>&1 && continue
         rm -rf "${deps:?}/$name"
         cp -r "$package" "$deps/$name"
     done
--- a/features/environment.py
+++ b/features/environment.py
@@ -72,8 +72,13 @@
 
 def after_step(context: Any, step: Any) -> None:
     """Keep what the daemons say of themselves at the moment that a step fails."""
+    if context.cluster is not None and step.status.name != "passed":
+        _keep_statuses(context)
+
+
+def _keep_statuses(context: Any) -> None:
     keep = os.environ.get("KEEP_LOGS")
-    if not keep or context.cluster is None or step.status.name == "passed":
+    if not keep:
         return
     folder = Path(keep) / context.feature.name
     folder.mkdir(parents=True, exist_ok=True)
@@ -96,7 +101,11 @@
             cluster.start_server(node)
         if node.daemon is None:
             cluster.start_daemon(node)
-    cluster.wait_ready()
+    try:
+        cluster.wait_ready()
+    except TimeoutError:
+        _keep_statuses(context)
+        raise
 
 
 def run_pearward(context: Any, *arguments: str) -> subprocess.CompletedProcess[str]:
