A late answer gets one turn in six of the link, and fewer are begun that would be late

Late answers had no turn while others came. Change: of six turns one goes to the late answer that has waited longest; a request whose answer would be late is begun by the last target that is asked only if those turns bring it within 3 s.

--- a/features/mesh_link.feature
+++ b/features/mesh_link.feature
@@ -16,6 +16,12 @@
     When turns are given until all are handed over
     Then they ended in the order 200000, 50000
 
+  Scenario: A late answer is not left waiting while others keep coming
+    Given a link of 6 Mbit/s on which answers of 50000 and 90000 bytes wait, the first of them late
+    When turns are given for 1.5 s while another answer of 90000 bytes comes every 0.1 s
+    Then the one of 50000 bytes has ended
+    And at least 0.8 of what was handed over was of answers in time
+
   Scenario: An answer whose receiver takes no more holds nobody up
     Given a link of 6 Mbit/s on which answers of 50000 and 90000 bytes wait
     When the receiver of the first takes no more
@@ -68,4 +74,4 @@
       | too many will be ahead            | 1       | 0    | 7       | the first | refused |
       | those ahead are late and let pass | 8       | 8    | 0       | the first | begun   |
       | nobody else will be asked         | 8       | 0    | 0       | the last  | begun   |
-      | it would come after the end       | 40      | 0    | 0       | the last  | refused |
+      | too many late ones wait already   | 12      | 6    | 0       | the last  | refused |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -73,6 +73,27 @@
         context.now += STEP_S
 
 
+@when("turns are given for {seconds:g} s while another answer of {size:d} bytes comes "
+      "every {pause:g} s")  # fmt: skip
+def turns_while_coming(context: Any, seconds: float, size: int, pause: float) -> None:
+    for _ in range(round(seconds / pause)):
+        ticket = context.link.join(context.now + OBJECTIVE_S, size, context.now)
+        ticket.unsent, ticket.ended = size, True
+        context.tickets.append((size, ticket))
+        turns_for(context, pause)
+
+
+@then("the one of {size:d} bytes has ended")
+def one_has_ended(context: Any, size: int) -> None:
+    assert size in context.over, context.over
+
+
+@then("at least {share:g} of what was handed over was of answers in time")
+def mostly_in_time(context: Any, share: float) -> None:
+    total = sum(size for _, size in context.handed)
+    assert total - context.tickets[0][0] >= share * total, (total, context.tickets[0][0])
+
+
 @when("turns are given until all are handed over")
 def turns_until_over(context: Any) -> None:
     while context.link.waiting:
--- a/packages/coordination/src/pearward_coordination/link_queue.py
+++ b/packages/coordination/src/pearward_coordination/link_queue.py
@@ -5,7 +5,8 @@
 Long answers therefore wait here and are handed over in chunks, as fast as the link takes
 them; short ones and control messages never wait. The shortest rest goes first among the
 answers that can still come in time: that brings most answers in time where the link cannot
-carry all. No I/O and no clock.
+carry all. Late ones get what is left, and one turn in six at least: an answer that is ready
+is delivered, also when late. No I/O and no clock.
 """
 
 from dataclasses import dataclass
@@ -20,6 +21,12 @@
 """Bytes that are handed over at once at least; each chunk costs a wake-up."""
 MOST_CHUNK = 64 * 1024
 """Bytes that are handed over at once at most: one frame."""
+LATE_TURNS = 6
+"""Of so many turns one goes to the late answer that has waited longest. A late answer is worth
+about a quarter of one in time on the users' sites, so that more turns would cost more."""
+MOST_LATE_S = 3.0
+"""Seconds that a late answer may have to wait at that rate when it is begun: callers wait
+four seconds, and a daemon that is stopped has less."""
 MEAN_WEIGHT = 0.1
 """Weight of the newest long answer in the means of sizes and waits: ten answers."""
 
@@ -67,6 +74,7 @@
         self._tickets: dict[LinkTicket, None] = {}
         self._mean_size = 0.0
         self._mean_wait_s = 0.0
+        self._turns = 0
         ahead = int(self._load.bytes_per_s * AHEAD_S)
         self._chunk = min(MOST_CHUNK, max(LEAST_CHUNK, ahead))
 
@@ -109,8 +117,17 @@
         """Return the answer whose next chunk goes out now; None while the link has enough."""
         if self.free_in_s(now) > 0.0:
             return None
-        sendable = (ticket for ticket in self._tickets if ticket.sendable)
-        return min(sendable, key=lambda ticket: self._order(ticket, now), default=None)
+        sendable = [ticket for ticket in self._tickets if ticket.sendable]
+        late = next((ticket for ticket in sendable if self._is_late(ticket, now)), None)
+        in_time = min(
+            (ticket for ticket in sendable if not self._is_late(ticket, now)),
+            key=lambda ticket: ticket.remaining,
+            default=None,
+        )
+        self._turns += 1
+        if late is not None and (in_time is None or self._turns % LATE_TURNS == 0):
+            return late
+        return in_time
 
     def free_in_s(self, now: float) -> float:
         """Return the seconds until the link takes another chunk."""
@@ -128,25 +145,16 @@
         target that is asked takes it as long as the caller would still get it.
         """
         ready = now + asked.runs_s
-        too_late_s = ready + self._sent_after_s(under_way, now, passes_late=True) - asked.objective
+        late = sum(t.remaining for t in self._tickets if self._is_late(t, now))
+        in_time = sum(t.remaining for t in self._tickets) - late
+        to_come = (under_way + 1) * self._mean_size
+        sent_s = self._load.backlog_s(now) + (in_time + to_come) / self._load.bytes_per_s
+        too_late_s = ready + sent_s - asked.objective
         if too_late_s > 0.0 and asked.last_target:
-            sent_s = self._sent_after_s(under_way, now, passes_late=False)
-            too_late_s = ready + sent_s - asked.deadline
+            sent_s = (late + self._mean_size) * LATE_TURNS / self._load.bytes_per_s
+            too_late_s = ready + sent_s - min(asked.deadline, ready + MOST_LATE_S)
         return too_late_s
 
-    def _sent_after_s(self, under_way: int, now: float, *, passes_late: bool) -> float:
-        """Return the seconds that the link needs for all that comes first, and one more.
-
-        An answer that is in time passes those that come too late anyway.
-        """
-        ahead = sum(
-            ticket.remaining
-            for ticket in self._tickets
-            if not (passes_late and self._is_late(ticket, now))
-        )
-        to_come = (under_way + 1) * self._mean_size
-        return self._load.backlog_s(now) + (ahead + to_come) / self._load.bytes_per_s
-
     def long_wait_s(self, now: float) -> float:
         """Return the seconds that a long answer is expected to need for the link.
 
@@ -155,8 +163,5 @@
         own_s = self._mean_size / self._load.bytes_per_s
         return max(self.backlog_s(now), self._mean_wait_s) + own_s
 
-    def _order(self, ticket: LinkTicket, now: float) -> tuple[bool, int]:
-        return self._is_late(ticket, now), ticket.remaining
-
     def _is_late(self, ticket: LinkTicket, now: float) -> bool:
         return now + ticket.remaining / self._load.bytes_per_s > ticket.objective
