--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -93,6 +93,12 @@
     Then all of them are answered and it ends by itself with 0
     And it is not ready from then on
 
+  Scenario: A request that outlasts the stop of its caller's daemon gets an answer
+    Given a route "/patient/" whose requests may take 20 s
+    When a daemon is told to stop under a request of 12 s on "/patient/"
+    Then the caller gets 504 and no part of that answer
+    And that daemon ends with exit code 0 and is started again
+
   Scenario: A planned stop cuts no request of others, though the target's keys cannot be moved
     When the store is away and a daemon with keys is told to stop under requests of 1 s
     Then every request that its target ran was answered whole
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import psutil
-from behave import then, when
+from behave import given, then, when
 
 from pearward_devtools.cluster import wait_until
 from pearward_devtools.mesh.cluster import CALLERS, HOST, MeshCluster, MeshNode
@@ -352,6 +352,40 @@
     assert not context.ready_after
 
 
+@given('a route "{prefix}" whose requests may take {seconds:d} s')
+def patient_route(context: Any, prefix: str, seconds: int) -> None:
+    route = {
+        "host": HOST, "pathPrefix": prefix, "kind": "safe", "timeoutMs": seconds * 1000,
+        "targetLatencyMs": 15_000, "priority": 1, "maxAttempts": 2, "service": POOLED,
+    }  # fmt: skip
+    _cluster(context).configure(patient=route)
+    serves_route(context, prefix, 5.0)
+
+
+@when('a daemon is told to stop under a request of {work:d} s on "{prefix}"')
+def stop_under_long_request(context: Any, work: int, prefix: str) -> None:
+    node = context.stopped = _nodes(context, POOLED)[0]
+    headers = {"Request-Id": _id(context), "Deadline-Ms": "20000"}
+
+    def ask() -> None:
+        context.reply = _cluster(context).call(
+            node, f"{prefix}x?work_ms={work * 1000}", headers=headers
+        )
+
+    caller = threading.Thread(target=ask)
+    caller.start()
+    time.sleep(0.3)
+    node.daemon.send_signal(signal.SIGTERM)
+    caller.join()
+
+
+@then("that daemon ends with exit code 0 and is started again")
+def ends_and_returns(context: Any) -> None:
+    assert context.stopped.daemon.wait(timeout=8) == 0
+    _cluster(context).start_daemon(context.stopped)
+    _cluster(context).wait_served()
+
+
 @when("the store is away and a daemon with keys is told to stop under requests of 1 s")
 def stop_under_load(context: Any) -> None:
     _stop_with_keys(context, askers=4, work_ms=1000, pause_s=0.0)
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -180,7 +180,10 @@
         if open_requests and not over:
             self._reactor.callLater(STOP_CHECK_S, self._end_when_idle)
             return
-        self._log.decided("stopped", waited_s=round(waited_s, 3), cut=open_requests)
+        self._log.decided(
+            "stopped", waited_s=round(waited_s, 3), open=open_requests,
+            cut=self._ingress.answer_open(),
+        )  # fmt: skip
         self._caller_port.stopListening()
         self._pool.close()
         self._stopped.callback(None)
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -156,6 +156,12 @@
         """Turn new requests away from now on, to come back after some seconds."""
         self._refusing_s = retry_after_s
 
+    def answer_open(self) -> int:
+        """Tell callers without an answer that there will be none; return how many are cut."""
+        for routed in list(self._open):
+            routed.daemon_ends()
+        return len(self._open)
+
     # -- requests ---------------------------------------------------------------------
 
     def request_begun(self, request: CallerRequest, body_length: int | None) -> BodySink:
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -454,15 +454,23 @@
         if self._plan.arrived():
             self._ingress.arrived(self._service)
 
+    def daemon_ends(self) -> None:
+        """This daemon ends now: a caller that has no answer yet is told so."""
+        if not self._answering:
+            self._out_of_time(Reason.DRAINING)
+
     def _deadline_passed(self) -> None:
         """The caller, or the route, allows no more time."""
         self._timer = None
+        self._out_of_time(Reason.DEADLINE)
+
+    def _out_of_time(self, reason: Reason) -> None:
         if self._done:
             return
         unknown = self._attempt is not None
         self._cancel_attempt()
         outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
-        self._give_up(outcome, Reason.DEADLINE, RETRY_AFTER_S, GATEWAY_TIMEOUT)
+        self._give_up(outcome, reason, RETRY_AFTER_S, GATEWAY_TIMEOUT)
 
     def _give_up(
         self,
