A sudden change of the keys' load is seen within two reports

Cause: the planner's picture is a mean over 3 s, so that after 0.6 s a key that has become hot looked a fifth as hot as it was.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -194,6 +194,16 @@
     When key 7 is asked for 10 times a second, first at one owner and then at another
     Then its load is 10 requests a second, give or take 4
 
+  Scenario: A key that becomes hot is seen within two reports
+    Given owners of 4 equal parts that were asked for 10 requests a second each for 6 s
+    When 100 more a second ask for keys of the first part for 0.8 s
+    Then the usual load was forgotten once, and the first owner's is 70 to 130 a second
+
+  Scenario: Chance does not look like a surge
+    Given owners of 4 equal parts that were asked for 10 requests a second each for 6 s
+    When the same load goes on for 60 s with its usual chances
+    Then the usual load was never forgotten
+
   Scenario: A report stays short however many keys are asked for
     When one owner counts requests for 1000 different keys
     Then its report has at most 64 rows that hold them all
--- a/features/steps/mesh_key_map_steps.py
+++ b/features/steps/mesh_key_map_steps.py
@@ -1,19 +1,28 @@
 """Steps of key maps: sizes, moves, loads, stored maps, witnesses."""
 
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 import orjson
 from behave import given, then, when
 
 from pearward_coordination.grants import GrantKeeper, GrantTiming, ReleasedRow
-from pearward_coordination.key_load import KeyCount, KeyCounter, KeyLoadTable, KeyRate
+from pearward_coordination.key_load import (
+    RECENT_S,
+    KeyCount,
+    KeyCounter,
+    KeyLoadTable,
+    KeyRate,
+)
 from pearward_coordination.keyplan import (
     KeyOwner,
     PlanLimits,
     PlannedLoad,
     first_map,
+    has_surged,
     plan_moves,
+    rates_by_owner,
 )
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_protocol.entries import decode_key_map, encode_key_map
@@ -202,6 +211,72 @@
     assert row.key == 7 and abs(row.rate - 10.0) <= 4.0, row
 
 
+REPORT_S = 0.4
+"""Seconds between two reports of an owner."""
+
+
+def _part(owner: int) -> int:
+    """Return the first key of an owner's quarter."""
+    return owner * KEY_SPACE // 4
+
+
+def _report(context: Any, extra: float) -> None:
+    """Let every owner report what was asked of it, and look for a surge as the planner does."""
+    context.now += REPORT_S
+    for owner in range(4):
+        rate = 10.0 + (extra if owner == 0 else 0.0)
+        counter = KeyCounter()
+        # A binomial count of many trials is about a Poisson one: what independent callers ask.
+        asked = sum(context.rng.random() < rate * REPORT_S / 1000 for _ in range(1000))
+        for _ in range(asked):
+            counter.count(_part(owner) + context.rng.randrange(200))
+        counts = counter.take()
+        for table in (context.usual, context.recent):
+            table.add(counts, context.now)
+    usual, recent = (
+        PlannedLoad(table.rates(context.now), table.seen_s(context.now))
+        for table in (context.usual, context.recent)
+    )
+    if has_surged(context.map, recent, usual, PlanLimits()):
+        context.surges += 1
+        context.usual.begin_anew(context.recent, context.now)
+
+
+@given("owners of 4 equal parts that were asked for 10 requests a second each for {seconds:g} s")
+def usual_load(context: Any, seconds: float) -> None:
+    context.rng = Random(11)
+    context.now, context.surges = NOW, 0
+    context.usual, context.recent = KeyLoadTable(), KeyLoadTable(RECENT_S)
+    context.map = first_map("roster", [KeyOwner(f"t{number}", 30.0) for number in range(4)])
+    for _ in range(round(seconds / REPORT_S)):
+        _report(context, 0.0)
+    assert context.surges == 0
+
+
+@when("{extra:d} more a second ask for keys of the first part for {seconds:g} s")
+def surge(context: Any, extra: int, seconds: float) -> None:
+    for _ in range(round(seconds / REPORT_S)):
+        _report(context, extra)
+
+
+@when("the same load goes on for {seconds:d} s with its usual chances")
+def load_goes_on(context: Any, seconds: int) -> None:
+    for _ in range(round(seconds / REPORT_S)):
+        _report(context, 0.0)
+
+
+@then("the usual load was forgotten once, and the first owner's is {low:d} to {high:d} a second")
+def surge_learned(context: Any, low: int, high: int) -> None:
+    assert context.surges == 1, context.surges
+    rates = rates_by_owner(context.map, context.usual.rates(context.now))
+    assert low <= rates["t0"] <= high, rates
+
+
+@then("the usual load was never forgotten")
+def never_forgotten(context: Any) -> None:
+    assert context.surges == 0
+
+
 @when("one owner counts requests for 1000 different keys")
 def many_keys(context: Any) -> None:
     counter = KeyCounter()
--- a/packages/coordination/src/pearward_coordination/key_load.py
+++ b/packages/coordination/src/pearward_coordination/key_load.py
@@ -6,15 +6,17 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import exp
+from math import exp, log
 
-__all__ = ["KeyCount", "KeyCounter", "KeyLoadTable", "KeyRate"]
+__all__ = ["RECENT_S", "KeyCount", "KeyCounter", "KeyLoadTable", "KeyRate"]
 
 MOST_ROWS = 64
 """Rows of one report at most: an owner gets some twenty requests between two reports."""
 WINDOW_S = 3.0
 """Seconds over which requests are averaged: a hundred requests of a usual owner, which
 tells its load to a tenth."""
+RECENT_S = 0.6
+"""Seconds of a window that shows a sudden change: one and a half reports."""
 IDLE_WEIGHT = 5.0
 """Weight in requests below which nothing is known of the present load."""
 REPORT_S = 0.4
@@ -64,7 +66,8 @@
 class KeyLoadTable:
     """Requests a second by key, as a moving mean over all owners' reports."""
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float = WINDOW_S) -> None:
+        self._window_s = window_s
         self._weights: dict[int, float] = {}
         self._updated = 0.0
         self._began: float | None = None
@@ -81,11 +84,18 @@
             key = (row.first + row.last) // 2
             self._weights[key] = self._weights.get(key, 0.0) + row.count
 
+    def begin_anew(self, recent: "KeyLoadTable", now: float) -> None:
+        """Forget what was before a sudden change: go on from the load of a shorter window."""
+        seen_s = recent.seen_s(now)
+        self._weights = {row.key: row.rate * seen_s for row in recent.rates(now)}
+        self._updated = now
+        self._began = now + self._window_s * log(max(0.01, 1.0 - seen_s / self._window_s))
+
     def seen_s(self, now: float) -> float:
         """Return the seconds of requests that the table stands for."""
         if self._began is None:
             return 0.0
-        return WINDOW_S * (1.0 - exp(-max(0.0, now - self._began) / WINDOW_S))
+        return self._window_s * (1.0 - exp(-max(0.0, now - self._began) / self._window_s))
 
     def rates(self, now: float) -> tuple[KeyRate, ...]:
         """Return requests a second by key, in the order of the keys."""
@@ -94,7 +104,7 @@
         return tuple(KeyRate(key, self._weights[key] / seen_s) for key in sorted(self._weights))
 
     def _fade(self, now: float) -> None:
-        factor = exp(-(now - self._updated) / WINDOW_S)
+        factor = exp(-(now - self._updated) / self._window_s)
         self._updated = now
         self._weights = {
             key: weight * factor
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -18,6 +18,7 @@
     "PlanLimits",
     "PlannedLoad",
     "first_map",
+    "has_surged",
     "plan_moves",
     "rates_by_owner",
     "without_targets",
@@ -70,6 +71,11 @@
     too_much: float = 1.25
     """What one key asks for, over its owner's capacity, from which a faster owner is sought:
     it rests for half a second, which a hot time of some four seconds has to make up for."""
+    surge: float = 1.5
+    """An owner's recent load over its usual one from which the usual one tells nothing."""
+    surge_certainty: float = 4.0
+    """Standard deviations by which it must be more: every owner is looked at five times a
+    second, and a false alarm costs what was known of all owners' load."""
     faster: float = 1.3
     """How much more that owner must be able to run; speeds are known to a tenth."""
 
@@ -187,6 +193,19 @@
     return result
 
 
+def has_surged(
+    key_map: KeyMap, recent: PlannedLoad, usual: PlannedLoad, limits: PlanLimits
+) -> bool:
+    """Return whether some owner's recent load is surely far above its usual one."""
+    before = rates_by_owner(key_map, usual.rates)
+    for owner, rate in rates_by_owner(key_map, recent.rates).items():
+        excess = (rate - before[owner]) * recent.seen_s
+        certain = excess > limits.surge_certainty * float((rate * recent.seen_s) ** 0.5)
+        if certain and rate > before[owner] * limits.surge:
+            return True
+    return False
+
+
 def _utilisation(target: str, by_target: Mapping[str, KeyOwner], rates: dict[str, float]) -> float:
     return rates[target] / max(by_target[target].capacity, 1e-6)
 
