Long answers stay in their failure domain while they can come in time; sizes are known by route

Cause: an answer of 90 kB from another failure domain costs 0.4 of what it earns, and the usual size of exchanges was known by service, where short calls and long answers are mixed; the pull towards the own domain ended at 0.1 s of expected latency, less than one such answer takes. Change: sizes are kept by route, and for long answers the pull goes up to 0.4 of the objective. Test: a scenario outline of mesh_decisions.feature.

--- a/features/steps/mesh_target_steps.py
+++ b/features/steps/mesh_target_steps.py
@@ -10,6 +10,7 @@
 from pearward_coordination.retry_window import RetryRule, RetryWindow
 from pearward_coordination.selection import (
     Candidate,
+    Exchange,
     LoadView,
     TargetLoad,
     WeightedTurns,
@@ -143,6 +144,22 @@
     context.candidates = [Candidate("a", True, _view()), Candidate("b", False, _view())]
 
 
+@given("a near target behind a link that needs {near:g} s for a long answer, "
+       "and a far one whose link needs {far:g} s")  # fmt: skip
+def near_and_far_links(context: Any, near: float, far: float) -> None:
+    views = [LoadView(TargetLoad(0, 0, 12, 0.2, link_s), reported_at=NOW) for link_s in (near, far)]
+    context.candidates = [Candidate("a", True, views[0]), Candidate("b", False, views[1])]
+
+
+@then("a request of {kilobytes:d} kB with an objective of {objective:g} s goes to the {which} one")
+def long_goes_to(context: Any, kilobytes: int, objective: float, which: str) -> None:
+    asked = Exchange(kilobytes, objective, long_answer=True)
+    rng = Random(7)
+    chosen = [choose_target(context.candidates, NOW, rng, asked) for _ in range(400)]
+    share = sum(c is context.candidates[0] for c in chosen) / len(chosen)
+    assert share > 0.95 if which == "near" else share < 0.05, share
+
+
 @then("the second one gets nearly all requests")
 def second_wins(context: Any) -> None:
     assert _share_of_first(context.candidates) < 0.05
@@ -211,7 +228,7 @@
         view = LoadView()
         view.reported(TargetLoad(0, 0, 12, service_s, link.long_wait_s(now)), now)
         candidates.append(Candidate(f"t{number}", True, view))
-    chosen = choose_target(candidates, now, Random(1), long_answer=long_answer)
+    chosen = choose_target(candidates, now, Random(1), Exchange(long_answer=long_answer))
     assert chosen is not None
     return chosen.target
 
--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -15,7 +15,14 @@
 
     from pearward_state.routes import WeightedService
 
-__all__ = ["Candidate", "LoadView", "TargetLoad", "WeightedTurns", "choose_target"]
+__all__ = [
+    "Candidate",
+    "Exchange",
+    "LoadView",
+    "TargetLoad",
+    "WeightedTurns",
+    "choose_target",
+]
 
 LOAD_FADES_S = 1.0
 """Time in which a load that was not reported again counts for half: measured queues of
@@ -28,6 +35,10 @@
 sites: a kilobyte between domains costs what 15 to 20 ms cost near the latency objective."""
 MOST_CROSS_DOMAIN_S = 0.1
 """Beyond this a crowded near target would be preferred to a free one elsewhere."""
+LONG_CROSS_DOMAIN_SHARE = 0.4
+"""The same for long answers, as part of their objective. By the prices of the users' sites an
+answer of 90 kB from another failure domain costs 0.4 of what it earns; latency costs nothing
+before the objective, and target and link together take half of it without waiting."""
 FAILURE_PENALTY_S = 0.6
 """Seconds of expected latency that a recent failure counts for; fades by half each second."""
 CROWDED = 0.6
@@ -83,6 +94,18 @@
         return max(0.0, faded + self.in_flight - self.in_flight_then, float(self.in_flight))
 
 
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """What is known of a request and its answer before a target is chosen."""
+
+    kilobytes: float = 0.0
+    """Usual size of both together."""
+    objective_s: float = 0.0
+    """Seconds within which the answer is worth most."""
+    long_answer: bool = False
+    """Whether the link of the target's instance counts as well."""
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A target that may be chosen."""
@@ -96,14 +119,15 @@
     """Whether it is on the requester's instance: no link lies between."""
 
 
-def distance_s(kilobytes: float) -> float:
+def distance_s(asked: Exchange) -> float:
     """Return the expected latency that avoiding another failure domain is worth, in seconds."""
-    return min(MOST_CROSS_DOMAIN_S, CROSS_DOMAIN_S + kilobytes * CROSS_DOMAIN_S_PER_KB)
+    most_s = MOST_CROSS_DOMAIN_S
+    if asked.long_answer:
+        most_s = max(most_s, asked.objective_s * LONG_CROSS_DOMAIN_SHARE)
+    return min(most_s, CROSS_DOMAIN_S + asked.kilobytes * CROSS_DOMAIN_S_PER_KB)
 
 
-def expected_latency(
-    candidate: Candidate, now: float, far_s: float, *, long_answer: bool = False
-) -> float:
+def expected_latency(candidate: Candidate, now: float, asked: Exchange, far_s: float) -> float:
     """Return the seconds that a request sent now is expected to take, penalties included."""
     view = candidate.view
     load = view.load
@@ -114,31 +138,24 @@
     service_s = load.service_s * (1.6 if candidate.cold else 1.0)
     latency = service_s * (1.0 + crowd + queue)
     latency += view.recent_failures(now) * FAILURE_PENALTY_S
-    if long_answer and not candidate.local:
+    if asked.long_answer and not candidate.local:
         latency += load.link_s
     return latency if candidate.near else latency + far_s
 
 
 def choose_target(
-    candidates: Iterable[Candidate],
-    now: float,
-    rng: Random,
-    kilobytes: float = 0.0,
-    *,
-    long_answer: bool = False,
+    candidates: Iterable[Candidate], now: float, rng: Random, asked: Exchange | None = None
 ) -> Candidate | None:
     """Return the candidate with the least expected latency; near ties are broken at random.
 
-    *kilobytes* is the usual size of a request and its answer together; a *long_answer* waits
-    for the link of the target's instance. The random part keeps requesters with the same
-    picture from all choosing the same one.
+    The random part keeps requesters with the same picture from all choosing the same one.
     """
     best: Candidate | None = None
     best_cost = 0.0
-    far_s = distance_s(kilobytes)
+    asked = asked or Exchange()
+    far_s = distance_s(asked)
     for candidate in candidates:
-        cost = expected_latency(candidate, now, far_s, long_answer=long_answer)
-        cost *= 0.9 + 0.2 * rng.random()
+        cost = expected_latency(candidate, now, asked, far_s) * (0.9 + 0.2 * rng.random())
         if best is None or cost < best_cost:
             best, best_cost = candidate, cost
     return best
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -8,9 +8,9 @@
 
 from pearward_coordination.directory import Directory
 from pearward_coordination.retry_window import RetryWindow
-from pearward_coordination.selection import TargetLoad, WeightedTurns, choose_target
+from pearward_coordination.selection import Exchange, TargetLoad, WeightedTurns, choose_target
 from pearward_protocol.errors import BadHeader
-from pearward_state.routes import Route, RoutingTable
+from pearward_state.routes import RequestKind, Route, RoutingTable
 from pearward_transport.clock import boot_time, unix_time
 from pearward_transport.http_server import BodySink, CallerRequest
 from pearward_transport.peer import PeerConnection, PeerPool
@@ -28,8 +28,9 @@
 """Bytes of one stream that may be under way between two daemons."""
 BAD_REQUEST, NOT_FOUND, TOO_LARGE, UNAVAILABLE = 400, 404, 413, 503
 BYTES_PER_KB = 1000
+MS_PER_S = 1000
 SIZE_WEIGHT = 0.05
-"""Weight of the newest exchange in the mean size of a service's exchanges."""
+"""Weight of the newest exchange in the mean size of a route's exchanges."""
 NO_CONFIGURATION_RETRY_S = 0.5
 
 
@@ -117,7 +118,7 @@
         self._turns: dict[tuple[str, tuple[Any, ...]], WeightedTurns] = {}
         self._budgets: dict[str, RetryWindow] = {}
         self._kilobytes: dict[str, float] = {}
-        """Mean size of a request and its answer, by service."""
+        """Mean size of a request and its answer, by route."""
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._refusing_s = 0.0
@@ -145,6 +146,8 @@
     def set_table(self, table: RoutingTable) -> None:
         """Put a newer configuration in force; routes that did not change keep their turns."""
         self._table = table
+        names = {route.name for route in table.routes}
+        self._kilobytes = {name: kb for name, kb in self._kilobytes.items() if name in names}
         present = {(route.name, route.services) for route in table.routes}
         self._turns = {key: turns for key, turns in self._turns.items() if key in present}
 
@@ -239,15 +242,19 @@
         return rules is not None and rules.keyed
 
     def place(
-        self, service: str, key: int | None, tried: frozenset[str], *, long_answer: bool
+        self, service: str, route: Route, key: int | None, tried: frozenset[str]
     ) -> Placement | None:
         """Return where the next attempt goes; None where nobody may be asked now."""
         if key is not None:
             return self._owner_of(service, key)
         now = boot_time()
         candidates = self.directory.candidates(service, now, unix_time(), tried)
-        kilobytes = self._kilobytes.get(service, 0.0)
-        chosen = choose_target(candidates, now, self._rng, kilobytes, long_answer=long_answer)
+        asked = Exchange(
+            self._kilobytes.get(route.name, 0.0),
+            route.objective_ms / MS_PER_S,
+            route.kind is RequestKind.DOWNLOAD,
+        )
+        chosen = choose_target(candidates, now, self._rng, asked)
         return self._placement(chosen.target, 0) if chosen is not None else None
 
     def _owner_of(self, service: str, key: int) -> Placement | None:
@@ -304,11 +311,11 @@
         if view is not None:
             view.reported(load, boot_time())
 
-    def carried(self, service: str, size: int) -> None:
-        """A request and its answer of *size* bytes were exchanged with a service."""
+    def carried(self, route: Route, size: int) -> None:
+        """A request and its answer of *size* bytes were exchanged on a route."""
         kilobytes = size / BYTES_PER_KB
-        mean = self._kilobytes.get(service, kilobytes)
-        self._kilobytes[service] = mean + SIZE_WEIGHT * (kilobytes - mean)
+        mean = self._kilobytes.get(route.name, kilobytes)
+        self._kilobytes[route.name] = mean + SIZE_WEIGHT * (kilobytes - mean)
 
     def failed_at(self, target: str) -> None:
         """A target failed a request."""
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -170,9 +170,8 @@
         if self._done:
             return
         placement = self._ingress.place(
-            self._service, self._key, frozenset(self._plan.tried),
-            long_answer=self._long,
-        )  # fmt: skip
+            self._service, self._route, self._key, frozenset(self._plan.tried)
+        )
         if placement is None:
             self._no_target()
             return
@@ -335,7 +334,7 @@
         if self._try_again_after(head):
             return
         self._ingress.carried(
-            self._service, self._body_size + len(head.headers) + max(0, head.body_length)
+            self._route, self._body_size + len(head.headers) + max(0, head.body_length)
         )
         headers = self._ingress.answer_headers(head.headers)
         if ended:
