--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -46,15 +46,15 @@
     Given two equal targets of which the second is in another failure domain
     Then the first one gets more than half of all requests
 
-  Scenario Outline: A long answer stays in the failure domain while it can come in time
+  Scenario Outline: A long answer stays in the failure domain while it costs little latency
     Given a near target behind a link that needs <near> s for a long answer, and a far one whose link needs <far> s
-    Then a request of 90 kB with an objective of 1.0 s goes to the <which> one
+    Then a request of 90 kB goes to the <which> one
 
     Examples:
       | near | far  | which |
       | 0.13 | 0.13 | near  |
-      | 0.40 | 0.13 | near  |
-      | 0.70 | 0.13 | far   |
+      | 0.14 | 0.13 | near  |
+      | 0.40 | 0.13 | far   |
 
   Scenario: Parts of a route get exactly their weights
     Given a route that goes to "a" by 70 and to "b" by 30
--- a/features/steps/mesh_target_steps.py
+++ b/features/steps/mesh_target_steps.py
@@ -151,9 +151,9 @@
     context.candidates = [Candidate("a", True, views[0]), Candidate("b", False, views[1])]
 
 
-@then("a request of {kilobytes:d} kB with an objective of {objective:g} s goes to the {which} one")
-def long_goes_to(context: Any, kilobytes: int, objective: float, which: str) -> None:
-    asked = Exchange(kilobytes, objective, long_answer=True)
+@then("a request of {kilobytes:d} kB goes to the {which} one")
+def long_goes_to(context: Any, kilobytes: int, which: str) -> None:
+    asked = Exchange(kilobytes, long_answer=True)
     rng = Random(7)
     chosen = [choose_target(context.candidates, NOW, rng, asked) for _ in range(400)]
     share = sum(c is context.candidates[0] for c in chosen) / len(chosen)
--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -35,10 +35,6 @@
 sites: a kilobyte between domains costs what 15 to 20 ms cost near the latency objective."""
 MOST_CROSS_DOMAIN_S = 0.1
 """Beyond this a crowded near target would be preferred to a free one elsewhere."""
-LONG_CROSS_DOMAIN_SHARE = 0.4
-"""The same for long answers, as part of their objective. By the prices of the users' sites an
-answer of 90 kB from another failure domain costs 0.4 of what it earns; latency costs nothing
-before the objective, and target and link together take half of it without waiting."""
 FAILURE_PENALTY_S = 0.6
 """Seconds of expected latency that a recent failure counts for; fades by half each second."""
 CROWDED = 0.6
@@ -100,8 +96,6 @@
 
     kilobytes: float = 0.0
     """Usual size of both together."""
-    objective_s: float = 0.0
-    """Seconds within which the answer is worth most."""
     long_answer: bool = False
     """Whether the link of the target's instance counts as well."""
 
@@ -121,10 +115,7 @@
 
 def distance_s(asked: Exchange) -> float:
     """Return the expected latency that avoiding another failure domain is worth, in seconds."""
-    most_s = MOST_CROSS_DOMAIN_S
-    if asked.long_answer:
-        most_s = max(most_s, asked.objective_s * LONG_CROSS_DOMAIN_SHARE)
-    return min(most_s, CROSS_DOMAIN_S + asked.kilobytes * CROSS_DOMAIN_S_PER_KB)
+    return min(MOST_CROSS_DOMAIN_S, CROSS_DOMAIN_S + asked.kilobytes * CROSS_DOMAIN_S_PER_KB)
 
 
 def expected_latency(candidate: Candidate, now: float, asked: Exchange, far_s: float) -> float:
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -28,7 +28,6 @@
 """Bytes of one stream that may be under way between two daemons."""
 BAD_REQUEST, NOT_FOUND, TOO_LARGE, UNAVAILABLE = 400, 404, 413, 503
 BYTES_PER_KB = 1000
-MS_PER_S = 1000
 SIZE_WEIGHT = 0.05
 """Weight of the newest exchange in the mean size of a route's exchanges."""
 NO_CONFIGURATION_RETRY_S = 0.5
@@ -249,11 +248,7 @@
             return self._owner_of(service, key)
         now = boot_time()
         candidates = self.directory.candidates(service, now, unix_time(), tried)
-        asked = Exchange(
-            self._kilobytes.get(route.name, 0.0),
-            route.objective_ms / MS_PER_S,
-            route.kind is RequestKind.DOWNLOAD,
-        )
+        asked = Exchange(self._kilobytes.get(route.name, 0.0), route.kind is RequestKind.DOWNLOAD)
         chosen = choose_target(candidates, now, self._rng, asked)
         return self._placement(chosen.target, 0) if chosen is not None else None
 
