The wait for the link is told in the logs of requests that were not served, and as metrics

Cause: a long request that is refused with free slots said 'overloaded' and no more; an on-call engineer could not tell a full target from a full link.

--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -67,6 +67,7 @@
         self._me = PeerId(secrets.token_hex(8), str(settings.peers_reached_at))
         self._log = DecisionLog(settings.log_lines_per_s, boot_time)
         link = LinkQueue(settings.link_mbit_per_s)
+        self._link = link
         self._pacer = LinkPacer(reactor, link)
         self._note_sent = lambda size: link.handed_over(size, boot_time())
         self._pool = PeerPool(
@@ -240,6 +241,11 @@
         gauge("pearward.running", "Requests at the target", lambda: side.load().running)
         gauge("pearward.waiting", "Requests that wait", lambda: side.load().waiting)
         gauge("pearward.open", "Callers' requests", lambda: self._ingress.open_requests)
+        gauge("pearward.link.waiting", "Long answers that wait", lambda: self._pacer.waiting)
+        gauge(
+            "pearward.link.backlog", "Seconds that the link needs for all that waits",
+            lambda: self._link.backlog_s(boot_time()),
+        )  # fmt: skip
         gauge("pearward.map.version", "Key map acted on", lambda: side.map_version)
         gauge(
             "pearward.lease.left", "Seconds for which keys may be granted",
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -456,7 +456,8 @@
             "not_served_here", failure=True, id=_text(head.request_id),
             outcome=outcome.value, reason=reason.value if reason else "", detail=detail,
             ms=round(took_s * 1000), running=self._queue.running,
-            waiting=self._queue.waiting, map=self.map_version,
+            waiting=self._queue.waiting, link_s=round(self._link.backlog_s(boot_time()), 3),
+            map=self.map_version,
         )  # fmt: skip
 
     # -- the target's end ----------------------------------------------------------
