--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -83,6 +83,12 @@
     Then target 1 held no key when its daemon ended
     And no key rested for more than 1.2 s in all
 
+  Scenario: A planner that returns from a cut to the store takes no keys from those it did not hear
+    Given a fleet of 4 targets that serves
+    When the planner is cut off from the store for 9 s and its entry is taken away at once
+    Then no key changed its holder
+    And 6 s later no key has changed its holder either
+
   Scenario: A late heartbeat of a former target does not pass for a new one
     Given a fleet of 4 targets that serves
     When a heartbeat comes to daemon 1 from a target that has counted 50 calls
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -86,6 +86,23 @@
     _run(context, 4.0)
 
 
+@when("the planner is cut off from the store for {seconds:g} s and its entry is taken away at once")
+def planner_cut_off(context: Any, seconds: float) -> None:
+    world = context.world
+    planner = next(node for node in world.nodes if node.daemon.core.planner.on_duty)
+    planner.cut_from_store = True
+    world.store.remove(f"members/instance-{planner.number}")
+    _run(context, seconds)
+    assert any(n.daemon.core.planner.on_duty for n in world.nodes if n is not planner)
+    planner.cut_from_store = False
+
+
+@then("{seconds:g} s later no key has changed its holder either")
+def still_held(context: Any, seconds: float) -> None:
+    _run(context, seconds)
+    assert _holders(context.world) == context.before
+
+
 @when("daemon {number:d} starts anew and hears nothing from the store's key maps")
 def start_without_map(context: Any, number: int) -> None:
     world = context.world
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -169,6 +169,7 @@
     def _tick(self) -> None:
         self._reactor.callLater(TICK_S, self._tick)
         self._directory.expire(boot_time())
+        self._planner.own_entry(self._session.registered)
         if self._table is not None and self._members_known:
             self._planner.tick(self._table.keyed_services, self._stopping)
         self._side.reconsider()
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -108,6 +108,7 @@
         self._spread = spread
         self._services: dict[str, _Service] = {}
         self._on_duty_since: float | None = None
+        self._registered = False
         self._seen: dict[str, tuple[str, float]] = {}
         """Failure domain of each instance that had an entry, and when that was last seen."""
         self._limits = PlanLimits()
@@ -121,8 +122,9 @@
 
     def duty_holder(self) -> Member | None:
         """Return the member that has the duty, as this daemon sees it; leaving ones come last."""
+        me = self._settings.instance
         return min(
-            self._directory.registered,
+            (m for m in self._directory.registered if m.instance != me or self._registered),
             key=lambda m: (m.stopping or m.state is TargetState.DRAINING, m.instance),
             default=None,
         )
@@ -147,6 +149,14 @@
 
     # -- the duty -----------------------------------------------------------------
 
+    def own_entry(self, there: bool) -> None:
+        """Take whether this daemon's own entry surely stands in the store.
+
+        While it may not, the others have another planner and report there: what is not
+        heard here then tells nothing. The duty begins anew with the entry's return.
+        """
+        self._registered = there
+
     def tick(self, keyed_services: tuple[str, ...], stopping: bool) -> None:
         """Look whether this daemon has the duty, and do what is due."""
         holder = self.duty_holder()
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -121,6 +121,11 @@
         """Whether the last call to the store was answered."""
         return self._available
 
+    @property
+    def registered(self) -> bool:
+        """Whether this daemon's entry surely stands in the store."""
+        return self._available and bool(self._lease) and self._written is not None
+
     # -- life --------------------------------------------------------------------
 
     def start(self) -> None:
