The shards of a replaced member wait for its successor's report

A killed daemon that was also the coordinator stood again after half a second; the next coordinator knew by its greeting that the former life had ended, 58 ms after taking the role and before the new life had reported, and gave its keys to the others. Change: what only a successor's greeting tells lets the shards wait for that successor, for as long as a lost owner is waited for (0 s for quick services, as before); an operator's word and the list of instances wait for nobody.

--- a/features/steps/cell_record_steps.py
+++ b/features/steps/cell_record_steps.py
@@ -1,10 +1,14 @@
 """Steps of a cell's record, planned without any daemon."""
 
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
 
 from pearward_coordination.assignment import CellView, Joiner, next_record
+from pearward_coordination.coordinator import Coordinator
+from pearward_coordination.lease import LeaseTiming
+from pearward_coordination.messages import Heartbeat, PeerId
 from pearward_state.records import CellRecord, Member, MemberState
 from pearward_state.table import Kind, ServerRow, ServiceRow, ServiceTable
 
@@ -53,6 +57,54 @@
     assert set(_states(context.record).values()) == {MemberState.RETIRED}
 
 
+@given("a coordinator of a cell of {count:d} members that are waited for {seconds:g} s")
+def coordinator(context: Any, count: int, seconds: float) -> None:
+    _formed(context, count)
+    row = replace(context.cell_table.service, wait_return_s=seconds)
+    context.cell_table = replace(context.cell_table, service=row)
+    context.coordinator = Coordinator(SERVICE, LeaseTiming(), 0.0)
+
+
+def _report_of_successor(context: Any, now: float) -> None:
+    joiner = _joiner(context.names[0])
+    peer = PeerId("successor", joiner.peer)
+    beat = Heartbeat(
+        SERVICE, joiner.instance, joiner.server, joiner.failure_domain, joiner.caller,
+        0, 0, 0, 1, False, True, 0, (),
+    )  # fmt: skip
+    context.coordinator.peer_seen(peer)
+    context.coordinator.on_heartbeat(peer, beat, context.record.version, now)
+
+
+def _plan(context: Any, now: float) -> None:
+    planned = context.coordinator.plan(context.record, context.cell_table, "w", now)
+    context.planned = planned or context.record
+
+
+@when("a greeting shows that the first has been replaced, and {seconds:g} s later {who} reported")
+def first_replaced(context: Any, seconds: float, who: str) -> None:
+    context.coordinator.has_ended({context.names[0]})
+    _plan(context, 0.1)
+    context.record = context.planned
+    if who == "the successor has":
+        _report_of_successor(context, 0.1 + seconds)
+    _plan(context, 0.1 + seconds)
+
+
+@when("an operator says that the first has ended")
+def operator_says(context: Any) -> None:
+    context.coordinator.force_release(context.names[0])
+    _plan(context, 0.1)
+
+
+@then("the first one's shards are given to {whom}")
+def given_to(context: Any, whom: str) -> None:
+    first, *others = context.names
+    owners = {context.planned.owner_of(shard).incarnation for shard in context.planned.shards}
+    expected = {"nobody else": {first}, "the successor": {"successor"}, "the others": set()}
+    assert owners == expected[whom] | set(others), owners
+
+
 @given("a cell of {count:d} members of which one was taken for lost")
 def one_lost(context: Any, count: int) -> None:
     _formed(context, count)
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -50,6 +50,9 @@
         self._unhealthy_since: dict[str, float] = {}
         self._at_address: dict[str, str] = {}
         self._ended_seen: set[str] = set()
+        self._replaced: set[str] = set()
+        """Of those that have ended, the ones of which only a successor's greeting tells."""
+        self._ended_since: dict[str, float] = {}
         self._listed_before: set[str] = set()
         self._dirty = True
         self._next_review = now
@@ -89,8 +92,14 @@
         for incarnation in incarnations:
             if incarnation not in self._ended_seen:
                 self._ended_seen.add(incarnation)
+                self._replaced.add(incarnation)
                 self._dirty = True
 
+    def _gone_for_good(self, incarnations: Iterable[str]) -> None:
+        """Take evidence that some incarnations have ended and have no successors."""
+        self.has_ended(incarnations)
+        self._replaced.difference_update(incarnations)
+
     def instances_listed(self, instances: Iterable[Instance], record: CellRecord) -> None:
         """Compare the platform's list with the record.
 
@@ -104,11 +113,11 @@
             if m.instance in self._listed_before and m.instance not in names
         }
         self._listed_before |= names
-        self.has_ended(gone)
+        self._gone_for_good(gone)
 
     def force_release(self, incarnation: str) -> None:
         """Take an operator's word that *incarnation* has ended."""
-        self.has_ended((incarnation,))
+        self._gone_for_good((incarnation,))
 
     # -- decisions ----------------------------------------------------------
 
@@ -124,10 +133,11 @@
         fresh = self._fresh_reports(now)
         if not record.members and not self._formed(table, fresh, now):
             return None
-        ended = self._ended(record)
+        joiners = self._joiners(record, fresh)
+        ended = self._ended(record, table, joiners, now)
         view = CellView(
             table=table,
-            joiners=self._joiners(record, fresh),
+            joiners=joiners,
             lost=self._lost(record, table, fresh, now) - ended,
             ended=ended,
             draining=self._draining(table, fresh, now),
@@ -179,9 +189,30 @@
         index = record.by_incarnation.get(name)
         return index is not None and record.members[index].state is not MemberState.RETIRED
 
-    def _ended(self, record: CellRecord) -> frozenset[str]:
-        """Return members that certainly can no longer act."""
-        return frozenset(record.by_incarnation.keys() & self._ended_seen)
+    def _ended(
+        self, record: CellRecord, table: ServiceTable, joiners: tuple[Joiner, ...], now: float
+    ) -> frozenset[str]:
+        """Return members that certainly can no longer act, and whose shards are to move.
+
+        The shards of one that was replaced beside its server wait for the successor's
+        report, which comes in a moment, and for as long as a lost owner is waited for.
+        """
+        reporting = {joiner.server for joiner in joiners}
+        ended: set[str] = set()
+        for member in record.members:
+            name = member.incarnation
+            if name not in self._ended_seen:
+                continue
+            since = self._ended_since.setdefault(name, now)
+            awaited = (
+                name in self._replaced
+                and member.state is not MemberState.RETIRED
+                and member.server not in reporting
+                and now - since < table.service.wait_return_s
+            )
+            if not awaited:
+                ended.add(name)
+        return frozenset(ended)
 
     def _lost(
         self,
