The planner is the member with the fastest link, and key maps travel packed

Change: members' entries tell the rate of their link, and the fastest one plans, by name where links are alike; maps are sent packed by zlib (43 owners and 800 ranges: 22.7 -> 8.1 kB in 1 ms).

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -219,6 +219,11 @@
     When the same load goes on for 60 s with its usual chances
     Then the usual load was never forgotten
 
+  Scenario: A key map travels small, and only whole
+    Given a key map of 43 owners with 800 ranges
+    Then it is sent in less than half of its bytes and arrives as it was
+    And what is cut short, or is no key map at all, is logged and changes nothing
+
   Scenario: A report stays short however many keys are asked for
     When one owner counts requests for 1000 different keys
     Then its report has at most 64 rows that hold them all
--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -83,6 +83,14 @@
     Then target 1 held no key when its daemon ended
     And no key rested for more than 1.2 s in all
 
+  Scenario: The member with the fastest link plans, whatever its name
+    Given a fleet of 4 targets of which instance 2 has the fastest link
+    When it has served for 8 s
+    Then daemon 2 plans, and all report to it
+    When instance 2 is lost for good
+    Then every key is served after 9 s
+    And daemon 0 plans
+
   Scenario: A planner that returns from a cut to the store takes no keys from those it did not hear
     Given a fleet of 4 targets that serves
     When the planner is cut off from the store for 9 s and its entry is taken away at once
--- a/features/steps/mesh_key_map_steps.py
+++ b/features/steps/mesh_key_map_steps.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 from typing import Any
+from unittest import mock
 
 import orjson
 from behave import given, then, when
@@ -24,9 +25,11 @@
     plan_moves,
 )
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
-from pearward_protocol.entries import decode_key_map, encode_key_map
+from pearward_daemon.mesh.key_maps import KeyMaps
+from pearward_daemon.mesh.log import DecisionLog
+from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key, packed
 from pearward_state.errors import InvalidRecord
-from pearward_state.keymap import KEY_SPACE, KeyMap, Predecessor
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, TargetWitnesses
 
 NOW = 100.0
 
@@ -226,6 +229,48 @@
     assert [planned.range_of(key).owner for key in context.hot] == ["t1", "t2"]
 
 
+@given("a key map of {owners:d} owners with {ranges:d} ranges")
+def large_map(context: Any, owners: int, ranges: int) -> None:
+    rng = Random(5)
+    names = [f"i-{rng.randrange(16**10):010x}" for _ in range(owners)]
+    starts = [number * (KEY_SPACE // ranges) for number in range(ranges)]
+    rows = []
+    for number, first in enumerate(starts):
+        last = starts[number + 1] - 1 if number + 1 < ranges else KEY_SPACE - 1
+        before = (Predecessor(rng.choice(names), number % 30 + 1),) if number % 8 == 0 else ()
+        rows.append(KeyRange(first, last, rng.choice(names), number % 30 + 2, before))
+    witnesses = tuple(
+        TargetWitnesses(name, (tuple(f"sidecar-{rng.randrange(83)}" for _ in range(5)),))
+        for name in sorted(names)
+    )
+    context.map = KeyMap("roster", 21, tuple(rows), 40, witnesses)
+
+
+@then("it is sent in less than half of its bytes and arrives as it was")
+def sent_small(context: Any) -> None:
+    sender, receiver = KeyMaps(_silent_log()), KeyMaps(_silent_log())
+    sender.adopt(context.map)
+    version, context.sent = sender.entry(key_map_key("roster"))
+    assert version == 21
+    assert len(context.sent) * 2 < len(encode_key_map(context.map)), len(context.sent)
+    receiver.adopt_entry(context.sent)
+    assert receiver.of("roster") == context.map
+
+
+@then("what is cut short, or is no key map at all, is logged and changes nothing")
+def garbage_refused(context: Any) -> None:
+    log = mock.create_autospec(DecisionLog, instance=True)
+    receiver = KeyMaps(log)
+    for data in (context.sent[:-20], b"", b"no zlib", packed(b"no JSON"), packed(b"{}")):
+        receiver.adopt_entry(data)
+    assert receiver.of("roster") is None
+    assert [call.args[0] for call in log.decided.call_args_list] == ["key_map_unreadable"] * 5
+
+
+def _silent_log() -> DecisionLog:
+    return DecisionLog(0, lambda: 0.0)
+
+
 REPORT_S = 0.4
 """Seconds between two reports of an owner."""
 
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -17,8 +17,10 @@
 from pearward_coordination.messages import ReleaseReply, RenewReply
 from pearward_daemon.mesh import target_lease
 from pearward_daemon.mesh.dialect import TargetBeat
+from pearward_daemon.mesh.settings import MeshSettings
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState
+from tests.fuzz import mesh_world
 from tests.fuzz.mesh_world import KEYS, TICK_S, Node, World, virtual_time
 
 
@@ -86,6 +88,37 @@
     _run(context, 4.0)
 
 
+@given("a fleet of {count:d} targets of which instance {number:d} has the fastest link")
+def fleet_with_fast_link(context: Any, count: int, number: int) -> None:
+    usual = mesh_world._settings
+
+    def settings(instance: int, timing: GrantTiming) -> MeshSettings:
+        rate = 1000.0 if instance == number else 6.0
+        return replace(usual(instance, timing), link_mbit_per_s=rate)
+
+    patch = mock.patch.object(mesh_world, "_settings", settings)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    _world(context, count)
+
+
+@when("it has served for {seconds:g} s")
+def time_passes(context: Any, seconds: float) -> None:
+    _run(context, seconds)
+
+
+@then("daemon {number:d} plans, and all report to it")
+def all_report_to(context: Any, number: int) -> None:
+    planners = [node.daemon.core.planner for node in context.world.nodes]
+    assert [planner.on_duty for planner in planners] == [n == number for n in range(len(planners))]
+    assert {p.duty_holder().instance for p in planners} == {f"instance-{number}"}
+
+
+@then("daemon {number:d} plans")
+def plans(context: Any, number: int) -> None:
+    assert context.world.nodes[number].daemon.core.planner.on_duty
+
+
 @when("the planner is cut off from the store for {seconds:g} s and its entry is taken away at once")
 def planner_cut_off(context: Any, seconds: float) -> None:
     world = context.world
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -329,6 +329,7 @@
             state=info.state,
             cold_until=round(info.cold_until, 1),
             stopping=self._stopping,
+            link_mbit_per_s=self._settings.link_mbit_per_s,
         )
         keyed = self._settings.service in table.keyed_services
         # Known here at once; the others learn it from the store.
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -1,8 +1,9 @@
 """The duty of one daemon: to decide who owns which keys, from what all owners report.
 
-The member with the lowest name has the duty. Two that both believe so do no harm: the
-store takes only one of two writes for the same version of a key map. Everything that the
-duty needs to remember is in the store or is told again by the owners' reports.
+The member with the fastest link has the duty, by name where links are alike. Two that both
+believe so do no harm: the store takes only one of two writes for the same version of a key
+map. Everything that the duty needs to remember is in the store or is told again by the
+owners' reports.
 """
 
 from collections.abc import Callable, Coroutine
@@ -67,6 +68,12 @@
 """Seconds after the duty began before anybody is found silent: reports have to arrive first."""
 
 
+def _fitness(member: Member) -> tuple[bool, float, str]:
+    """Return the order in which members take the planner's duty, the first first."""
+    leaving = member.stopping or member.state is TargetState.DRAINING
+    return leaving, -member.link_mbit_per_s, member.instance
+
+
 @dataclass(slots=True)
 class _Service:
     """What is known of one keyed service."""
@@ -121,11 +128,15 @@
         return self._on_duty_since is not None
 
     def duty_holder(self) -> Member | None:
-        """Return the member that has the duty, as this daemon sees it; leaving ones come last."""
+        """Return the member that has the duty, as this daemon sees it.
+
+        Leaving ones come last; of the others the one with the fastest link is taken, as each
+        map goes from there to every member, and by name where links are alike.
+        """
         me = self._settings.instance
         return min(
             (m for m in self._directory.registered if m.instance != me or self._registered),
-            key=lambda m: (m.stopping or m.state is TargetState.DRAINING, m.instance),
+            key=_fitness,
             default=None,
         )
 
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -5,6 +5,7 @@
 adapter may put a prefix of its own before them.
 """
 
+import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -27,12 +28,20 @@
     "holder_key",
     "key_map_key",
     "member_key",
+    "packed",
+    "unpacked",
 ]
 
 MEMBERS = "members/"
 HOLDERS = "holders/"
 KEY_MAPS = "keymaps/"
 
+PACK_LEVEL = 6
+"""Of zlib: a map of 43 owners and 800 ranges takes 1 ms and 8.1 kB in place of 22.7; higher
+levels gain nothing."""
+MOST_UNPACKED = 8 * 1024 * 1024
+"""Bytes that an unpacked entry may have: eight of the largest values that the store takes."""
+
 _T = TypeVar("_T")
 
 
@@ -51,6 +60,23 @@
     return KEY_MAPS + service
 
 
+def packed(entry: bytes) -> bytes:
+    """Return an entry as it travels between daemons."""
+    return zlib.compress(entry, PACK_LEVEL)
+
+
+def unpacked(data: bytes) -> bytes:
+    """Return the entry that packed() was given; raises InvalidRecord."""
+    inflater = zlib.decompressobj()
+    try:
+        entry = inflater.decompress(data, MOST_UNPACKED)
+    except zlib.error as error:
+        raise InvalidRecord(f"packed entry of {len(data)} bytes: {error}") from error
+    if not inflater.eof:
+        raise InvalidRecord(f"packed entry of {len(data)} bytes is not whole, or over the limit")
+    return entry
+
+
 def encode_member(member: Member) -> bytes:
     """Return a member's entry."""
     return orjson.dumps(
@@ -65,6 +91,7 @@
             "state": member.state.value,
             "cold_until": member.cold_until,
             "stopping": member.stopping,
+            "link_mbit_per_s": member.link_mbit_per_s,
         }
     )
 
@@ -84,6 +111,7 @@
             state=TargetState(data["state"]),
             cold_until=float(data["cold_until"]),
             stopping=bool(data.get("stopping", False)),
+            link_mbit_per_s=float(data.get("link_mbit_per_s", 0.0)),
         )
 
     return _decoded(value, read)
--- a/packages/state/src/pearward_state/members.py
+++ b/packages/state/src/pearward_state/members.py
@@ -32,6 +32,8 @@
     """Unix time in s until which the target, newly started, is slow; 0 if it is not."""
     stopping: bool = False
     """The daemon was told to stop; it is started again if its target lives on."""
+    link_mbit_per_s: float = 0.0
+    """Rate of the instance's link; who tells every member of something needs a fast one."""
 
 
 @dataclass(frozen=True, slots=True)
