--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -432,9 +432,10 @@
 def ran_and_answered(context: Any) -> None:
     ran = {run["id"] for run in _cluster(context).state(context.stopped)["ran"]}
     cut = {i: status for i, status in context.answers_of.items() if i in ran and status != 200}
-    assert ran & set(context.answers_of), "nothing ran"
+    # Started again in any case, so that the scenarios after this one have it.
     _cluster(context).start_daemon(context.stopped)
     _cluster(context).wait_served()
+    assert ran & set(context.answers_of), "nothing ran"
     assert not cut, cut
 
 
