Keys are granted and taken back by calls, beside answers to heartbeats

Cause: the further customer's targets take their keys by call; no key was ever granted. Change: one GrantKeeper decides; GrantDelivery (Protocol) has two ways, chosen by the setting 'grants'. GrantCalls plans grants, renewals (three a hold, neighbours under one fence joined) and releases; what was released rests until every unanswered grant of it has run out; a refused grant asks for a newer map and never raises a fence; a restarted daemon waits for what its earlier life granted. Ruled out by a trial: a target answers 421 to a grant that names another incarnation, so each call names the one it is meant for.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -12,3 +12,4 @@
       | retries                        |
       | table                          |
       | ownership on a users' platform |
+      | ownership by calls             |
--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -124,3 +124,6 @@
       | a majority of witnesses releases                  |
       | a restarted witness releases after a full lease   |
       | a release is told only by a map as new as asked   |
+      | released keys rest until unanswered grants run out |
+      | a restarted daemon waits for its earlier grants   |
+      | a hold by call ends within the lease              |
--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -12,16 +12,14 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
-from pearward_coordination import grants, target_witness
 from pearward_coordination.grants import GrantTiming
-from pearward_coordination.messages import ReleaseReply, RenewReply
-from pearward_daemon.mesh import target_lease
 from pearward_daemon.mesh.dialect import TargetBeat
-from pearward_daemon.mesh.settings import MeshSettings
-from pearward_state.keymap import KeyMap, Predecessor
+from pearward_daemon.mesh.settings import GrantWay, MeshSettings
+from pearward_state.keymap import KEY_SPACE
 from pearward_state.members import TargetState
 from tests.fuzz import mesh_world
-from tests.fuzz.mesh_world import KEYS, TICK_S, Node, World, virtual_time
+from tests.fuzz.mesh_cases import CASES
+from tests.fuzz.mesh_world import KEYS, TICK_S, World, virtual_time
 
 
 def _world(context: Any, count: int) -> World:
@@ -30,7 +28,8 @@
     context.add_cleanup(stack.close)
     world = World.__new__(World)
     stack.enter_context(virtual_time(lambda: world))
-    world.__init__(count, GrantTiming())  # type: ignore[misc]
+    way = getattr(context, "way", GrantWay.HEARTBEAT)
+    world.__init__(count, GrantTiming(), way=way)  # type: ignore[misc]
     context.world = world
     context.unserved = []
     return world
@@ -55,6 +54,11 @@
             context.unserved.append(world.now)
 
 
+@given("targets that take their keys by calls")
+def by_calls(context: Any) -> None:
+    context.way = GrantWay.CALL
+
+
 @given("a fleet of {count:d} targets")
 def fleet(context: Any, count: int) -> None:
     _world(context, count)
@@ -92,9 +96,9 @@
 def fleet_with_fast_link(context: Any, count: int, number: int) -> None:
     usual = mesh_world._settings
 
-    def settings(instance: int, timing: GrantTiming) -> MeshSettings:
+    def settings(instance: int, timing: GrantTiming, way: GrantWay) -> MeshSettings:
         rate = 1000.0 if instance == number else 6.0
-        return replace(usual(instance, timing), link_mbit_per_s=rate)
+        return replace(usual(instance, timing, way), link_mbit_per_s=rate)
 
     patch = mock.patch.object(mesh_world, "_settings", settings)
     patch.start()
@@ -341,194 +345,20 @@
 # -- rules that are removed -----------------------------------------------------------------
 
 
-def _hold_beyond_lease(self: Any, received: float) -> float:
-    return float(self._timing.hold_s) if self._lease_ends > received else -1.0
-
-
-def _release_at_once(self: Any, ask: Any, known: int, now: float) -> ReleaseReply:
-    return ReleaseReply(ask.cell, ask.owner, ask.version, known >= ask.version, known, 0)
-
-
-def _renew_whatever(self: Any, ask: Any, known: int, now: float) -> RenewReply:
-    grants_ = self._granted.setdefault(ask.owner, {})
-    # A grant under an old version that is not counted as one: the rule would have refused it.
-    grants_[max(ask.adopted, known)] = now + self._timing.lease_s
-    return RenewReply(ask.cell, ask.owner, ask.nonce, True, known)
-
-
-_begin = target_witness.TargetWitness.__init__
-
-
-def _released_from_the_start(self: Any, started: float, timing: Any) -> None:
-    _begin(self, started, timing)
-    self._may_release_from = started
-
-
-def _peers_cut(world: World) -> None:
-    world.nodes[2].cut_from_peers = True
-    world.run(8.0)
-
-
-def _old_map(world: World) -> None:
-    """A daemon that hears its witnesses, but is sent no newer map, goes on renewing."""
-    node = world.nodes[2]
-    assert node.daemon is not None
-    node.daemon.core.key_maps.adopt = lambda key_map: False  # type: ignore[method-assign]
-    _lose_reports(world, node.number)
-    world.run(10.0)
-
-
-def _lose_reports(world: World, number: int) -> None:
-    """The planner hears nothing more of one target."""
-    for node in world.nodes:
-        assert node.daemon is not None
-        planner = node.daemon.core.planner
-        reported = planner.reported
-
-        def filtered(report: Any, reported: Any = reported) -> int:
-            return 0 if report.target.startswith(f"i-{number}-") else reported(report)
-
-        planner.reported = filtered  # type: ignore[method-assign]
-
-
-def _leaves_and_is_cut(world: World) -> None:
-    """A target leaves, and its daemon is cut off before it learns that the keys have moved."""
-    _cut_while_leaving(world)
-    world.run(8.0)
-
-
-def _cut_while_leaving(world: World) -> None:
-    node = world.nodes[2]
-    assert node.target is not None
-    version = _newest_map(world)
-    node.target.draining = True
-    _run_until(world, lambda: _known_to_leave(world, node))
-    node.cut_from_peers = True
-    node.cut_from_store = True
-    _run_until(world, lambda: _newest_map(world) != version)
-
-
-def _run_until(world: World, condition: Callable[[], bool]) -> None:
-    """Let time pass until *condition* holds, for ten seconds at most."""
-    for _ in range(round(10.0 / TICK_S)):
-        if condition():
-            return
-        world.run(TICK_S)
-    raise TimeoutError("the case did not come about")
-
-
-def _known_to_leave(world: World, node: Node) -> bool:
-    """Whether another daemon knows that the target beside *node* leaves."""
-    others = [n.daemon for n in world.nodes if n is not node and n.daemon is not None]
-    members = [d.core.directory.instance(f"instance-{node.number}") for d in others]
-    return any(m is not None and m.state is TargetState.DRAINING for m in members)
-
-
-def _newest_map(world: World) -> int:
-    daemons = [node.daemon for node in world.nodes if node.daemon is not None]
-    return max(daemon.core.key_maps.version("roster-app") for daemon in daemons)
-
-
-def _leaves_is_cut_and_forgotten(world: World) -> None:
-    """As before, and all other daemons, its witnesses, are restarted at that moment."""
-    _cut_while_leaving(world)
-    for node in world.nodes[:2] + world.nodes[3:]:
-        world.start_daemon(node)
-    world.run(8.0)
-
-
-def _one_witness_unheard(world: World) -> None:
-    """One witness has not heard the daemon for a lease, when the target leaves."""
-    node = world.nodes[2]
-    assert node.daemon is not None and node.target is not None
-    key_map = node.daemon.core.key_maps.of("roster-app")
-    assert key_map is not None
-    # The last one: the first instance has the planner, which must go on hearing reports.
-    for name in key_map.witnesses_of(node.target.id)[0][-1:]:
-        world.cut_links.add((node.number, int(name.rpartition("-")[2])))
-    world.run(4.0)
-    _leaves_and_is_cut(world)
-
-
-def _asked_while_behind(world: World) -> None:
-    """Keys are given to one target and, before it has them, to another; the first does not hear."""
-    daemons = [node.daemon for node in world.nodes if node.daemon is not None]
-    links = {(0, 2), (2, 0)}
-    world.cut_links |= links
-    for owner in (2, 1):
-        newer = _first_range_to(world, owner)
-        for daemon in daemons:
-            daemon.core.key_maps.adopt(newer)
-        # From here on the first one hears of no newer map.
-        daemons[2].core.key_maps.adopt = lambda key_map: False  # type: ignore[method-assign]
-        world.run(0.3)
-    world.cut_links -= links
-    world.run(2.0)
-
-
-def _first_range_to(world: World, number: int) -> KeyMap:
-    """Return the next map, in which the first range belongs to another target."""
-    daemon, target = world.nodes[0].daemon, world.nodes[number].target
-    assert daemon is not None and target is not None
-    key_map = daemon.core.key_maps.of("roster-app")
-    assert key_map is not None
-    first, *rest = key_map.ranges
-    before = (*first.predecessors, Predecessor(first.owner, first.fence))
-    fence = key_map.fence + 1
-    moved = replace(first, owner=target.id, fence=fence, predecessors=before)
-    return replace(key_map, version=key_map.version + 1, ranges=(moved, *rest), fence=fence)
-
-
-_release_of = grants.GrantKeeper.release_of
-
-
-def _release_by_any_map(
-    self: Any, target: str, first: int, last: int, fence: int, version: int, now: float
-) -> Any:
-    return _release_of(self, target, first, last, fence, 0, now)
-
-
-Case = tuple[Any, str, Any, Callable[[World], None]]
-_CASES: dict[str, Case] = {
-    "a hold ends within the lease": (
-        grants.GrantKeeper, "hold_s", _hold_beyond_lease, _peers_cut,
-    ),
-    "a witness waits for what it granted": (
-        target_witness.TargetWitness, "on_ask_release", _release_at_once,
-        _leaves_and_is_cut,
-    ),
-    "a new owner waits for its predecessors": (
-        grants.GrantKeeper, "_let_go", lambda self, p, o, now: True, _peers_cut,
-    ),
-    "a witness renews only by a map as new as its own": (
-        target_witness.TargetWitness, "on_renew", _renew_whatever, _old_map,
-    ),
-    "a majority of witnesses releases": (
-        target_lease, "majority", lambda count: 1, _one_witness_unheard,
-    ),
-    "a restarted witness releases after a full lease": (
-        target_witness.TargetWitness, "__init__", _released_from_the_start,
-        _leaves_is_cut_and_forgotten,
-    ),
-    "a release is told only by a map as new as asked": (
-        grants.GrantKeeper, "release_of", _release_by_any_map, _asked_while_behind,
-    ),
-}  # fmt: skip
-
-
 @given('the rule "{rule}" is removed')
 def remove_rule(context: Any, rule: str) -> None:
-    context.case = _CASES[rule]
+    context.case = CASES[rule]
 
 
 @when("the case for it is played")
 def play_case(context: Any) -> None:
-    owner, name, replacement, play = context.case
+    case = context.case
+    context.way = case.way
     # With the rule in place the same case breaks nothing.
-    _play(context, play)
-    assert not context.found
-    with mock.patch.object(owner, name, replacement):
-        _play(context, play)
+    _play(context, case.play)
+    assert not context.found, context.found
+    with mock.patch.object(case.owner, case.name, case.without):
+        _play(context, case.play)
 
 
 def _play(context: Any, play: Callable[[World], None]) -> None:
@@ -544,3 +374,34 @@
 @then("two holders are found")
 def two_holders(context: Any) -> None:
     assert context.found
+
+
+# -- keys by calls ------------------------------------------------------------------------
+
+
+@when("the next {count:d} grants go unanswered and are taken up to {seconds:g} s late")
+def late_grants(context: Any, count: int, seconds: float) -> None:
+    delays = [(0.5,), (2.0, seconds), (0.0, 2.5), (seconds,)]
+    context.world.lose_orders([delays[n % len(delays)] for n in range(count)])
+
+
+@when("target {number:d} says that it has seen a higher fence for all its keys")
+def seen_higher(context: Any, number: int) -> None:
+    world = context.world
+    node = world.nodes[number]
+    node.target.seen(0, KEY_SPACE - 1, 1_000_000)
+    context.offers = world.count_offers(node)
+    context.pulls = world.count_pulls(node)
+    world.run(3.0)
+
+
+@then(
+    "daemon {number:d} asks for a newer map and offers the same fences at most {most:d} times "
+    "a second"
+)
+def asks_for_map(context: Any, number: int, most: int) -> None:
+    key_map = context.world.nodes[number].daemon.core.key_maps.of("roster-app")
+    assert context.pulls, "no newer map was asked for"
+    assert all(row.fence <= key_map.fence for row in context.offers), context.offers
+    rows = len({(row.first, row.last) for row in context.offers})
+    assert len(context.offers) <= most * 3 * max(1, rows), len(context.offers)
--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -11,11 +11,12 @@
 No I/O and no clock: times are seconds of one steady clock, handed in.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 
-from pearward_state.keymap import KeyMap, KeyRange, Predecessor, covered
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, covered
 
+from .hold_ledger import Hold, HoldLedger
 from .lease import NEVER, LeaseTiming
 
 __all__ = [
@@ -87,23 +88,6 @@
     """Hand-over token of the former holder; empty where there is none."""
 
 
-@dataclass(slots=True)
-class _Given:
-    """Keys that this daemon has granted, or found held, and when that ends at the latest."""
-
-    first: int
-    last: int
-    fence: int
-    until: float
-    """Latest end of the hold."""
-    sure_until: float
-    """Earliest end, for a heartbeat that was under way for BEAT_TRANSIT_S at most."""
-    begins: float = 0.0
-
-    def overlaps(self, first: int, last: int) -> bool:
-        return self.first <= last and first <= self.last
-
-
 class GrantKeeper:
     """Grants to one target, one incarnation of it after the other."""
 
@@ -116,7 +100,7 @@
         self._owned: tuple[KeyRange, ...] = ()
         """Ranges that the map gives to the target."""
         self._lease_ends = NEVER
-        self._given: list[_Given] = []
+        self._ledger = HoldLedger()
         self._released_by: dict[Predecessor, list[ReleasedRow]] = {}
         self._tokens: list[ReleasedRow] = []
         self._begun: set[HeldRow] = set()
@@ -140,6 +124,16 @@
         """The key map that is acted on."""
         return self._map
 
+    @property
+    def ledger(self) -> HoldLedger:
+        """What the target may hold, and surely holds."""
+        return self._ledger
+
+    @property
+    def timing(self) -> GrantTiming:
+        """Times of the holds."""
+        return self._timing
+
     @property
     def lease_ends(self) -> float:
         """Time by which the last hold must have ended: the end of the daemon's lease."""
@@ -154,7 +148,7 @@
         if self._target:
             self._ended.add(self._target)
         self._target = target
-        self._given.clear()
+        self._ledger.clear()
         self._begun.clear()
         self._tokens.clear()
         self._heard = False
@@ -196,19 +190,32 @@
     ) -> None:
         """Take what the target says it holds and has let go."""
         for row in released:
-            self._tokens.append(row)
-            del self._tokens[:-TOKENS_KEPT]
-            self._cut(row.first, row.last)
+            self.let_go(row)
         if not self._heard:
             # Granted by an earlier life of this daemon, whose grants ended before it did.
             self._heard = True
             until = now + self._timing.hold_s * CLOCK_SLACK
             for row_held in held:
-                self._given.append(
-                    _Given(row_held.first, row_held.last, row_held.fence, until, now)
-                )
+                self._ledger.add(Hold(row_held.first, row_held.last, row_held.fence, until, now))
                 self._begun.add(row_held)
 
+    def let_go(self, row: ReleasedRow) -> None:
+        """The target said that it has let keys go."""
+        self._tokens.append(row)
+        del self._tokens[:-TOKENS_KEPT]
+        self._ledger.cut(row.first, row.last)
+
+    def begun_unknown(self, transit_s: float) -> None:
+        """The target is there, and does not say what it holds.
+
+        An earlier life of this daemon may have granted it any keys, by a call that was on
+        its way for *transit_s* seconds.
+        """
+        if not self._heard:
+            self._heard = True
+            until = self._started + transit_s + self._timing.hold_s * CLOCK_SLACK
+            self._ledger.expect(Hold(0, KEY_SPACE - 1, 0, until, self._started))
+
     def released(self, predecessor: Predecessor, row: ReleasedRow) -> None:
         """A predecessor's daemon confirmed that the target there let keys go."""
         rows = self._released_by.setdefault(predecessor, [])
@@ -222,19 +229,6 @@
         spans = ((b.first, b.last) for b in self._begun if b.fence == owned.fence)
         return covered(owned.first, owned.last, spans)
 
-    def _cut(self, first: int, last: int) -> None:
-        """Forget that the target may hold the keys from *first* to *last*."""
-        kept: list[_Given] = []
-        for given in self._given:
-            if not given.overlaps(first, last):
-                kept.append(given)
-                continue
-            if given.first < first:
-                kept.append(replace(given, last=first - 1))
-            if given.last > last:
-                kept.append(replace(given, first=last + 1))
-        self._given = kept
-
     # -- grants -----------------------------------------------------------------------
 
     def hold_s(self, received: float) -> float:
@@ -258,19 +252,28 @@
             if not self._ready(owned, now):
                 continue
             begun = self._has_begun(owned)
-            rows.extend(self._continued(owned) if begun else self._first_rows(owned))
+            rows.extend(self._continued(owned) if begun else self.first_rows(owned))
             self._begun.add(HeldRow(owned.first, owned.last, owned.fence))
-            self._cut(owned.first, owned.last)
             begins = now if begun else now + GRANT_TRANSIT_S
-            self._given.append(
-                _Given(owned.first, owned.last, owned.fence, until, sure_until, begins)
-            )
+            # The answer replaces what the target held of these keys, also where it is shorter.
+            self._ledger.cut(owned.first, owned.last)
+            self._ledger.add(Hold(owned.first, owned.last, owned.fence, until, sure_until, begins))
         return rows, hold
 
     def _continued(self, owned: KeyRange) -> list[GrantedRow]:
         return [GrantedRow(owned.first, owned.last, owned.fence, "")]
 
-    def _first_rows(self, owned: KeyRange) -> list[GrantedRow]:
+    def ready_ranges(self, now: float) -> list[KeyRange]:
+        """Return the target's ranges that nobody else can hold any more, by key."""
+        if self._map is None or not self._target:
+            return []
+        return [owned for owned in self._owned if self._ready(owned, now)]
+
+    def note_begun(self, first: int, last: int, fence: int) -> None:
+        """The target confirmed that it holds keys under a fence."""
+        self._begun.add(HeldRow(first, last, fence))
+
+    def first_rows(self, owned: KeyRange) -> list[GrantedRow]:
         """Return the rows of a range that the target gets anew, one for each token."""
         rows: list[GrantedRow] = []
         start = owned.first
@@ -316,16 +319,12 @@
         owned = self._map.range_of(key) if self._map is not None else None
         if owned is None or owned.owner != self._target:
             return 0
-        for given in self._given:
-            if given.first <= key <= given.last and given.begins <= now < given.sure_until:
-                return given.fence if given.fence == owned.fence else 0
-        return 0
+        fence = self._ledger.fence_at(key, now)
+        return fence if fence == owned.fence else 0
 
     def may_hold(self, first: int, last: int, now: float, below: int = 2**62) -> bool:
         """Return whether the target may hold any of these keys, under a fence below *below*."""
-        return any(
-            g.overlaps(first, last) and g.until > now and g.fence < below for g in self._given
-        )
+        return self._ledger.may_hold(first, last, now, below)
 
     def pending(self, now: float) -> list[KeyRange]:
         """Return the ranges that the map gives to the target and a predecessor still has."""
@@ -341,15 +340,19 @@
 
     def must_let_go(self, now: float) -> bool:
         """Return whether the target may hold keys that the map no longer gives to it."""
+        return any(True for _ in self.unwanted(now))
+
+    def unwanted(self, now: float) -> Iterator[HeldRow]:
+        """Yield keys that the target may hold and that the map no longer gives to it."""
         if self._map is None:
-            return False
-        for given in self._given:
-            if given.until <= now:
+            return
+        for hold in self._ledger:
+            if hold.until <= now:
                 continue
-            for r in self._map.overlapping(given.first, given.last):
-                if r.owner != self._target or r.fence != given.fence:
-                    return True
-        return False
+            for r in self._map.overlapping(hold.first, hold.last):
+                if r.owner != self._target or r.fence != hold.fence:
+                    first, last = max(r.first, hold.first), min(r.last, hold.last)
+                    yield HeldRow(first, last, hold.fence)
 
     def release_of(
         self, target: str, first: int, last: int, fence: int, version: int, now: float
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -21,7 +21,7 @@
 from pearward_transport.store import FleetStore
 
 from .core import MeshCore
-from .dialect import Dialect
+from .dialect import Dialect, GrantPort
 from .ingress import WINDOW, MeshIngress
 from .log import DecisionLog
 from .metrics import LateMetrics
@@ -59,6 +59,7 @@
         settings: MeshSettings,
         store: FleetStore,
         dialect: Dialect,
+        grants: GrantPort,
         beat_site: Callable[[TargetSide], Site],
         rng: Random,
     ) -> None:
@@ -78,7 +79,7 @@
         client = ServerClient(reactor, settings.target_address)
         self._core = MeshCore(
             reactor, settings, store, dialect, self._log, self._me, client,
-            self._pool.send_control, link,
+            self._pool.send_control, link, grants,
         )  # fmt: skip
         self._side = self._core.side
         self._metrics = LateMetrics(settings.instance)
--- a/packages/daemon/src/pearward_daemon/mesh/beat_answers.py
+++ b/packages/daemon/src/pearward_daemon/mesh/beat_answers.py
@@ -51,6 +51,9 @@
         """Say whether the target holds keys at all; other targets are answered at once."""
         self._keyed = keyed
 
+    def target_changed(self) -> None:
+        """Another incarnation is there: it says itself what it holds."""
+
     def hold(self, received: float, *, at_once: bool) -> "Deferred[BeatAnswer]":
         """Return the answer to a heartbeat, which comes now or after a while."""
         self.give()
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -0,0 +1,130 @@
+"""Keys given to the target beside this daemon, and taken back, by calls to it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from pearward_coordination.grant_calls import CALL_TRANSIT_S, GrantCall, GrantCalls, ReleaseCall
+from pearward_coordination.grants import GrantKeeper
+from pearward_transport.clock import boot_time
+
+from .dialect import BeatAnswer, GrantPort, GrantReply, GrantVerdict, ReleaseReply
+from .log import DecisionLog
+
+__all__ = ["CallDelivery"]
+
+LOOK_S = 0.1
+"""Seconds between looks for renewals that are due; they come three times in a hold."""
+
+
+class CallDelivery:
+    """Makes the calls that are due and takes their answers."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        keeper: GrantKeeper,
+        port: GrantPort,
+        log: DecisionLog,
+        on_granted: Callable[[], None],
+        on_released: Callable[[], None],
+        on_behind: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._keeper = keeper
+        self._port = port
+        self._log = log
+        self._on_granted = on_granted
+        self._on_released = on_released
+        self._on_behind = on_behind
+        self._calls = GrantCalls(keeper)
+        self._keyed = False
+        self._timer: Any = None
+
+    def set_keyed(self, keyed: bool) -> None:
+        """Say whether the target holds keys at all."""
+        self._keyed = keyed
+        if keyed and self._timer is None:
+            self._look()
+
+    def target_changed(self) -> None:
+        """Another incarnation is there: nothing that was on its way concerns it."""
+        self._port.close()
+        self._calls.target_changed()
+        self._keeper.begun_unknown(CALL_TRANSIT_S)
+
+    def hold(self, received: float, *, at_once: bool) -> "Deferred[BeatAnswer]":
+        """Answer a heartbeat: it says nothing of keys."""
+        return succeed(BeatAnswer())
+
+    def give(self) -> None:
+        """Make the calls that are due."""
+        if not self._keyed or not self._keeper.target:
+            return
+        for call in self._calls.due(boot_time()):
+            if isinstance(call, GrantCall):
+                self._grant(call)
+            else:
+                self._release(call)
+
+    def _look(self) -> None:
+        self._timer = self._reactor.callLater(LOOK_S, self._look)
+        self.give()
+
+    # -- grants -------------------------------------------------------------------------
+
+    def _grant(self, call: GrantCall) -> None:
+        target = self._keeper.target
+        if call.first_time:
+            self._log.decided(
+                "grant_sent", target=target, first=call.row.first, last=call.row.last,
+                fence=call.row.fence, warm=bool(call.row.token), hold_s=round(call.hold_s, 3),
+            )  # fmt: skip
+        self._port.grant(target, call.row, call.hold_s).addCallback(self._grant_answered, call)
+
+    def _grant_answered(self, reply: GrantReply, call: GrantCall) -> None:
+        if reply.verdict is GrantVerdict.TAKEN:
+            if self._calls.granted(call) and call.first_time:
+                self._on_granted()
+            return
+        if reply.verdict is GrantVerdict.UNANSWERED:
+            self._calls.unanswered(call)
+        else:
+            self._calls.refused(call, boot_time())
+        key_map = self._keeper.key_map
+        self._log.decided(
+            "grant_not_taken", failure=True, target=self._keeper.target, reply=reply.verdict.value,
+            detail=reply.detail, first=call.row.first, last=call.row.last, fence=call.row.fence,
+            map=key_map.version if key_map is not None else 0,
+        )  # fmt: skip
+        if reply.verdict is GrantVerdict.NEWER_SEEN:
+            self._on_behind()
+
+    # -- releases -------------------------------------------------------------------------
+
+    def _release(self, call: ReleaseCall) -> None:
+        sent = boot_time()
+        self._log.decided(
+            "release_sent", target=self._keeper.target, first=call.row.first,
+            last=call.row.last, fence=call.row.fence,
+        )  # fmt: skip
+        answer = self._port.release(self._keeper.target, call.row)
+        answer.addCallback(self._release_answered, call, sent)
+
+    def _release_answered(self, reply: ReleaseReply, call: ReleaseCall, sent: float) -> None:
+        took_s = round(boot_time() - sent, 3)
+        if not reply.released:
+            self._calls.release_unanswered(call)
+            self._log.decided(
+                "release_unanswered", failure=True, target=self._keeper.target,
+                first=call.row.first, last=call.row.last, fence=call.row.fence, took_s=took_s,
+                detail=reply.detail,
+            )  # fmt: skip
+            return
+        if self._calls.released(call, reply.token):
+            self._log.decided(
+                "keys_released", target=self._keeper.target, first=call.row.first,
+                last=call.row.last, fence=call.row.fence, took_s=took_s,
+            )  # fmt: skip
+            self._on_released()
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -33,7 +33,7 @@
 from pearward_transport.http_client import ServerClient
 from pearward_transport.store import FleetStore
 
-from .dialect import Dialect
+from .dialect import Dialect, GrantPort
 from .key_maps import KeyMaps
 from .key_planner import REPORT_INTERVAL_S, TICK_S, KeyPlanner
 from .log import DecisionLog
@@ -72,6 +72,7 @@
         client: ServerClient,
         send: SendControl,
         link: LinkQueue,
+        grants: GrantPort,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -81,7 +82,7 @@
         self._send = send
         self._directory = Directory(settings.failure_domain, settings.instance)
         self._maps = KeyMaps(log)
-        self._side = TargetSide(reactor, settings, dialect, log, client, link)
+        self._side = TargetSide(reactor, settings, dialect, log, client, link, grants)
         self._planner = KeyPlanner(settings, store, self._directory, self._maps, log, self._spread)
         self._witnesses = Witnesses(settings.holds, self._maps)
         self._lease = TargetLease(
@@ -286,6 +287,10 @@
                 self._ask(question, now)
         self._asked = {k: at for k, at in self._asked.items() if now - at < 4 * ASK_INTERVAL_S}
 
+    def map_wanted(self) -> None:
+        """Ask the planner for its key map: the target knows a newer one."""
+        self.want_map_of_planner(self._settings.service)
+
     def _ask(self, question: AskKeys, now: float) -> None:
         member = self._directory.member_of(question.target)
         key = (question.target, question.first, question.last, question.fence)
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -5,8 +5,11 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
+from twisted.internet.defer import Deferred
+
 from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
 from pearward_coordination.selection import TargetLoad
 from pearward_state.members import TargetState
@@ -17,6 +20,10 @@
     "BeatAnswer",
     "CallerIntent",
     "Dialect",
+    "GrantPort",
+    "GrantReply",
+    "GrantVerdict",
+    "ReleaseReply",
     "TargetBeat",
     "TargetLeave",
 ]
@@ -83,6 +90,53 @@
     hold_s: float = 0.0
 
 
+class GrantVerdict(Enum):
+    """What became of a grant that was made by a call."""
+
+    TAKEN = "taken"
+    NEWER_SEEN = "newer seen"
+    """The target has seen a higher fence on one of the keys: nothing was granted."""
+    MALFORMED = "malformed"
+    """The target could not read the call: nothing was granted."""
+    NOT_SENT = "not sent"
+    """There was no connection: nothing was granted."""
+    UNANSWERED = "unanswered"
+    """The grant may have been taken, or may be taken later."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReply:
+    """The target's answer to a grant, or what stood in its place."""
+
+    verdict: GrantVerdict
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseReply:
+    """The target's answer to a call that took keys back."""
+
+    released: bool
+    """Whether the target holds the keys no longer and nothing runs on them."""
+    token: str = ""
+    """Hands the keys' warm state over to their next holder."""
+    detail: str = ""
+    """Why the keys are not known to be released."""
+
+
+class GrantPort(Protocol):
+    """Calls that give keys to the target beside this daemon and take them back."""
+
+    def grant(self, target: str, row: GrantedRow, hold_s: float) -> "Deferred[GrantReply]":
+        """Give keys, or renew them; never fails."""
+
+    def release(self, target: str, row: HeldRow) -> "Deferred[ReleaseReply]":
+        """Take keys back; answered when what ran on them has ended; never fails."""
+
+    def close(self) -> None:
+        """The target has ended: drop the connections to it."""
+
+
 class Dialect(Protocol):
     """One way of speaking HTTP with callers and targets."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 
 import yaml
@@ -14,7 +15,7 @@
 
 from ..errors import SettingsError
 
-__all__ = ["Address", "MeshSettings", "StoreSettings"]
+__all__ = ["Address", "GrantWay", "MeshSettings", "StoreSettings"]
 
 LEASE_TTL_S = 3.0
 """Seconds after which a silent daemon's entry goes: peers find out sooner by themselves."""
@@ -29,6 +30,15 @@
 """Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
 
 
+class GrantWay(StrEnum):
+    """How targets are told which keys they hold."""
+
+    HEARTBEAT = "heartbeat"
+    """In the answers to their heartbeats."""
+    CALL = "call"
+    """By calls of the daemon beside them."""
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """An IP address and a port to listen on."""
@@ -66,6 +76,8 @@
     """Where other daemons reach *peers*; another address only where something lies between."""
     metrics: Address
     store: StoreSettings
+    grant_way: GrantWay
+    """How the target beside this daemon is told which keys it holds."""
     holds: GrantTiming
     silent_s: float
     """Seconds without a report after which an owner's keys are given to others."""
@@ -110,6 +122,7 @@
             peers_reached_at=_address(listen, "peers_reached_at", str(peers)),
             metrics=_address(listen, "metrics"),
             store=_store(root.section("store")),
+            grant_way=root.choice("grants", GrantWay, GrantWay.HEARTBEAT),
             holds=_holds(root.section("holds")),
             silent_s=limits.number("silent_ms", SILENT_S * 1000, low=500) / 1000,
             retries=_retries(root.section("retries")),
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -22,9 +22,11 @@
 
 from ..exchange import ReplySink
 from .beat_answers import BeatAnswers
-from .dialect import AnswerFacts, BeatAnswer, Dialect, TargetBeat, TargetLeave
+from .call_delivery import CallDelivery
+from .dialect import AnswerFacts, BeatAnswer, Dialect, GrantPort, TargetBeat, TargetLeave
+from .grant_delivery import GrantDelivery
 from .log import DecisionLog
-from .settings import MeshSettings
+from .settings import GrantWay, MeshSettings
 from .target_request import TargetRequest
 
 __all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
@@ -71,6 +73,9 @@
     def keys_wanted(self) -> None:
         """Predecessors have to be asked for keys."""
 
+    def map_wanted(self) -> None:
+        """The target has seen a newer key map than this daemon."""
+
 
 class TargetSide:
     """Everything that concerns the target beside this daemon."""
@@ -83,6 +88,7 @@
         log: DecisionLog,
         client: ServerClient,
         link: LinkQueue,
+        grants: GrantPort,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -96,7 +102,7 @@
         self._requests: dict[SlotTicket, TargetRequest] = {}
         self._open: set[TargetRequest] = set()
         self._parked: dict[TargetRequest, None] = {}
-        self._answers = BeatAnswers(reactor, self._keeper, log, self._admit_parked)
+        self._delivery = self._delivery_of(settings.grant_way, grants)
         self._sequences: dict[str, int] = {}
         self._info: TargetInfo | None = None
         self._keyed = False
@@ -110,6 +116,14 @@
         self._reported_ended: list[str] = []
         self._pending_since: float | None = None
 
+    def _delivery_of(self, way: GrantWay, grants: GrantPort) -> GrantDelivery:
+        if way is GrantWay.CALL:
+            return CallDelivery(
+                self._reactor, self._keeper, grants, self._log, self._admit_parked,
+                self._keys_let_go, self._map_wanted,
+            )  # fmt: skip
+        return BeatAnswers(self._reactor, self._keeper, self._log, self._admit_parked)
+
     # -- properties -------------------------------------------------------------
 
     @property
@@ -179,7 +193,7 @@
         self._note_state(beat, now)
         if beat.released and self._listener is not None:
             self._listener.keys_changed()
-        answer = self._answers.hold(
+        answer = self._delivery.hold(
             now, at_once=bool(beat.released) or self._leaving_since is not None
         )
         self.reconsider()
@@ -208,6 +222,7 @@
     def _target_began(self, beat: TargetBeat) -> None:
         former = self._keeper.target
         self._keeper.target_changed(beat.target)
+        self._delivery.target_changed()
         if former:
             self._reported_ended.append(former)
         self._client.close()
@@ -258,7 +273,7 @@
         now = boot_time()
         keeper = self._keeper
         if keeper.must_let_go(now) or keeper.ready_to_begin(now) or self._stopping:
-            self._answers.give()
+            self._delivery.give()
         self._note_pending(now)
         self._admit_parked()
 
@@ -286,7 +301,7 @@
     def set_keyed(self, keyed: bool) -> None:
         """Take from the configuration whether the target's service is divided by key."""
         self._keyed = keyed
-        self._answers.set_keyed(keyed)
+        self._delivery.set_keyed(keyed)
 
     def adopt(self, key_map: KeyMap) -> None:
         """Act on a newer key map."""
@@ -308,6 +323,14 @@
             self._keeper.released(predecessor, row)
         self.reconsider()
 
+    def _keys_let_go(self) -> None:
+        if self._listener is not None:
+            self._listener.keys_changed()
+
+    def _map_wanted(self) -> None:
+        if self._listener is not None:
+            self._listener.map_wanted()
+
     def take_report(self) -> KeyReport:
         """Return what the planner of this service's keys is to know since the last report."""
         info = self._info
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -5,6 +5,7 @@
 only written out again. Here header blocks pass through as bytes.
 """
 
+from dataclasses import dataclass
 from socket import IPPROTO_TCP
 from typing import Any, Protocol
 
@@ -20,7 +21,7 @@
 
 from .errors import ServerBroke, ServerUnreachable
 
-__all__ = ["AnswerSink", "ServerClient", "ServerConnection"]
+__all__ = ["AnswerSink", "ServerClient", "ServerConnection", "SmallAnswer"]
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_LIMIT_S = 60.0
@@ -326,6 +327,24 @@
             sink.exchange_failed(detail)
 
 
+@dataclass(frozen=True, slots=True)
+class SmallAnswer:
+    """A whole answer that was collected in memory."""
+
+    status: int
+    headers: bytes
+    """Header lines, each with its CR LF."""
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the value of a header by its name in lower case; empty where it is absent."""
+        for line in self.headers.split(b"\r\n"):
+            found, _, value = line.partition(b":")
+            if found.lower() == name:
+                return value.strip()
+        return b""
+
+
 class _ClientFactory(Factory):  # type: ignore[misc]
     noisy = False
 
@@ -404,9 +423,23 @@
         *,
         timeout_s: float,
     ) -> tuple[int, bytes]:
-        """Make one small exchange; return status and body.
+        """Make one small exchange; return status and body; raises as fetch_answer does."""
+        answer = await self.fetch_answer(method, path, headers, body, timeout_s=timeout_s)
+        return answer.status, answer.body
+
+    async def fetch_answer(
+        self,
+        method: bytes,
+        path: bytes,
+        headers: bytes = b"",
+        body: bytes = b"",
+        *,
+        timeout_s: float,
+    ) -> SmallAnswer:
+        """Make one small exchange and return the whole answer.
 
-        Raises ServerUnreachable, or ServerBroke also where *timeout_s* has passed.
+        Raises ServerUnreachable where no connection could be made, and ServerBroke where
+        the answer was not whole after *timeout_s* seconds, or broke off.
         """
         connection = self.take() or await self.connect()
         sink = _Collected()
@@ -451,8 +484,9 @@
     """Collects a small answer."""
 
     def __init__(self) -> None:
-        self.done: Deferred[tuple[int, bytes]] = Deferred()
+        self.done: Deferred[SmallAnswer] = Deferred()
         self._status = 0
+        self._headers = b""
         self._body = b""
 
     def accepts(self, headers: bytes) -> bool:
@@ -461,13 +495,14 @@
 
     def answer_head(self, status: int, headers: bytes, length: int) -> None:
         self._status = status
+        self._headers = headers
 
     def answer_data(self, data: bytes) -> None:
         self._body += data
 
     def answer_ended(self) -> None:
         if not self.done.called:
-            self.done.callback((self._status, self._body))
+            self.done.callback(SmallAnswer(self._status, self._headers, self._body))
 
     def exchange_failed(self, detail: str) -> None:
         if not self.done.called:
--- a/tests/fuzz/mesh_machine.py
+++ b/tests/fuzz/mesh_machine.py
@@ -6,16 +6,21 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from pearward_coordination.grants import GrantTiming
+from pearward_daemon.mesh.settings import GrantWay
 
 from .mesh_world import Node, World, virtual_time
 
 NODES = st.integers(0, 4)
 TIMING = GrantTiming()
+ORDER_DELAYS = st.sampled_from([(2.0,), (2.6,), (0.0, 2.5), (0.5, 6.0), (12.0,), (1.0, 1.5)])
+"""Seconds after its arrival at which an unanswered grant is taken."""
 
 
 class MeshMachine(RuleBasedStateMachine):
     """Kills, freezes, cuts, lost and late writes, revoked entries, replacements, moves."""
 
+    way = GrantWay.HEARTBEAT
+
     def __init__(self) -> None:
         super().__init__()
         self._stack = ExitStack()
@@ -29,7 +34,7 @@
         self.world = None
         world = World.__new__(World)
         self.world = world
-        world.__init__(count, TIMING, seed)  # type: ignore[misc]
+        world.__init__(count, TIMING, seed, self.way)  # type: ignore[misc]
         world.run(6.0)
         assert world.served() > 0
 
@@ -160,3 +165,15 @@
     def delay_beats(self, number: int, seconds: float) -> None:
         """Let the heartbeats of a target be late."""
         self._node(number).beat_delay_s = seconds
+
+
+class CallMeshMachine(MeshMachine):
+    """The same with targets that take their keys by calls, some of them late."""
+
+    way = GrantWay.CALL
+
+    @rule(late=st.lists(ORDER_DELAYS, min_size=1, max_size=8))
+    def lose_orders(self, late: list[tuple[float, ...]]) -> None:
+        """Let the next grants go unanswered; they are taken late, once or twice."""
+        assert self.world is not None
+        self.world.lose_orders(late)
--- a/tests/fuzz/mesh_targets.py
+++ b/tests/fuzz/mesh_targets.py
@@ -5,19 +5,29 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pearward_coordination.grants import HeldRow, ReleasedRow
-from pearward_daemon.mesh.dialect import BeatAnswer, TargetBeat
+from twisted.internet.defer import Deferred
+
+from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
+from pearward_daemon.mesh.dialect import (
+    BeatAnswer,
+    GrantReply,
+    GrantVerdict,
+    ReleaseReply,
+    TargetBeat,
+)
 from pearward_state.members import TargetState
 
 if TYPE_CHECKING:
     from .mesh_world import Node, World
 
-__all__ = ["SERVICE", "FakeTarget", "HeldKeys"]
+__all__ = ["SERVICE", "FakeGrants", "FakeTarget", "HeldKeys"]
 
 SERVICE = "roster-app"
 LINK_S = 0.002
 BEAT_S = 0.87
 SOON_S = 0.1
+CALL_TIMEOUT_S = 0.35
+"""Seconds after which a caller takes a grant for unanswered."""
 
 
 @dataclass
@@ -47,6 +57,9 @@
         self._freed: list[ReleasedRow] = []
         self._next_beat = world.now + 0.1 * (node.number % 5)
         self._answered = 0
+        self._seen: list[tuple[int, int, int]] = []
+        """Keys (first and last) and the fence of every grant that was taken."""
+        self._releasing: list[tuple[HeldKeys, Deferred[ReleaseReply]]] = []
 
     def holds(self, key: int) -> int:
         """Return the fence under which the target holds a key now, or 0."""
@@ -62,6 +75,7 @@
         if not self.alive:
             return
         now = self._world.now
+        self._answer_releases(now)
         for row in list(self.rows):
             if row.until <= now:
                 self.rows.remove(row)
@@ -87,7 +101,7 @@
             state=TargetState.DRAINING if self.draining else TargetState.READY,
             cold_s=0.0,
             sequence=sequence,
-            held=tuple(HeldRow(r.first, r.last, r.fence) for r in self.rows),
+            held=() if self._world.by_call else self._held_rows(),
             released=freed,
         )
         daemon = self.node.daemon
@@ -104,6 +118,60 @@
 
         self._world.deliver(daemon, self._world.now + LINK_S + self.node.beat_delay_s, deliver)
 
+    def _held_rows(self) -> tuple[HeldRow, ...]:
+        return tuple(HeldRow(r.first, r.last, r.fence) for r in self.rows)
+
+    # -- calls ----------------------------------------------------------------------
+
+    def take_grant(self, row: GrantedRow, hold_s: float, arrived: float) -> GrantVerdict:
+        """Take a grant by call, whose time has run since it arrived."""
+        for first, last, fence in self._seen:
+            if first <= row.last and row.first <= last and fence > row.fence:
+                return GrantVerdict.NEWER_SEEN
+        until = arrived + hold_s / self._rate
+        if until <= self._world.now:
+            return GrantVerdict.TAKEN
+        self._seen.append((row.first, row.last, row.fence))
+        granted = HeldKeys(row.first, row.last, row.fence, until)
+        self._cut(row.first, row.last)
+        self.rows.append(granted)
+        self._world.took(self, [granted])
+        return GrantVerdict.TAKEN
+
+    def seen(self, first: int, last: int, fence: int) -> None:
+        """Another planner's grant was taken before: no lower fence is taken any more."""
+        self._seen.append((first, last, fence))
+
+    def take_release(self, row: HeldRow, work_s: float) -> Deferred[ReleaseReply]:
+        """End new work on keys at once; answered when the work on them has ended."""
+        answer: Deferred[ReleaseReply] = Deferred()
+        self._cut(row.first, row.last)
+        working = HeldKeys(row.first, row.last, row.fence, self._world.now + work_s)
+        self.rows.append(working)
+        self._releasing.append((working, answer))
+        return answer
+
+    def _answer_releases(self, now: float) -> None:
+        for working, answer in list(self._releasing):
+            if working.until <= now:
+                self._releasing.remove((working, answer))
+                token = f"{self.id}/{working.first}/{working.fence}"
+                answer.callback(ReleaseReply(True, token))
+
+    def _cut(self, first: int, last: int) -> None:
+        kept: list[HeldKeys] = []
+        for row in self.rows:
+            if row.last < first or row.first > last:
+                kept.append(row)
+                continue
+            if row.first < first:
+                kept.append(HeldKeys(row.first, first - 1, row.fence, row.until))
+            if row.last > last:
+                kept.append(HeldKeys(last + 1, row.last, row.fence, row.until))
+        self.rows = kept
+
+    # -- answers to heartbeats --------------------------------------------------------
+
     def _take(
         self, sequence: int, sent: float, freed: tuple[ReleasedRow, ...], answer: BeatAnswer
     ) -> None:
@@ -141,3 +209,62 @@
     if start <= row.last:
         parts.append((start, row.last))
     return parts
+
+
+class FakeGrants:
+    """One daemon's calls to the target beside it; some go unanswered and are taken late."""
+
+    def __init__(self, world: World, node: Node) -> None:
+        self._world = world
+        self._node = node
+        self.offered: list[GrantedRow] = []
+
+    def close(self) -> None:
+        """Nothing is kept."""
+
+    def grant(self, target: str, row: GrantedRow, hold_s: float) -> Deferred[GrantReply]:
+        """Deliver a grant: at once, or late and without an answer, or both."""
+        world, daemon = self._world, self._node.daemon
+        self.offered.append(row)
+        answer: Deferred[GrantReply] = Deferred()
+        present = self._node.target
+        arrived = world.now + LINK_S
+        late = world.next_order_late()
+
+        def take() -> GrantVerdict:
+            alive = present is not None and present.alive and present.id == target
+            if not alive or present is None:
+                return GrantVerdict.UNANSWERED
+            return present.take_grant(row, hold_s, arrived)
+
+        def reply(verdict: GrantVerdict) -> None:
+            world.deliver(daemon, world.now + LINK_S, lambda: answer.callback(GrantReply(verdict)))
+
+        if not late:
+            world.at(arrived, lambda: reply(take()))
+            return answer
+        for delay_s in late:
+            world.at(arrived + delay_s, take)
+        world.deliver(
+            daemon, world.now + CALL_TIMEOUT_S,
+            lambda: answer.callback(GrantReply(GrantVerdict.UNANSWERED)),
+        )  # fmt: skip
+        return answer
+
+    def release(self, target: str, row: HeldRow) -> Deferred[ReleaseReply]:
+        """Deliver a release, and its answer when the work on the keys has ended."""
+        world, daemon = self._world, self._node.daemon
+        answer: Deferred[ReleaseReply] = Deferred()
+        present = self._node.target
+
+        def back(reply: ReleaseReply) -> None:
+            world.deliver(daemon, world.now + LINK_S, lambda: answer.callback(reply))
+
+        def arrive() -> None:
+            if present is None or not present.alive or present.id != target:
+                back(ReleaseReply(False, detail="gone"))
+                return
+            present.take_release(row, world.work_s()).addCallback(back)
+
+        world.at(world.now + LINK_S, arrive)
+        return answer
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -16,12 +16,13 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
-from pearward_coordination.grants import GrantTiming
+from pearward_coordination.grants import GrantedRow, GrantTiming
 from pearward_coordination.link_queue import LinkQueue
-from pearward_coordination.messages import ControlMessage, PeerId
+from pearward_coordination.messages import ControlMessage, PeerId, Pull
 from pearward_coordination.retry_window import RetryRule
 from pearward_daemon.mesh import (
     beat_answers,
+    call_delivery,
     core,
     key_planner,
     store_session,
@@ -30,13 +31,13 @@
 )
 from pearward_daemon.mesh.core import MeshCore
 from pearward_daemon.mesh.log import DecisionLog
-from pearward_daemon.mesh.settings import Address, MeshSettings, StoreSettings
+from pearward_daemon.mesh.settings import Address, GrantWay, MeshSettings, StoreSettings
 from pearward_protocol.control import decode_control, encode_control
 from pearward_state.routes import RoutingTable, ServiceRules
 from pearward_transport.errors import ServerUnreachable
 
 from .mesh_store import FakeStore, StoreClient
-from .mesh_targets import SERVICE, FakeTarget, HeldKeys
+from .mesh_targets import SERVICE, FakeGrants, FakeTarget, HeldKeys
 
 __all__ = ["Node", "World"]
 
@@ -92,16 +93,26 @@
     cut_from_store: bool = False
     cut_from_peers: bool = False
     beat_delay_s: float = 0.0
+    grants: FakeGrants | None = None
     lives: int = 0
 
 
 class World:
     """All instances, the links between them, the store and the oracle."""
 
-    def __init__(self, count: int, timing: GrantTiming, seed: int = 1) -> None:
+    def __init__(
+        self,
+        count: int,
+        timing: GrantTiming,
+        seed: int = 1,
+        way: GrantWay = GrantWay.HEARTBEAT,
+    ) -> None:
         import random
 
         self.now = 1000.0
+        self._way = way
+        self._late_orders: list[tuple[float, ...]] = []
+        self._on_sent: dict[int, list[Pull]] = {}
         self._rng = random.Random(seed)
         self._timing = timing
         self.store = FakeStore(self)
@@ -117,6 +128,11 @@
             self.start_target(node)
             self.start_daemon(node)
 
+    @property
+    def by_call(self) -> bool:
+        """Whether targets are told their keys by calls."""
+        return self._way is GrantWay.CALL
+
     # -- time ------------------------------------------------------------------------
 
     def at(self, when: float, call: Callable[[], None]) -> None:
@@ -200,6 +216,26 @@
         """The next writes are done late, and their answers are lost."""
         self._late_writes.extend(late_s)
 
+    def next_order_late(self) -> tuple[float, ...]:
+        """Return after how long the next grant is taken, unanswered; none where at once."""
+        return self._late_orders.pop(0) if self._late_orders else ()
+
+    def lose_orders(self, late_s: list[tuple[float, ...]]) -> None:
+        """The next grants go unanswered and are taken late, each as often as it has times."""
+        self._late_orders.extend(late_s)
+
+    def count_offers(self, node: Node) -> list[GrantedRow]:
+        """Return the list that a daemon's grants are noted in from now on."""
+        assert node.grants is not None
+        node.grants.offered = []
+        return node.grants.offered
+
+    def count_pulls(self, node: Node) -> list[Pull]:
+        """Return the list that a daemon's questions for a key map are noted in from now on."""
+        pulls: list[Pull] = []
+        self._on_sent[node.number] = pulls
+        return pulls
+
     def start_target(self, node: Node) -> None:
         """A new incarnation of the target begins."""
         node.lives += 1
@@ -215,13 +251,14 @@
         self.end_daemon(node)
         clock = Clock()
         clock.advance(self.now)
-        settings = _settings(node.number, self._timing)
+        settings = _settings(node.number, self._timing, self._way)
         node.lives += 1
         me = PeerId(f"d{node.number}-{node.lives}", str(settings.peers))
 
         def send(address: str, message: ControlMessage) -> None:
             self._send(node, me, address, message)
 
+        node.grants = FakeGrants(self, node)
         core_ = MeshCore(
             clock,
             settings,
@@ -232,6 +269,7 @@
             _Client(node),  # type: ignore[arg-type]
             send,
             LinkQueue(settings.link_mbit_per_s),
+            node.grants,
         )
         node.daemon = Daemon(core_, clock, me)
         core_.start(lambda table: None)
@@ -266,11 +304,13 @@
             counter.count((first + number % 200) % 65_536)
 
     def key_of(self, node: Node) -> int:
-        """Return the first key that a target holds."""
+        """Return the first key that a target holds; 0 where it holds none now."""
         assert node.target is not None
-        return min(row.first for row in node.target.rows)
+        return min((row.first for row in node.target.rows), default=0)
 
     def _send(self, node: Node, me: PeerId, address: str, message: ControlMessage) -> None:
+        if isinstance(message, Pull) and node.number in self._on_sent:
+            self._on_sent[node.number].append(message)
         receiver = next((n for n in self.nodes if str(_peers(n.number)) == address), None)
         if receiver is None or receiver.cut_from_peers or node.cut_from_peers:
             return
@@ -290,7 +330,7 @@
     return Address(f"10.0.0.{number + 1}", 7600)
 
 
-def _settings(number: int, timing: GrantTiming) -> MeshSettings:
+def _settings(number: int, timing: GrantTiming, way: GrantWay) -> MeshSettings:
     here = _peers(number)
     return MeshSettings(
         instance=f"instance-{number}",
@@ -304,6 +344,7 @@
         peers_reached_at=here,
         metrics=here,
         store=StoreSettings("127.0.0.1:2", 3.0, 0.8),
+        grant_way=way,
         holds=timing,
         silent_s=2.2,
         retries=RetryRule(0.2, 50, 10.0),
@@ -324,7 +365,8 @@
 
     with ExitStack() as stack:
         for module in (
-            beat_answers, core, key_planner, store_session, target_lease, target_side,
+            beat_answers, call_delivery, core, key_planner, store_session, target_lease,
+            target_side,
         ):  # fmt: skip
             stack.enter_context(mock.patch.object(module, "boot_time", now))
         stack.enter_context(mock.patch.object(target_side, "unix_time", now))
