--- a/packages/daemon/src/pearward_daemon/caller_request.py
+++ b/packages/daemon/src/pearward_daemon/caller_request.py
@@ -25,9 +25,9 @@
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_state.records import CellRecord, Member, MemberState
 from pearward_state.table import Kind
+from pearward_transport.caller_request import CallerRequest
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
-from pearward_transport.http_server import CallerRequest
 from pearward_transport.peer_connection import PeerConnection
 
 from .attempts import LocalAttempt, RemoteAttempt
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -8,7 +8,7 @@
 from pearward_coordination.routing import Router
 from pearward_protocol.httpmap import RequestLimits
 from pearward_state.records import CellRecord
-from pearward_transport.http_server import BodySink, CallerRequest
+from pearward_transport.caller_request import BodySink, CallerRequest
 from pearward_transport.peer import PeerPool
 
 from .caller_request import RoutedRequest
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -11,8 +11,8 @@
 from pearward_coordination.selection import Exchange, TargetLoad, WeightedTurns, choose_target
 from pearward_protocol.errors import BadHeader
 from pearward_state.routes import RequestKind, Route, RoutingTable
+from pearward_transport.caller_request import BodySink, CallerRequest
 from pearward_transport.clock import boot_time, unix_time
-from pearward_transport.http_server import BodySink, CallerRequest
 from pearward_transport.peer import PeerPool
 from pearward_transport.peer_connection import PeerConnection
 
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -17,9 +17,9 @@
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_state.routes import RequestKind, Route
+from pearward_transport.caller_request import CallerRequest
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
-from pearward_transport.http_server import CallerRequest
 from pearward_transport.peer_connection import PeerConnection
 
 from ..attempts import LocalAttempt, RemoteAttempt
