--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -10,6 +10,10 @@
 import heapq
 from dataclasses import dataclass, field
 
+from .overload.policy import Mechanism, OverloadPolicy
+from .overload.returns import TurnedAway, back_after_s, usual_back_after_s
+from .overload.waiting import QueueAge, Waiter, patience_s
+
 __all__ = ["Refused", "SlotLimits", "SlotQueue", "SlotTicket"]
 
 FIRST_GUESS_S = 0.15
@@ -19,16 +23,14 @@
 since running times vary by their own mean and a target's speed does not."""
 GUESS_COUNTS = 6
 """Requests that the first guess stands for."""
+ROUTES_KEPT = 256
+"""Routes whose running times are kept apart; a service has a few."""
 SLOW_FACTOR = 1.6
 """Mean age of what runs, over the mean running time, from which a target counts as slow:
 usually the two are about equal. One that has just turned slow ends nothing, so that the
 ages tell first; below this factor they tell chance."""
 SLOW_SHARE = 0.6
 """Part of the slots that must be taken for the ages to tell anything."""
-MIN_RETRY_AFTER_S = 0.25
-"""Seconds after which a queue that was full is worth asking again: hot keys have moved by
-then, and bursts of a few requests are over. Callers wait up to a third of their time."""
-MAX_RETRY_AFTER_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +40,7 @@
     slots: int
     queue: int = 96
     """Requests that may wait; by default eight for each slot of a usual target."""
-    patience: float = 0.24
-    """Part of the latency objective that a request may wait. Refused within a quarter, it
-    counts as a new one when it comes back; later refusals are worth nothing and are priced."""
+    policy: OverloadPolicy = field(default_factory=OverloadPolicy)
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +53,8 @@
     objective: float
     """Time in s by which the answer is worth most."""
     arrived: float
+    route: str = ""
+    """Requests of one route run about equally long."""
     started: float = 0.0
     waiting: bool = False
     gone: bool = False
@@ -65,6 +67,20 @@
     retry_after_s: float
 
 
+class _MovingMean:
+    """Moving mean of running times."""
+
+    def __init__(self, guess_s: float) -> None:
+        self.seconds = guess_s
+        self._measured = 0
+
+    def take(self, ran_s: float) -> None:
+        """Count one more running time."""
+        self._measured += 1
+        weight = max(TIME_WEIGHT, 1.0 / (self._measured + GUESS_COUNTS))
+        self.seconds += weight * (ran_s - self.seconds)
+
+
 @dataclass(order=True, slots=True)
 class _Entry:
     order: tuple[int, float, int]
@@ -79,8 +95,9 @@
         self._heap: list[_Entry] = []
         self._running: set[SlotTicket] = set()
         self._waiting = 0
-        self._mean_s = FIRST_GUESS_S
-        self._measured = 0
+        self._age = QueueAge()
+        self._mean = _MovingMean(FIRST_GUESS_S)
+        self._by_route: dict[str, _MovingMean] = {}
         self._number = 0
 
     # -- properties -------------------------------------------------------------
@@ -103,7 +120,7 @@
     @property
     def mean_s(self) -> float:
         """Moving mean of the seconds that a request runs."""
-        return self._mean_s
+        return self._mean.seconds
 
     # -- changes ------------------------------------------------------------------
 
@@ -117,12 +134,13 @@
             self._start(ticket, now)
             return True
         wait_s = self.expected_wait(ticket, now)
-        too_long = wait_s > self.patience_s(ticket) or now + wait_s > ticket.deadline
+        too_long = wait_s > self.patience_s(ticket, now) or now + wait_s > ticket.deadline
         if too_long or self._waiting >= self._limits.queue:
-            return Refused(self.retry_after(wait_s))
+            return Refused(self.retry_after(ticket, wait_s, now))
         self._number += 1
         ticket.waiting = True
         self._waiting += 1
+        self._age.joined(ticket.rank, now)
         heapq.heappush(self._heap, _Entry((ticket.rank, ticket.deadline, self._number), ticket))
         return False
 
@@ -135,14 +153,26 @@
             return
         ticket.gone = True
         if ticket.waiting:
-            ticket.waiting = False
-            self._waiting -= 1
+            self._stop_waiting(ticket)
             return
         self._running.discard(ticket)
         if measured:
-            self._measured += 1
-            weight = max(TIME_WEIGHT, 1.0 / (self._measured + GUESS_COUNTS))
-            self._mean_s += weight * ((now - ticket.started) - self._mean_s)
+            ran_s = now - ticket.started
+            self._mean.take(ran_s)
+            self._route_mean(ticket).take(ran_s)
+
+    def _stop_waiting(self, ticket: SlotTicket) -> None:
+        ticket.waiting = False
+        self._waiting -= 1
+        self._age.left(ticket.rank)
+
+    def _route_mean(self, ticket: SlotTicket) -> "_MovingMean":
+        mean = self._by_route.get(ticket.route)
+        if mean is None:
+            if len(self._by_route) >= ROUTES_KEPT:
+                self._by_route.clear()
+            mean = self._by_route[ticket.route] = _MovingMean(self._mean.seconds)
+        return mean
 
     def next_starts(self, now: float) -> tuple[list[SlotTicket], list[SlotTicket]]:
         """Return the waiting requests that start now, and those that are too late to start."""
@@ -154,9 +184,8 @@
             ticket = heapq.heappop(self._heap).ticket
             if not ticket.waiting:
                 continue
-            ticket.waiting = False
-            self._waiting -= 1
-            if now + self._mean_s * 0.5 > ticket.deadline:
+            self._stop_waiting(ticket)
+            if now + self._mean.seconds * 0.5 > ticket.deadline:
                 ticket.gone = True
                 late.append(ticket)
                 continue
@@ -164,16 +193,24 @@
             started.append(ticket)
         return started, late
 
-    def patience_s(self, ticket: SlotTicket) -> float:
+    def patience_s(self, ticket: SlotTicket, now: float) -> float:
         """Return the seconds that a request may wait for a slot."""
-        return max(0.0, (ticket.objective - ticket.arrived) * self._limits.patience)
+        policy = self._limits.policy
+        standing = not policy.uses(Mechanism.BURST_PATIENCE) or self._age.standing(ticket.rank, now)
+        waiter = Waiter(ticket.objective - ticket.arrived, self.runs_s(ticket))
+        return patience_s(waiter, standing=standing)
+
+    def runs_s(self, ticket: SlotTicket) -> float:
+        """Return the seconds for which requests like this one run, by those that ended."""
+        mean = self._by_route.get(ticket.route)
+        return (mean or self._mean).seconds
 
     def service_s(self, now: float) -> float:
         """Return how long a request is expected to run, by those that ended and those that run."""
         if len(self._running) < self._limits.slots * SLOW_SHARE:
-            return self._mean_s
+            return self._mean.seconds
         age_s = sum(now - ticket.started for ticket in self._running) / len(self._running)
-        return age_s if age_s > self._mean_s * SLOW_FACTOR else self._mean_s
+        return age_s if age_s > self._mean.seconds * SLOW_FACTOR else self._mean.seconds
 
     def expected_wait(self, ticket: SlotTicket, now: float) -> float:
         """Return the seconds until a request that comes now would start."""
@@ -186,9 +223,18 @@
         )
         return (ahead + 1) * self.service_s(now) / max(1, self._limits.slots)
 
-    def retry_after(self, wait_s: float) -> float:
-        """Return when a slot is likely to be free for a request that is refused now."""
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+    def retry_after(self, ticket: SlotTicket, wait_s: float, now: float) -> float:
+        """Return the seconds after which a request that is refused now should come back."""
+        if not self._limits.policy.uses(Mechanism.RETURNS_IN_TIME):
+            return usual_back_after_s(wait_s)
+        return back_after_s(
+            TurnedAway(
+                objective_left_s=ticket.objective - now,
+                patience_s=self.patience_s(ticket, now),
+                runs_s=self.runs_s(ticket),
+                room_in_s=wait_s,
+            )
+        )
 
     def _start(self, ticket: SlotTicket, now: float) -> None:
         ticket.started = now
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -7,6 +7,8 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.overload.policy import Mechanism
+from pearward_coordination.overload.returns import UsualDeadline
 from pearward_coordination.retry_window import RetryWindow
 from pearward_coordination.selection import Exchange, TargetLoad, WeightedTurns, choose_target
 from pearward_protocol.errors import BadHeader
@@ -29,6 +31,7 @@
 """Bytes of one stream that may be under way between two daemons."""
 BAD_REQUEST, NOT_FOUND, TOO_LARGE, UNAVAILABLE = 400, 404, 413, 503
 BYTES_PER_KB = 1000
+MS_PER_S = 1000
 SIZE_WEIGHT = 0.05
 """Weight of the newest exchange in the mean size of a route's exchanges."""
 NO_CONFIGURATION_RETRY_S = 0.5
@@ -119,6 +122,8 @@
         self._budgets: dict[str, RetryWindow] = {}
         self._kilobytes: dict[str, float] = {}
         """Mean size of a request and its answer, by route."""
+        self._deadlines: dict[str, UsualDeadline] = {}
+        """Time that callers usually allow for their first try, by route."""
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._refusing_s = 0.0
@@ -147,6 +152,7 @@
         """Put a newer configuration in force; routes that did not change keep their turns."""
         self._table = table
         names = {route.name for route in table.routes}
+        self._deadlines = {n: usual for n, usual in self._deadlines.items() if n in names}
         self._kilobytes = {name: kb for name, kb in self._kilobytes.items() if name in names}
         present = {(route.name, route.services) for route in table.routes}
         self._turns = {key: turns for key, turns in self._turns.items() if key in present}
@@ -236,6 +242,13 @@
             turns = self._turns[key] = WeightedTurns(route.services, self._rng)
         return turns.next()
 
+    def age_s(self, route: Route, deadline_ms: int | None, now: float) -> float:
+        """Return the seconds since a caller's first try, by what it still allows."""
+        if deadline_ms is None or not self._settings.overload.uses(Mechanism.AGED_RETURNS):
+            return 0.0
+        usual = self._deadlines.setdefault(route.name, UsualDeadline())
+        return usual.age_s(deadline_ms / MS_PER_S, now)
+
     def is_keyed(self, service: str) -> bool:
         """Return whether a service is divided by key."""
         rules = self._table.rules(service) if self._table is not None else None
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -75,7 +75,8 @@
         self._attempt: LocalAttempt | RemoteAttempt | None = None
         self._placement: Placement | None = None
         self._tally = AttemptTally()
-        objective = self._began + route.objective_ms / MS_PER_S
+        age_s = ingress.age_s(route, intent.deadline_ms, self._began)
+        objective = self._began - age_s + route.objective_ms / MS_PER_S
         self._plan = AttemptPlan(
             RequestTimes(self._began, objective, self._deadline),
             route.kind.repeatable,
@@ -261,6 +262,7 @@
             objective_ms=max(0, int((self._plan.times.objective - now) * MS_PER_S)),
             caller_service=self._ingress.caller_service,
             last_target=self._long and self._asks_last(placement),
+            route=self._route.name,
         )
 
     def _asks_last(self, placement: Placement) -> bool:
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -9,6 +9,7 @@
 
 from pearward_coordination.grants import HOLD_S, LEASE_S, RENEW_S, GrantTiming
 from pearward_coordination.lease import LeaseTiming
+from pearward_coordination.overload.policy import Mechanism, OverloadPolicy
 from pearward_coordination.retry_window import RetryRule
 from pearward_state.errors import InvalidField
 from pearward_state.fields import FieldReader
@@ -82,6 +83,8 @@
     silent_s: float
     """Seconds without a report after which an owner's keys are given to others."""
     retries: RetryRule
+    overload: OverloadPolicy
+    """Mechanisms against overload that are on."""
     drain_s: float
     """Seconds after its leave is acknowledged in which a target may get new requests."""
     stop_s: float
@@ -126,6 +129,7 @@
             holds=_holds(root.section("holds")),
             silent_s=limits.number("silent_ms", SILENT_S * 1000, low=500) / 1000,
             retries=_retries(root.section("retries")),
+            overload=_overload(root.section("overload")),
             drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
             stop_s=limits.number("stop_s", 6, low=1),
             link_mbit_per_s=limits.number("link_mbit_per_s", LINK_MBIT_PER_S, low=0.1),
@@ -177,6 +181,18 @@
     return timing
 
 
+def _overload(reader: FieldReader) -> OverloadPolicy:
+    off: set[Mechanism] = set()
+    for name in reader.items("without"):
+        try:
+            off.add(Mechanism(name))
+        except ValueError:
+            allowed = ", ".join(Mechanism)
+            raise InvalidField(reader.path("without"), name, f"expected one of {allowed}") from None
+    reader.finish()
+    return OverloadPolicy(frozenset(off))
+
+
 def _retries(reader: FieldReader) -> RetryRule:
     rule = RetryRule(
         ratio=reader.number("ratio", 0.2, high=10),
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -117,6 +117,7 @@
             deadline=self._deadline,
             objective=self._arrived + self._head.objective_ms / MS_PER_S,
             arrived=self._arrived,
+            route=self._head.route,
         )
         offered = self._side.offer(self, ticket)
         if isinstance(offered, Refused):
@@ -153,7 +154,7 @@
         """The queue moves slower than was expected: let the caller try again in time."""
         self._wait_timer = None
         if not self._done and self._ticket is not None and self._ticket.waiting:
-            self._refuse(Reason.OVERLOADED, retry_after_s=self._side.retry_after_s())
+            self._refuse(Reason.OVERLOADED, retry_after_s=self._side.retry_after_s(self._ticket))
 
     def start(self) -> None:
         """A slot is free: get a connection, if the target may still run the request."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -45,6 +45,8 @@
 PARKED_LIMIT = 512
 """Requests that wait for the target's keys, at most; further ones are refused."""
 DEFAULT_SLOTS = 8
+QUEUE_PER_SLOT = 8
+"""Requests that may wait, for each slot: far more than patience lets wait at usual speeds."""
 MOVED_RETRY_S = 0.05
 """Seconds after which the owner of a key is asked again."""
 BACK_S = 1.2
@@ -96,7 +98,7 @@
         self._log = log
         self._client = client
         self._keeper = GrantKeeper(settings.service, boot_time(), settings.holds)
-        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS))
+        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=settings.overload))
         self._counter = KeyCounter()
         self._link = link
         self._requests: dict[SlotTicket, TargetRequest] = {}
@@ -227,7 +229,8 @@
             self._reported_ended.append(former)
         self._client.close()
         self._leaving_since = None
-        self._queue.set_limits(SlotLimits(max(1, beat.slots), queue=max(1, beat.slots) * 8))
+        slots = max(1, beat.slots)
+        self._queue.set_limits(SlotLimits(slots, slots * QUEUE_PER_SLOT, self._settings.overload))
         self._log.decided(
             "target_began", target=beat.target, former=former, slots=beat.slots,
             sequence=beat.sequence,
@@ -406,7 +409,7 @@
         """Ask for a slot: True is given now, False is given later."""
         now = boot_time()
         if request.needs_link and (too_late_s := self._link_too_late_s(request, ticket, now)) > 0.0:
-            return Refused(self._queue.retry_after(too_late_s))
+            return Refused(self._queue.retry_after(ticket, too_late_s, now))
         offered = self._queue.offer(ticket, now)
         if not isinstance(offered, Refused):
             self._requests[ticket] = request
@@ -425,11 +428,11 @@
 
     def patience_s(self, ticket: SlotTicket) -> float:
         """Return the seconds that a request may wait for a slot."""
-        return self._queue.patience_s(ticket)
+        return self._queue.patience_s(ticket, boot_time())
 
-    def retry_after_s(self) -> float:
-        """Return the seconds after which a slot is likely to be free."""
-        return self._queue.retry_after(0.0)
+    def retry_after_s(self, ticket: SlotTicket) -> float:
+        """Return the seconds after which a request that waited in vain should come back."""
+        return self._queue.retry_after(ticket, 0.0, boot_time())
 
     def back_after_s(self) -> float:
         """Return the seconds after which a request that is barred here may come again."""
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -80,6 +80,8 @@
     """Service beside which the request began."""
     last_target: bool = False
     """Whether no other target will be asked for a slot."""
+    route: str = ""
+    """Name of the route: requests of one route run about equally long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +143,7 @@
         message.objectiveMs = head.objective_ms
         message.callerService = head.caller_service
         message.lastTarget = head.last_target
+        message.route = head.route
     return message.to_bytes()
 
 
@@ -169,6 +172,7 @@
                 message.objectiveMs,
                 message.callerService,
                 message.lastTarget,
+                message.route,
             )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"request head: {error}") from error
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -29,6 +29,7 @@
   objectiveMs @17 :UInt32;
   callerService @18 :Text;
   lastTarget @19 :Bool;
+  route @20 :Text;
 }
 
 struct ResponseHead {
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -19,6 +19,7 @@
 from pearward_coordination.grants import GrantedRow, GrantTiming
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import ControlMessage, PeerId, Pull
+from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.retry_window import RetryRule
 from pearward_daemon.mesh import (
     beat_answers,
@@ -348,6 +349,7 @@
         holds=timing,
         silent_s=2.2,
         retries=RetryRule(0.2, 50, 10.0),
+        overload=OverloadPolicy(),
         drain_s=2.0,
         stop_s=6.0,
         link_mbit_per_s=1000.0,
