--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,9 @@
 SEEDS ?= 5
 SECONDS ?= 20
 
-.PHONY: run test lint fuzz fuzz-teeth soak bench capacity pins setup
+PATTERN ?= lost
+
+.PHONY: run test lint fuzz fuzz-teeth soak experiment plot bench capacity pins setup
 
 setup: $(STAMP)
 
@@ -41,6 +43,15 @@
 	$(BIN)/python -m pearward_devtools.mesh.soak --seed $(SEED) --seeds $(SEEDS) \
 		--seconds $(SECONDS) $(if $(KEEP),--keep $(KEEP),)
 
+experiment: setup
+	$(BIN)/python -m pearward_devtools.experiment $(if $(ONLY),--pattern $(ONLY),) \
+		--seeds $(SEEDS) $(foreach m,$(WITHOUT),--without $(m))
+
+plot: setup
+	$(BIN)/python -c "import matplotlib" 2>/dev/null || $(BIN)/uv pip install --quiet \
+		--python $(BIN)/python --no-build-isolation -e "packages/devtools[plot]"
+	$(BIN)/python -m pearward_devtools.experiment.plot --pattern $(PATTERN) --seed $(SEED)
+
 bench: setup
 	$(BIN)/python -m pearward_devtools.bench $(if $(ONLY),--only $(ONLY),)
 
--- a/features/environment.py
+++ b/features/environment.py
@@ -36,7 +36,8 @@
     context.mesh = None
     if "mesh" in feature.tags:
         context.mesh_ids = itertools.count(1)
-        context.mesh = MeshCluster({"roster": 3, "sheets": 2}, keyed="roster")
+        grants = "call" if "by_call" in feature.tags else "heartbeat"
+        context.mesh = MeshCluster({"roster": 3, "sheets": 2}, keyed="roster", grants=grants)
         context.mesh.start()
     services = _services(feature.tags)
     if services:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,6 +4,10 @@
     When seed 11 is played for 12 s
     Then no promise is broken and requests were served
 
+  Scenario: A short soak with targets that take their keys by calls
+    When seed 12 is played for 12 s with keys by calls
+    Then no promise is broken and requests were served
+
   Scenario: A seed always plays the same faults
     Then seed 5 plans the same faults twice, and seed 6 others
 
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -1,6 +1,5 @@
 """Steps with real processes of a users' platform."""
 
-import contextlib
 import json
 import signal
 import socket
@@ -442,13 +441,7 @@
 @then("the logs lead from its id to the target and the reason")
 def logs_lead(context: Any) -> None:
     def lines() -> list[dict[str, Any]]:
-        found = []
-        for path in _cluster(context).logs.glob("*.log"):
-            for line in path.read_text(encoding="utf-8").splitlines():
-                with contextlib.suppress(json.JSONDecodeError):
-                    found.append(json.loads(line))
-        # Targets write down what they run as well; only lines of daemons have a type.
-        own = [line for line in found if "message_type" in line]
+        own = _cluster(context).log_lines()
         return [line for line in own if line.get("id") == context.request_id]
 
     def complete() -> bool:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,6 +23,11 @@
     context.broken, context.served = play(seed, seconds)
 
 
+@when("seed {seed:d} is played for {seconds:d} s with keys by calls")
+def play_by_call(context: Any, seed: int, seconds: int) -> None:
+    context.broken, context.served = play(seed, seconds, by_call=True)
+
+
 @then("no promise is broken and requests were served")
 def held(context: Any) -> None:
     assert not context.broken, context.broken[:5]
--- a/packages/coordination/src/pearward_coordination/grant_calls.py
+++ b/packages/coordination/src/pearward_coordination/grant_calls.py
@@ -25,8 +25,9 @@
 take under a millisecond, so that this covers a busy processor many times."""
 REFUSED_REST_S = 0.5
 """Seconds for which a refused grant is not made again: a newer map is here by then."""
-RENEWALS_A_HOLD = 3
-"""Renewals within one hold: two may be lost before the keys are."""
+RENEWED_AFTER = 0.5
+"""Part of a hold after which it is renewed. A call that goes unanswered is made again after
+0.35 s, so that three may be lost in the rest of a hold of 2.7 s before the keys are."""
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -101,7 +102,7 @@
             for row in self._keeper.first_rows(owned):
                 if ledger.oldest_sent(row.first, row.last, row.fence, now) is None:
                     yield row, True
-        renew_s = self._keeper.timing.hold_s / RENEWALS_A_HOLD
+        renew_s = self._keeper.timing.hold_s * RENEWED_AFTER
         for span in _joined(held):
             sent = ledger.oldest_sent(span.first, span.last, span.fence, now)
             if sent is not None and now - sent >= renew_s:
--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -15,7 +15,7 @@
 __all__ = ["CallDelivery"]
 
 LOOK_S = 0.1
-"""Seconds between looks for renewals that are due; they come three times in a hold."""
+"""Seconds between looks for renewals that are due, and for calls that have to be repeated."""
 
 
 class CallDelivery:
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -3,6 +3,7 @@
 This is tooling: pearwardd itself starts no process. Every process is ended by its own id.
 """
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -59,12 +60,20 @@
 class MeshCluster:
     """All processes of one test."""
 
-    def __init__(self, services: dict[str, int], keyed: str, *, proxied: bool = False) -> None:
+    def __init__(
+        self,
+        services: dict[str, int],
+        keyed: str,
+        *,
+        proxied: bool = False,
+        grants: str = "heartbeat",
+    ) -> None:
         self._network = f"127.{os.getpid() % 100 + 60}.{next(_NETWORKS)}"
         self._directory = tempfile.TemporaryDirectory()
         self._services = services
         self._keyed = keyed
         self._proxied = proxied
+        self._grants = grants
         self._proxy: subprocess.Popen[bytes] | None = None
         self._store: subprocess.Popen[bytes] | None = None
         self.version = 1
@@ -127,9 +136,9 @@
             "--beats-to", f"{node.ip}:{HEARTBEATS}", "--service", node.service,
             "--zone", node.zone,
         ]  # fmt: skip
-        node.target = self._spawn(
-            f"{node.name}-target", *arguments, *(["--keyed"] if node.keyed else [])
-        )
+        keyed = ["--keyed"] if node.keyed else []
+        by_call = ["--by-call"] if self._grants == "call" else []
+        node.target = self._spawn(f"{node.name}-target", *arguments, *keyed, *by_call)
 
     def _start_proxy(self) -> None:
         """Start the proxy that stands between the daemons."""
@@ -173,6 +182,7 @@
                 "metrics": f"{ip}:{METRICS}",
             },
             "store": {"address": f"{self._network}.1:{STORE_PORT}"},
+            "grants": self._grants,
             "limits": {"silent_ms": SILENT_MS, "link_mbit_per_s": LINK_MBIT_PER_S},
             "log": {"lines_per_s": 1000},
         }
@@ -238,9 +248,9 @@
         )
         return found
 
-    def tell_target(self, node: MeshNode, what: str) -> None:
-        """Tell a target to drain or to leave."""
-        self._http(f"{node.ip}:{TARGET}", "POST", f"/standin/{what}", b"{}")
+    def tell_target(self, node: MeshNode, what: str, body: str = "{}") -> None:
+        """Tell a target to drain or to leave, or to take the next grants late."""
+        self._http(f"{node.ip}:{TARGET}", "POST", f"/standin/{what}", body.encode())
 
     def metrics(self, node: MeshNode) -> str:
         """Return a daemon's own figures."""
@@ -250,6 +260,16 @@
         """Return whether a daemon says that it is ready."""
         return self._answers(f"{node.ip}:{READINESS}")
 
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return what all daemons have logged, in no order of time."""
+        found: list[dict[str, Any]] = []
+        for path in self.logs.glob("*.log"):
+            for line in path.read_text(encoding="utf-8").splitlines():
+                with contextlib.suppress(json.JSONDecodeError):
+                    found.append(json.loads(line))
+        # Targets write down what they run as well; only lines of daemons have a type.
+        return [line for line in found if "message_type" in line]
+
     def wait_served(self) -> None:
         """Wait until all daemons are ready and every key can be asked for."""
         wait_until(lambda: all(self.ready(node) for node in self.nodes), "daemons to be ready")
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -44,6 +44,10 @@
 """Seconds in which a daemon that was told to stop must have ended: its 6 s, and half more."""
 DAEMON_FAULTS = ("daemon-kill", "daemon-pause", "daemon-stop")
 TARGET_FAULTS = ("target-kill", "target-pause", "target-drain")
+CALL_FAULTS = ("target-late", "target-late")
+"""Faults of targets that take their keys by calls, drawn as often as two others."""
+LATE_GRANTS = [[0.5], [2.5], [0.0, 2.0], [1.0, 4.0], [3.0], [0.2]] * 2
+"""Seconds after which grants that go unanswered are taken, once or more."""
 LINK_FAULTS = ("link-cut", "link-stall", "link-delay")
 STORE_FAULTS = ("store-silent", "store-reset", "store-busy", "store-many", "store-slow",
                 "store-lost", "store-forget", "store-revoke")  # fmt: skip
@@ -61,10 +65,12 @@
     """The second instance of a link, or the one that the store turns away."""
 
 
-def plan(seed: int, seconds: float, nodes: int) -> list[SoakFault]:
+def plan(seed: int, seconds: float, nodes: int, *, by_call: bool = False) -> list[SoakFault]:
     """Return the faults of a seed, in the order of their times."""
     rng = random.Random(seed)
-    kinds = (*DAEMON_FAULTS, *TARGET_FAULTS, *LINK_FAULTS, *STORE_FAULTS)
+    kinds: tuple[str, ...] = (*DAEMON_FAULTS, *TARGET_FAULTS, *LINK_FAULTS, *STORE_FAULTS)
+    if by_call:
+        kinds += CALL_FAULTS
     last = max(CALM_S, seconds - CALM_S - LONGEST_FAULT_S)
     faults = [
         SoakFault(
@@ -209,6 +215,11 @@
         if what == "pause":
             process.send_signal(signal.SIGSTOP)
             return lambda: process.send_signal(signal.SIGCONT)
+        if what == "late":
+            if node.keyed:
+                with contextlib.suppress(OSError):
+                    self._cluster.tell_target(node, "late", json.dumps(LATE_GRANTS))
+            return lambda: None
         if what == "drain":
             # One that is paused does not hear it: it is replaced without a word.
             with contextlib.suppress(OSError):
@@ -260,15 +271,19 @@
         return ended
 
 
-def play(seed: int, seconds: float, keep: Path | None = None) -> tuple[list[str], int]:
+def play(
+    seed: int, seconds: float, keep: Path | None = None, *, by_call: bool = False
+) -> tuple[list[str], int]:
     """Play one seed; return a line for each broken promise, and how many requests were served."""
-    cluster = MeshCluster(SERVICES, keyed=KEYED, proxied=True)
+    grants = "call" if by_call else "heartbeat"
+    cluster = MeshCluster(SERVICES, keyed=KEYED, proxied=True, grants=grants)
     callers, faults = _Callers(cluster, seed), _Faults(cluster)
     broken: list[str] = []
     try:
         cluster.start()
         callers.start()
-        _play_faults(plan(seed, seconds, len(cluster.nodes)), faults, seconds)
+        planned = plan(seed, seconds, len(cluster.nodes), by_call=by_call)
+        _play_faults(planned, faults, seconds)
         callers.stop()
         broken += _recovered(cluster)
         runs, leaves = _told(cluster)
@@ -335,11 +350,12 @@
 @click.option("--seeds", default=1, show_default=True, help="How many seeds to play.")
 @click.option("--seconds", default=30.0, show_default=True, help="Length of each.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep the logs of failures here.")
-def main(seed: int, seeds: int, seconds: float, keep: Path | None) -> None:
+@click.option("--by-call", is_flag=True, help="Targets take their keys by calls.")
+def main(seed: int, seeds: int, seconds: float, keep: Path | None, by_call: bool) -> None:
     """Play seeds and tell which broke a promise."""
     failed = 0
     for number in range(seed, seed + seeds):
-        broken, served = play(number, seconds, keep)
+        broken, served = play(number, seconds, keep, by_call=by_call)
         failed += bool(broken)
         click.echo(f"seed {number}: {'BROKEN' if broken else 'held'}, {served} served")
         for line in broken[:10]:
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -9,7 +9,6 @@
 import json
 import secrets
 import time
-from dataclasses import dataclass
 from typing import Any
 
 import click
@@ -20,6 +19,9 @@
 from pearward_transport.errors import ServerBroke, ServerUnreachable
 from pearward_transport.http_client import ServerClient
 
+from .held_keys import HeldKeys, HeldRange
+from .key_calls import KeyCalls
+
 __all__ = ["main"]
 
 BEAT_S = 0.25
@@ -29,17 +31,6 @@
 MAX_KEY = 65_535
 
 
-@dataclass
-class Row:
-    """Keys that are held."""
-
-    first: int
-    last: int
-    fence: int
-    until: float
-    let_go: bool = False
-
-
 class Target:
     """The target's own state."""
 
@@ -50,7 +41,12 @@
         self.zone = zone
         self.slots = slots
         self.state = "ready"
-        self.rows: list[Row] = []
+        self.rows = HeldKeys()
+        self.by_call = False
+        """Whether keys are given by calls, and heartbeats say nothing of them."""
+        self.calls = KeyCalls(self.rows, self._works_on)
+        self._working: list[int] = []
+        """Key of each request that runs."""
         self.freed: list[list[Any]] = []
         self.ran: list[dict[str, Any]] = []
         self.running = 0
@@ -61,13 +57,18 @@
         self._sequence = 0
         self._silent = False
 
-    def fence_of(self, key: int) -> int:
-        """Return the fence under which a key is held now; 0 where it is not held."""
-        now = time.monotonic()
-        for r in self.rows:
-            if r.first <= key <= r.last and r.until > now and not r.let_go:
-                return r.fence
-        return 0
+    def work_began(self, key: int) -> None:
+        """Count a request for a key as running."""
+        self.running += 1
+        self._working.append(key)
+
+    def work_ended(self, key: int) -> None:
+        """A request for a key runs no longer."""
+        self.running -= 1
+        self._working.remove(key)
+
+    def _works_on(self, first: int, last: int) -> bool:
+        return any(first <= key <= last for key in self._working)
 
     def leave(self) -> None:
         """Say without notice that it ends."""
@@ -86,7 +87,7 @@
         sent = time.monotonic()
         freed = list(self.freed)
         leaving_said = self.state == "draining"
-        body = {
+        body: dict[str, Any] = {
             "address": self.address,
             "information": {
                 "service": self.service,
@@ -95,9 +96,10 @@
                 "capacitySlots": self.slots,
             },
             "status": {"state": self.state, "sequence": self._sequence, "coldRemainingMs": 0},
-            "holds": [[r.first, r.last, r.fence] for r in self.rows],
-            "freed": freed,
         }
+        if not self.by_call:
+            body["holds"] = [[r.first, r.last, r.fence] for r in self.rows]
+            body["freed"] = freed
         path = f"/pearward/instances/{self.id}".encode()
 
         def answered(result: tuple[int, bytes]) -> None:
@@ -137,19 +139,21 @@
         if "holds" not in answer:
             return
         until = sent + answer["holdMs"] / 1000
-        granted = [Row(first, last, fence, until) for first, last, fence, _ in answer["holds"]]
-        kept: list[Row] = []
+        granted = [
+            HeldRange(first, last, fence, until) for first, last, fence, _ in answer["holds"]
+        ]
+        kept: list[HeldRange] = []
         for row in self.rows:
             start = row.first
             for g in sorted(granted, key=lambda r: r.first):
                 if g.last < start or g.first > row.last:
                     continue
                 if g.first > start:
-                    kept.append(Row(start, g.first - 1, row.fence, row.until, True))
+                    kept.append(HeldRange(start, g.first - 1, row.fence, row.until, True))
                 start = g.last + 1
             if start <= row.last:
-                kept.append(Row(start, row.last, row.fence, row.until, True))
-        self.rows = granted + kept
+                kept.append(HeldRange(start, row.last, row.fence, row.until, True))
+        self.rows.replace_all(granted + kept)
 
 
 class _Requests(Resource):
@@ -165,6 +169,8 @@
         target = self._target
         if request.path.startswith(b"/standin/"):
             return self._control(request)
+        if request.path.startswith(b"/pearward/"):
+            return self._key_call(request)
         request_id = request.getHeader("Request-Id")
         expected = request.getHeader("Expected-Instance")
         if expected and expected != target.id:
@@ -172,7 +178,7 @@
             request.setResponseCode(NOT_HELD)
             return b""
         key = request.getHeader("Shard-Key")
-        fence = target.fence_of(int(key)) if target.keyed and key is not None else 0
+        fence = target.rows.fence_of(int(key)) if target.keyed and key is not None else 0
         if target.keyed and key is not None and not fence:
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(NOT_HELD)
@@ -191,7 +197,8 @@
                 "body": str(len(request.content.read())),
             }
         )
-        target.running += 1
+        request.working_on = int(key) if key is not None and key.isdigit() else -1
+        target.work_began(request.working_on)
         request.working = True
         arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
         work_s = int(arguments.get("work_ms", "0")) / 1000
@@ -205,6 +212,15 @@
         request.notifyFinish().addErrback(over)
         return NOT_DONE_YET
 
+    def _key_call(self, request: Any) -> Any:
+        expected = request.getHeader("Expected-Instance")
+        if expected and expected != self._target.id:
+            request.setHeader("Instance-Id", self._target.id)
+            request.setResponseCode(NOT_HELD)
+            return b""
+        calls = self._target.calls
+        return calls.grant(request) if request.path.endswith(b"/grant") else calls.release(request)
+
     def _note_run(self, run: dict[str, Any]) -> None:
         """Remember a run; the line outlasts the process."""
         self._target.ran.append(run)
@@ -250,7 +266,7 @@
         """Count the work on a request as ended, once."""
         if request.working:
             request.working = False
-            self._target.running -= 1
+            self._target.work_ended(request.working_on)
 
     def _control(self, request: Any) -> bytes:
         target = self._target
@@ -274,6 +290,8 @@
                 target.state = "draining"
             case b"/standin/leave":
                 target.leave()
+            case b"/standin/late":
+                target.calls.late(json.loads(request.content.read()))
         return b"{}"
 
 
@@ -284,10 +302,20 @@
 @click.option("--zone", default="a")
 @click.option("--slots", default=12)
 @click.option("--keyed", is_flag=True)
-def main(address: str, beats_to: str, service: str, zone: str, slots: int, keyed: bool) -> None:
+@click.option("--by-call", is_flag=True, help="keys are given by calls")
+def main(
+    address: str,
+    beats_to: str,
+    service: str,
+    zone: str,
+    slots: int,
+    keyed: bool,
+    by_call: bool,
+) -> None:
     """Serve requests and beat."""
     target = Target(service, address, zone, slots, beats_to)
     target.keyed = keyed
+    target.by_call = by_call
     site = Site(_Requests(target))
     site.noisy = False
     ip, _, port = address.rpartition(":")
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -6,7 +6,14 @@
 """
 
 from dataclasses import dataclass
-from socket import IPPROTO_TCP
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+)
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -34,6 +41,9 @@
 to a lost instance say nothing otherwise."""
 TCP_USER_TIMEOUT = 18
 """Number of the socket option; Python 3.11 names it only on some systems."""
+PROBE_AFTER_S, PROBE_INTERVAL_S, PROBES = 1, 1, 2
+"""A connection on which nothing is sent, like a waiting watch or an idle one, is probed by
+the kernel after a second, and ends three seconds after its path went silent."""
 IDLE_MARGIN_S = 0.6
 """A kept connection is given up this long before the server says that it closes it."""
 _DROPPED = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"trailer", b"upgrade"})
@@ -69,6 +79,15 @@
         """The server takes more of the request's body."""
 
 
+def _end_when_silent(socket: Any) -> None:
+    """Let the kernel end a connection whose other end says nothing, whether bytes wait or not."""
+    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_S)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, PROBES)
+
+
 @implementer(IPushProducer)
 class _BodyPace:
     """Tells the sink of an exchange how fast the server takes the request's body."""
@@ -200,7 +219,7 @@
     def connectionMade(self) -> None:
         self._connected = True
         self.transport.setTcpNoDelay(True)
-        self.transport.socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        _end_when_silent(self.transport.socket)
         self.state = STATUS
         self._partialHeader = None
         self._client.opened()
