The target's slots, the clock of its heartbeats and the server's connection get files of their own

Change: TargetSlots (queue, patience, link of long answers), BeatClock (which incarnation lives, sans-I/O) and ServerConnection with its owner's port; behaviour as before.

--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -240,8 +240,8 @@
     def _export_gauges(self) -> None:
         gauge = self._metrics.gauge
         side = self._side
-        gauge("pearward.running", "Requests at the target", lambda: side.load().running)
-        gauge("pearward.waiting", "Requests that wait", lambda: side.load().waiting)
+        gauge("pearward.running", "Requests at the target", lambda: side.slots.load().running)
+        gauge("pearward.waiting", "Requests that wait", lambda: side.slots.load().waiting)
         gauge("pearward.open", "Callers' requests", lambda: self._ingress.open_requests)
         gauge("pearward.link.waiting", "Long answers that wait", lambda: self._pacer.waiting)
         gauge(
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -13,7 +13,7 @@
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import ServerUnreachable
-from pearward_transport.http_client import ServerConnection
+from pearward_transport.server_connection import ServerConnection
 
 from ..exchange import ReplySink, refusal
 from .dialect import AnswerFacts
@@ -83,6 +83,11 @@
         """Whether a long answer will have to pass the instance's link."""
         return self._head.request_class is RequestClass.EXPORT and self._reply.passes_link
 
+    @property
+    def asked_last(self) -> bool:
+        """Whether no other target will be asked for a slot."""
+        return self._head.last_target
+
     @property
     def done(self) -> bool:
         """Whether it was answered or given up."""
@@ -119,7 +124,7 @@
             arrived=self._arrived,
             route=self._head.route,
         )
-        offered = self._side.offer(self, ticket)
+        offered = self._side.slots.offer(self, ticket)
         if isinstance(offered, Refused):
             self._refuse(Reason.OVERLOADED, retry_after_s=offered.retry_after_s)
             return
@@ -128,7 +133,7 @@
             self.start()
         else:
             self._wait_timer = self._side.call_later(
-                self._side.patience_s(ticket), self._waited_too_long
+                self._side.slots.patience_s(ticket), self._waited_too_long
             )
 
     def _park(self) -> bool:
@@ -154,7 +159,9 @@
         """The queue moves slower than was expected: let the caller try again in time."""
         self._wait_timer = None
         if not self._done and self._ticket is not None and self._ticket.waiting:
-            self._refuse(Reason.OVERLOADED, retry_after_s=self._side.retry_after_s(self._ticket))
+            self._refuse(
+                Reason.OVERLOADED, retry_after_s=self._side.slots.retry_after_s(self._ticket)
+            )
 
     def start(self) -> None:
         """A slot is free: get a connection, if the target may still run the request."""
@@ -283,7 +290,7 @@
             headers=headers,
             version=self._side.map_version,
             body_length=length,
-            load=self._side.load(),
+            load=self._side.slots.load(),
         )
         if length <= HELD_ANSWER:
             # Also where the length is unknown: the part that fits is held back.
@@ -388,7 +395,7 @@
 
     def _respond(self, head: ResponseHead) -> None:
         """Send an answer of this daemon's own, with the target's load."""
-        self._reply.respond(replace(head, load=self._side.load()), ended=True)
+        self._reply.respond(replace(head, load=self._side.slots.load()), ended=True)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -402,7 +409,7 @@
 
     def _give_slot_back(self, *, measured: bool = False) -> None:
         if self._ticket is not None:
-            self._side.finished(self._ticket, measured=measured)
+            self._side.slots.finished(self._ticket, measured=measured)
             self._ticket = None
 
     def _finish(self, outcome: Outcome, reason: Reason | None, detail: str = "") -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -7,11 +7,10 @@
 from twisted.internet.defer import Deferred, succeed
 
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
+from pearward_coordination.incarnations import BeatClock
 from pearward_coordination.key_load import KeyCounter
-from pearward_coordination.link_queue import LinkQueue, LongRequest
+from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
-from pearward_coordination.selection import TargetLoad
-from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
 from pearward_protocol.heads import RequestHead
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState
@@ -28,25 +27,19 @@
 from .log import DecisionLog
 from .settings import GrantWay, MeshSettings
 from .target_request import TargetRequest
+from .target_slots import TargetSlots
 
 __all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
 
 LATE_S = 4.0
 """Seconds without a heartbeat after which a target counts as leaving: they may be late by
 seconds, and a target that is gone is found out sooner by its connections."""
-FIRST_CALLS = 6
-"""Calls of a new incarnation that may have met a daemon that was not there yet."""
-PRESENT_S = 2.0
-"""Seconds after a heartbeat in which its sender counts as present: two intervals."""
 END_CHECK_S = 0.25
 """Seconds between looks for the end of a target that leaves, or whose port was closed."""
 DRAIN_SHARE = 0.6
 """Part of the drain time in which a leaving target still gets requests that are on their way."""
 PARKED_LIMIT = 512
 """Requests that wait for the target's keys, at most; further ones are refused."""
-DEFAULT_SLOTS = 8
-QUEUE_PER_SLOT = 8
-"""Requests that may wait, for each slot: far more than patience lets wait at usual speeds."""
 MOVED_RETRY_S = 0.05
 """Seconds after which the owner of a key is asked again."""
 BACK_S = 1.2
@@ -98,19 +91,15 @@
         self._log = log
         self._client = client
         self._keeper = GrantKeeper(settings.service, boot_time(), settings.holds)
-        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=settings.overload))
+        self._slots = TargetSlots(settings.overload, link)
         self._counter = KeyCounter()
         self._link = link
-        self._requests: dict[SlotTicket, TargetRequest] = {}
         self._open: set[TargetRequest] = set()
         self._parked: dict[TargetRequest, None] = {}
         self._delivery = self._delivery_of(settings.grant_way, grants)
-        self._sequences: dict[str, int] = {}
+        self._beats = BeatClock()
         self._info: TargetInfo | None = None
         self._keyed = False
-        self._last_beat = 0.0
-        self._present = False
-        """Whether the target that beat last is surely the one at the address."""
         self._leaving_since: float | None = None
         self._silent = False
         self._refused_at: float | None = None
@@ -140,6 +129,11 @@
         """What the target may hold."""
         return self._keeper
 
+    @property
+    def slots(self) -> TargetSlots:
+        """Which requests run at the target, and which wait."""
+        return self._slots
+
     @property
     def info(self) -> TargetInfo | None:
         """What the others are told; None while there is no target."""
@@ -165,31 +159,20 @@
         """Run *call* after *delay_s* seconds."""
         return self._reactor.callLater(delay_s, call)
 
-    def load(self) -> TargetLoad:
-        """Return the load of the target and its instance's link as this daemon counts it."""
-        queue = self._queue
-        now = boot_time()
-        return TargetLoad(
-            queue.running, queue.waiting, queue.slots, queue.service_s(now),
-            self._link.long_wait_s(now),
-        )  # fmt: skip
-
     # -- heartbeats -------------------------------------------------------------------
 
     def beat(self, beat: TargetBeat) -> "Deferred[BeatAnswer]":
         """Take a heartbeat; its answer may wait for a change of the target's keys."""
         now = boot_time()
-        if beat.sequence <= self._sequences.get(beat.target, -1):
+        if self._beats.is_repeated(beat.target, beat.sequence):
             return succeed(BeatAnswer())
-        self._sequences[beat.target] = beat.sequence
-        if self._keeper.has_ended(beat.target) or self._from_the_past(beat, now):
+        if self._keeper.has_ended(beat.target) or self._is_from_the_past(beat, now):
             self._log.decided(
                 "late_heartbeat_ignored", target=beat.target, sequence=beat.sequence,
-                present=self._keeper.target, heard_s=round(now - self._last_beat, 3),
+                present=self._keeper.target, heard_s=round(now - self._beats.last, 3),
             )  # fmt: skip
             return succeed(BeatAnswer())
-        self._last_beat = now
-        self._present = True
+        self._beats.heard(now)
         self._silent = False
         self._refused_at = None
         if beat.target != self._keeper.target:
@@ -204,20 +187,12 @@
         self.reconsider()
         return answer
 
-    def _from_the_past(self, beat: TargetBeat, now: float) -> bool:
-        """Whether a heartbeat of another incarnation is a late one of a former target.
-
-        A new incarnation begins to count its calls anew; one that has counted far, while
-        the present one still beats, has been on its way since before that began. So has one
-        that begins to count while connections to the present one are open: they end with
-        its process, which has to end before another one has its address.
-        """
+    def _is_from_the_past(self, beat: TargetBeat, now: float) -> bool:
+        """Whether a heartbeat is a late one of a former target."""
         present = self._keeper.target
-        if not present or beat.target == present or not self._present:
-            return False
-        if now - self._last_beat >= PRESENT_S:
+        if not present or beat.target == present:
             return False
-        return beat.sequence > FIRST_CALLS or self._client.open_connections > 0
+        return self._beats.is_from_the_past(beat.sequence, self._client.open_connections, now)
 
     def leave(self, leave: TargetLeave) -> None:
         """The target says that it ends soon, without heartbeats from now on."""
@@ -236,8 +211,7 @@
             self._reported_ended.append(former)
         self._client.close()
         self._leaving_since = None
-        slots = max(1, beat.slots)
-        self._queue.set_limits(SlotLimits(slots, slots * QUEUE_PER_SLOT, self._settings.overload))
+        self._slots.set_slots(beat.slots)
         self._log.decided(
             "target_began", target=beat.target, former=former, slots=beat.slots,
             sequence=beat.sequence,
@@ -343,9 +317,8 @@
         A heartbeat that was held up for long can pass for the first one after a restart of
         this daemon; without this the living target's own would be taken for the late one.
         """
-        if meant == self._keeper.target and self._present:
+        if meant == self._keeper.target and self._beats.doubt():
             self._log.decided("other_target_there", failure=True, target=meant)
-            self._present = False
 
     def _map_wanted(self) -> None:
         if self._listener is not None:
@@ -354,13 +327,11 @@
     def take_report(self) -> KeyReport:
         """Return what the planner of this service's keys is to know since the last report."""
         info = self._info
-        now = boot_time()
-        queue = self._queue
         return KeyReport(
             service=self._settings.service,
             target=info.target if info is not None else "",
             version=self.map_version,
-            capacity=queue.slots / max(queue.service_s(now), 0.005),
+            capacity=self._slots.capacity(),
             draining=info is None or info.state is TargetState.DRAINING,
             ended=tuple(self._reported_ended[-16:]),
             confirmed=tuple(self._keeper.confirmed()),
@@ -422,50 +393,10 @@
         for request in parked:
             request.admit()
 
-    def offer(self, request: TargetRequest, ticket: SlotTicket) -> bool | Refused:
-        """Ask for a slot: True is given now, False is given later."""
-        now = boot_time()
-        if request.needs_link and (too_late_s := self._link_too_late_s(request, ticket, now)) > 0.0:
-            return Refused(self._queue.retry_after(ticket, too_late_s, now))
-        offered = self._queue.offer(ticket, now)
-        if not isinstance(offered, Refused):
-            self._requests[ticket] = request
-        return offered
-
-    def _link_too_late_s(self, request: TargetRequest, ticket: SlotTicket, now: float) -> float:
-        """Return by how many seconds the link would bring a long answer too late."""
-        asked = LongRequest(
-            runs_s=self._queue.expected_wait(ticket, now) + self._queue.service_s(now),
-            objective=ticket.objective,
-            deadline=ticket.deadline,
-            last_target=request.head.last_target,
-        )
-        under_way = sum(1 for other in self._requests.values() if other.needs_link)
-        return self._link.too_late_s(asked, under_way, now)
-
-    def patience_s(self, ticket: SlotTicket) -> float:
-        """Return the seconds that a request may wait for a slot."""
-        return self._queue.patience_s(ticket, boot_time())
-
-    def retry_after_s(self, ticket: SlotTicket) -> float:
-        """Return the seconds after which a request that waited in vain should come back."""
-        return self._queue.retry_after(ticket, 0.0, boot_time())
-
     def back_after_s(self) -> float:
         """Return the seconds after which a request that is barred here may come again."""
         return BACK_S if self._refusing else MOVED_RETRY_S
 
-    def finished(self, ticket: SlotTicket, *, measured: bool) -> None:
-        """A request gives its slot back, or its place in the queue."""
-        now = boot_time()
-        self._requests.pop(ticket, None)
-        self._queue.finish(ticket, now, measured=measured)
-        started, late = self._queue.next_starts(now)
-        for other in late:
-            self._requests.pop(other).too_late()
-        for other in started:
-            self._requests[other].start()
-
     def headers(self, head: RequestHead, left_ms: int) -> bytes:
         """Return the header lines for the target."""
         target = self._info.target if self._info is not None else head.target
@@ -479,7 +410,7 @@
         """A request goes to the target."""
         self._log.decided(
             "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
-            running=self._queue.running, waiting=self._queue.waiting, map=self.map_version,
+            running=self._slots.running, waiting=self._slots.waiting, map=self.map_version,
         )  # fmt: skip
 
     def ended(
@@ -498,8 +429,8 @@
         self._log.decided(
             "not_served_here", failure=True, id=_text(head.request_id),
             outcome=outcome.value, reason=reason.value if reason else "", detail=detail,
-            ms=round(took_s * 1000), running=self._queue.running,
-            waiting=self._queue.waiting, link_s=round(self._link.backlog_s(boot_time()), 3),
+            ms=round(took_s * 1000), running=self._slots.running,
+            waiting=self._slots.waiting, link_s=round(self._link.backlog_s(boot_time()), 3),
             map=self.map_version,
         )  # fmt: skip
 
@@ -517,9 +448,9 @@
         info = self._info
         if info is None:
             return
-        if not self._silent and now - self._last_beat > LATE_S:
+        if not self._silent and now - self._beats.last > LATE_S:
             self._log.decided(
-                "target_silent", target=info.target, heard_s=round(now - self._last_beat, 3)
+                "target_silent", target=info.target, heard_s=round(now - self._beats.last, 3)
             )
             self._silent = True
             self._publish_state()
--- a/packages/daemon/src/pearward_daemon/owned_request.py
+++ b/packages/daemon/src/pearward_daemon/owned_request.py
@@ -15,7 +15,7 @@
 from pearward_state.outcome import Outcome, Reason
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import ServerUnreachable
-from pearward_transport.http_client import ServerConnection
+from pearward_transport.server_connection import ServerConnection
 
 from .exchange import ReplySink, refusal
 
