--- a/features/settings.feature
+++ b/features/settings.feature
@@ -28,3 +28,17 @@
     Given settings that read "listen: [1, 2"
     When pearwardd checks them
     Then it ends with exit code 2 and one line that names the file, "YAML" and "line"
+
+  Scenario Outline: Settings of a daemon on a users' platform name a bad value: <field>
+    Given settings of a daemon on a users' platform with <field> set to <value>
+    Then they are refused, naming <path> and the value
+
+    Examples:
+      | field    | value                 | path             |
+      | grants   | "letter"              | grants           |
+      | grants   | ""                    | grants           |
+      | overload | {"without": ["none"]} | overload.without |
+
+  Scenario: Settings that do not say how keys are given keep to heartbeats
+    Given settings of a daemon on a users' platform with grants set to null
+    Then they are taken, with keys given by heartbeat
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -9,6 +9,9 @@
 import yaml
 from behave import given, then, when
 
+from pearward_daemon.mesh.settings import GrantWay, MeshSettings
+from pearward_state.errors import InvalidField
+
 VALID: dict[str, Any] = {
     "failure_domains": ["gyor-hall"],
     "instance": {"name": "i1", "failure_domain": "gyor-hall"},
@@ -56,3 +59,42 @@
     lines = context.result.stderr.strip().splitlines()
     assert context.result.returncode == code and len(lines) == 1, context.result.stderr
     assert str(context.path) in lines[0] and first in lines[0] and second in lines[0], lines[0]
+
+
+# -- a daemon on a users' platform --------------------------------------------------------
+
+MESH: dict[str, Any] = {
+    "instance": "i1",
+    "failure_domain": "a",
+    "target": {"service": "s", "address": "127.0.0.1:8000"},
+    "listen": {
+        name: f"127.0.0.1:{port}"
+        for port, name in enumerate(
+            ("callers", "heartbeats", "readiness", "peers", "metrics"), 8200
+        )
+    },
+    "store": {"address": "127.0.0.1:2379"},
+}
+
+
+@given("settings of a daemon on a users' platform with {field} set to {value}")
+def mesh_settings(context: Any, field: str, value: str) -> None:
+    context.settings = {**MESH, field: yaml.safe_load(value)}
+    context.value = yaml.safe_load(value)
+
+
+@then("they are refused, naming {path} and the value")
+def mesh_refused(context: Any, path: str) -> None:
+    try:
+        MeshSettings.from_config(context.settings)
+    except InvalidField as error:
+        value = context.value["without"][0] if isinstance(context.value, dict) else context.value
+        assert path in str(error) and repr(value) in str(error), error
+    else:
+        raise AssertionError("they were taken")
+
+
+@then("they are taken, with keys given by heartbeat")
+def mesh_taken(context: Any) -> None:
+    settings = MeshSettings.from_config(context.settings)
+    assert settings.grant_way is GrantWay.HEARTBEAT
--- a/packages/devtools/src/pearward_devtools/experiment/__main__.py
+++ b/packages/devtools/src/pearward_devtools/experiment/__main__.py
@@ -45,25 +45,27 @@
 @click.option(
     "--without", "without", multiple=True, help="mechanism to switch off, or several joined by +"
 )
+@click.option("--jobs", default=None, type=int, help="processes to use; one a core by default")
 @click.option("--json-lines", type=click.Path(path_type=Path), help="file for all results")
 def main(
     names: tuple[str, ...],
     loads: tuple[float, ...],
     seeds: int,
     without: tuple[str, ...],
+    jobs: int | None,
     json_lines: Path | None,
 ) -> None:
     """Print the mean credit of each pattern, with its spread over the seeds."""
     chosen = names or tuple(sorted(path.stem for path in PATTERNS.glob("*.yaml")))
-    jobs = [
+    plays = [
         (name, load, seed, off)
         for name in chosen
         for load in loads or (1.0,)
         for off in ("", *without)
         for seed in range(1, seeds + 1)
     ]
-    with ProcessPoolExecutor() as pool:
-        results = list(pool.map(_play, jobs))
+    with ProcessPoolExecutor(jobs) as pool:
+        results = list(pool.map(_play, plays))
     if json_lines is not None:
         json_lines.write_text("".join(json.dumps(row) + "\n" for row in results), encoding="utf-8")
     _print(results)
