--- a/packages/coordination/src/pearward_coordination/overload/returns.py
+++ b/packages/coordination/src/pearward_coordination/overload/returns.py
@@ -14,7 +14,9 @@
 """Seconds under which coming back is asking again at once: a slot of the targets seen so far
 is given back about every 15 ms, and the way there and back takes 4 ms."""
 IN_TIME_SHARE = 0.7
-"""Part of the time in which a return may still be in time; the rest is for jitter."""
+"""Part of the time in which a return may still be in time; the rest is for jitter. Gain: with
+the ages below, 0.72 of the lookups are in time in place of 0.57 where half of their targets are
+lost (experiment tool, pattern lost, three seeds)."""
 USUAL_S = 0.25
 """Seconds after which a full queue is worth asking again where the objective is lost anyway:
 hot keys have moved by then, and bursts of a few requests are over."""
@@ -23,7 +25,9 @@
 
 
 WINDOW_S = 5.0
-"""Seconds for which what callers allow is remembered, and as long again."""
+"""Seconds for which what callers allow is remembered, and as long again. Gain: where callers
+come back three times, 0.90 of the lookups are in time in place of 0.82 (experiment tool, pattern
+abuse, three seeds)."""
 NEAR = 0.995
 """Part of the longest time allowed from which a request counts as a first try: callers that
 are refused come back after 40 ms or more, of 1.5 s allowed."""
--- a/packages/coordination/src/pearward_coordination/overload/waiting.py
+++ b/packages/coordination/src/pearward_coordination/overload/waiting.py
@@ -13,10 +13,14 @@
 __all__ = ["QueueAge", "Waiter", "patience_s"]
 
 BURST_S = 0.1
-"""Seconds for which a queue may be continuously taken before it counts as standing: two to
-three running times of usual targets, in which every slot is given back once or more."""
+"""Seconds for which a queue may be continuously taken before it counts as standing: a usual
+target gives six of its slots back meanwhile. Gain: of requests whose targets call others that
+are half lost, 3 in 100 fail in place of 24 (experiment tool, pattern lost-reports, three
+seeds); values from 0.05 to 0.3 differ by less than the seeds do."""
 STANDING_SHARE = 0.24
-"""Part of the latency objective for which a request waits in a standing queue."""
+"""Part of the latency objective for which a request waits in a standing queue: with the
+running time, about half of the objective is used then. Source: a model of four targets at 1.1
+times their capacity, where waiting as long as one can be in time earned 0.58 in place of 0.78."""
 RUN_MARGIN = 1.2
 """Running times of its route, over the mean, that must fit after the wait for a request in
 a burst to be in time: running times vary by half of their mean."""
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -22,7 +22,8 @@
 """Seconds for a request's headers to arrive in, before a configuration sets a limit."""
 PIPELINE = 16
 """Requests of one connection that are under way at once. Callers seen so far send up to a few
-behind one another; each takes some kilobytes here."""
+behind one another; each takes some kilobytes here. Gain: the last of four requests of 0.1 s is
+answered after 0.11 s in place of 0.42 s (median of 20, real processes on an idle machine)."""
 _SIDE_BY_SIDE = frozenset({b"GET", b"HEAD"})
 """Methods of requests that may run beside others of their connection: the safe ones."""
 TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
