The stand-in of the platform's settings has the way keys are given

The template asks for a field of the platform's settings, 'grants', which the fields of features/steps/platform_steps.py lacked, so that five scenarios of platform.feature could not fill it. The daemons' own runs had it. Change: the field is there, its value is checked, and a bad one is refused by name (one scenario more).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -68,6 +68,7 @@
       | fault                      | field             | value   |
       | the callers' address is odd | listen.callers   | nowhere |
       | the service is missing      | target.service   | None    |
+      | grants go by letter         | grants           | letter  |
       | the ratio is a text         | retries.ratio    | much    |
       | there is an unknown field   | surprise         | 1       |
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -14,7 +14,7 @@
 from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
 from pearward_daemon.errors import SettingsError
 from pearward_daemon.mesh.dialect import BeatAnswer
-from pearward_daemon.mesh.settings import MeshSettings
+from pearward_daemon.mesh.settings import GrantWay, MeshSettings
 from pearward_platform.beats import encode_answer, read_beat
 from pearward_platform.document import read_document
 from pearward_platform.headers import PlatformDialect
@@ -61,6 +61,7 @@
                "budgetWindowS": 10, "drainMs": 2000, "gracePeriodS": 6},
     "platform": {"address": "10.200.1.7:8627", "ttl_min_ms": 1000},
     "limits": {"cpuShare": 0.86, "memoryMb": 300, "linkMbps": 13.0},
+    "grants": "call",
 }  # fmt: skip
 
 # -- the configuration document ----------------------------------------------------------------
@@ -255,6 +256,7 @@
     changes = {
         "the callers' address is odd": lambda: data["listen"].update(callers="nowhere"),
         "the service is missing": lambda: data["target"].pop("service"),
+        "grants go by letter": lambda: data.update(grants="letter"),
         "the ratio is a text": lambda: data["retries"].update(ratio="much"),
         "there is an unknown field": lambda: data.update(surprise=1),
     }
@@ -274,6 +276,7 @@
     assert str(settings.callers) == "10.1.0.41:8629"
     assert str(settings.peers) == "10.1.0.41:7600"
     assert settings.retries.allowance == 64
+    assert settings.grant_way is GrantWay.CALL
 
 
 @then("every gap of the template is a field that the platform has")
