The planner's table of loads decays forward: a report costs its own rows

Cause: each owner's report faded and rewrote the whole table of keys; with 102 owners reporting 2.5 times a second more than half of the planner's processor time went there. Change: weights decay forward (Cormode and others, 2009) and are divided by one factor when they are read; the planner looks at all load once a report interval (0.4 s) in place of each tick (0.2 s), and asks for the sum alone where that is all it needs. Before: 1.8 ms a report with 10,000 keys known, at 10, 100 and 1,000 owners. After: 9 us a report (9.2, 8.2, 8.6 us), `make bench ONLY=load`.

--- a/packages/coordination/src/pearward_coordination/key_load.py
+++ b/packages/coordination/src/pearward_coordination/key_load.py
@@ -23,6 +23,12 @@
 """Seconds that a first report stands for."""
 FORGOTTEN = 0.02
 """Weight in requests below which a key is forgotten."""
+LEAST_SEEN_S = 0.2
+"""Seconds of requests that a rate stands for at least: fewer tell chance."""
+MOST_EXPONENT = 30.0
+"""Windows after which all weights are written anew: once in 90 s, far from a float's limit."""
+LARGEST_EXPONENT = 700.0
+"""Exponent beyond which a float is zero."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,31 +70,40 @@
 
 
 class KeyLoadTable:
-    """Requests a second by key, as a moving mean over all owners' reports."""
+    """Requests a second by key, as a moving mean over all owners' reports.
+
+    Weights decay forward (Cormode and others, 2009): what is added later weighs more, and all
+    are divided by one factor when they are read. A report so costs its own rows, whatever the
+    table holds: 9 us in place of 1.8 ms with 10,000 keys known (``make bench ONLY=load``).
+    """
 
     def __init__(self, window_s: float = WINDOW_S) -> None:
         self._window_s = window_s
         self._weights: dict[int, float] = {}
-        self._updated = 0.0
+        """Weight of each key, in requests at the landmark."""
+        self._total = 0.0
+        self._landmark = 0.0
         self._began: float | None = None
 
     def add(self, counts: Iterable[KeyCount], now: float) -> None:
         """Take an owner's report."""
-        self._fade(now)
-        if self._began is None or sum(self._weights.values()) < IDLE_WEIGHT:
+        scale = self._scale(now)
+        if self._began is None or self._total < IDLE_WEIGHT * scale:
             # After a time with hardly a request the mean begins anew.
             self._began = now - REPORT_S
-            self._weights.clear()
+            self._replace({}, now)
+            scale = 1.0
+        weights = self._weights
         for row in counts:
             # Joined neighbours count for the key in their middle.
             key = (row.first + row.last) // 2
-            self._weights[key] = self._weights.get(key, 0.0) + row.count
+            weights[key] = weights.get(key, 0.0) + row.count * scale
+            self._total += row.count * scale
 
     def begin_anew(self, recent: "KeyLoadTable", now: float) -> None:
         """Forget what was before a sudden change: go on from the load of a shorter window."""
         seen_s = recent.seen_s(now)
-        self._weights = {row.key: row.rate * seen_s for row in recent.rates(now)}
-        self._updated = now
+        self._replace({row.key: row.rate * seen_s for row in recent.rates(now)}, now)
         self._began = now + self._window_s * log(max(0.01, 1.0 - seen_s / self._window_s))
 
     def seen_s(self, now: float) -> float:
@@ -97,17 +112,35 @@
             return 0.0
         return self._window_s * (1.0 - exp(-max(0.0, now - self._began) / self._window_s))
 
+    def rate(self, now: float) -> float:
+        """Return the requests a second for all keys together."""
+        return self._total / self._scale(now) / max(self.seen_s(now), LEAST_SEEN_S)
+
     def rates(self, now: float) -> tuple[KeyRate, ...]:
         """Return requests a second by key, in the order of the keys."""
-        self._fade(now)
-        seen_s = max(self.seen_s(now), 0.2)
-        return tuple(KeyRate(key, self._weights[key] / seen_s) for key in sorted(self._weights))
-
-    def _fade(self, now: float) -> None:
-        factor = exp(-(now - self._updated) / self._window_s)
-        self._updated = now
-        self._weights = {
-            key: weight * factor
-            for key, weight in self._weights.items()
-            if weight * factor > FORGOTTEN
-        }
+        least = FORGOTTEN * self._scale(now)
+        if any(weight <= least for weight in self._weights.values()):
+            self._replace(
+                {key: weight for key, weight in self._weights.items() if weight > least},
+                self._landmark,
+            )
+        factor = 1.0 / (self._scale(now) * max(self.seen_s(now), LEAST_SEEN_S))
+        weights = self._weights
+        return tuple([KeyRate(key, weights[key] * factor) for key in sorted(weights)])
+
+    def _scale(self, now: float) -> float:
+        """Return what one request that comes now weighs at the landmark.
+
+        The landmark follows before the weights outgrow a float.
+        """
+        exponent = (now - self._landmark) / self._window_s
+        if exponent > MOST_EXPONENT:
+            factor = exp(-min(exponent, LARGEST_EXPONENT))
+            self._replace({key: w * factor for key, w in self._weights.items()}, now)
+            return 1.0
+        return exp(exponent)
+
+    def _replace(self, weights: dict[int, float], landmark: float) -> None:
+        self._weights = weights
+        self._total = sum(weights.values())
+        self._landmark = landmark
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -85,6 +85,8 @@
     load: KeyLoadTable = field(default_factory=KeyLoadTable)
     recent: KeyLoadTable = field(default_factory=lambda: KeyLoadTable(RECENT_S))
     surged_at: float = float("-inf")
+    looked_at: float = float("-inf")
+    """When the load was last looked at as a whole."""
     moved_at: float = 0.0
     owners_since: float | None = None
     stopping: dict[str, bool] = field(default_factory=dict)
@@ -295,6 +297,10 @@
         present = {owner.target for owner in owners}
         unheard = self._unheard(key_map, service, present, now) - silent
         orphaned = any(r.owner not in present | unheard for r in key_map.ranges)
+        if not orphaned and now - service.looked_at < REPORT_INTERVAL_S:
+            # Each owner's load is told anew once in this time: in between nothing is learned.
+            return None
+        service.looked_at = now
         load = self._load(key_map, service, now)
         learning = now - service.surged_at < SURGE_LEARNED_S
         pause_s = SURGE_PAUSE_S if learning else MOVE_PAUSE_S
@@ -394,7 +400,7 @@
 
     def _room_without(self, service: _Service, target: str, now: float) -> bool:
         """Return whether the owners that stay can run what is asked of all."""
-        asked = sum(row.rate for row in service.load.rates(now))
+        asked = service.load.rate(now)
         can = sum(
             report.capacity
             for other, (report, at) in service.reports.items()
--- a/packages/devtools/src/pearward_devtools/bench/__main__.py
+++ b/packages/devtools/src/pearward_devtools/bench/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-GROUPS = ("path", "faults", "slopes", "spread")
+GROUPS = ("path", "faults", "slopes", "spread", "load")
 
 
 @click.command()
