Few watchers follow the members, and key maps travel as changes

Cause: each change of a member cost one call of the store for each daemon; while the store turned a daemon away that had lost its lease, it asked ten times a second. Change: three members, in different failure domains, follow the store; the others ask one of them as they would ask the store, and it answers with the next news or after 1 s; who hears from none asks the store; watches begin anew with the lease's answer and are not tried meanwhile; a lease is asked for at 0.1 s, then up to 0.8 s apart. Test (features/mesh_decisions.feature, virtual time, 20 s): 83 daemons with a change each 0.33 s make at most 420 calls in all (17 a daemon, 1,411 in all, were allowed before), 200 make at most 660; the watchers are lost and nothing older than 3 s is missed. The scenario that allowed 17 calls a daemon is replaced by these.

Cause: every plan sent the whole map (18 kB with 102 owners, 2.5 ms to read) to all daemons, and each witness sent it again to an owner that was behind; maps that were not newer were read all the same. Change: the next version travels as the ranges and witness sets that are new, with a checksum; where the base is not held, or does not add up, nothing is applied, one line is logged and the whole map is asked for. Test (features/size.feature): less than a tenth of the bytes for 6 moved ranges of 408; five faults are refused; 300 random pairs of maps.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -147,15 +147,24 @@
     When the daemon of "one" says that its target takes no new work
     Then only "two" may get requests
 
-  Scenario Outline: Changes of a large fleet are taken together: <members> members
-    Given a store in which one of <members> members changes every <every> s
-    When a daemon follows the members for 20 s
-    Then it has made at most <calls> calls for changes, and missed none older than 2 s
+  Scenario Outline: Changes cost a few calls, however many daemons follow them: <members> members
+    Given <members> daemons and a store in which one of them changes every <every> s
+    When they follow the members for 20 s
+    Then all have made at most <calls> calls for changes, and missed none older than 2 s
+    And each has read all members from the store at most 1 times
 
     Examples:
       | members | every | calls |
-      | 14      | 2     | 12    |
-      | 83      | 0.33  | 17    |
+      | 14      | 2     | 60    |
+      | 83      | 0.33  | 420   |
+      | 200     | 0.33  | 660   |
+
+  Scenario: Who follows the store is lost: the others hear of changes all the same
+    Given 40 daemons and a store in which one of them changes every 0.5 s
+    When they follow the members for 10 s
+    And the watchers are lost and 8 s pass
+    Then none of the others has missed a change older than 3 s
+    And each has read all members from the store at most 1 times
 
   # -- key maps ------------------------------------------------------------------------------
 
--- a/features/size.feature
+++ b/features/size.feature
@@ -40,3 +40,25 @@
     Given a request that two targets had no free slot for
     Then the next target may be one of these two
     And when that one has no room either the request is refused
+
+  Scenario: The next version of a key map travels as what has changed
+    Given a key map of 102 owners with 408 ranges, and a next one with 6 ranges moved
+    When the one who wrote it tells a daemon that holds the former one
+    Then that daemon has the next one, and got less than a tenth of the whole map's bytes
+
+  Scenario Outline: A change that does not fit is refused, logged, and the whole map is asked for: <fault>
+    Given a key map of 102 owners with 408 ranges, and a next one with 6 ranges moved
+    When the one who wrote it tells a daemon that holds the former one, but <fault>
+    Then that daemon keeps what it had, logs versions, sender and reason, and asks for the whole map
+    And the whole map brings it to the next version
+
+    Examples:
+      | fault                            |
+      | the daemon lacks the base        |
+      | the daemon holds another base    |
+      | a range of the change is missing |
+      | an owner in it is another one    |
+      | the message is cut short         |
+
+  Scenario: Changes lead where whole maps lead, whatever the maps
+    Then 300 random maps and their random successors differ by changes that lead from one to the other
--- a/features/steps/mesh_key_map_steps.py
+++ b/features/steps/mesh_key_map_steps.py
@@ -24,6 +24,7 @@
     has_surged,
     plan_moves,
 )
+from pearward_coordination.messages import Push
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_daemon.mesh.key_maps import KeyMaps
 from pearward_daemon.mesh.log import DecisionLog
@@ -250,10 +251,11 @@
 def sent_small(context: Any) -> None:
     sender, receiver = KeyMaps(_silent_log()), KeyMaps(_silent_log())
     sender.adopt(context.map)
-    version, context.sent = sender.entry(key_map_key("roster"))
-    assert version == 21
+    message = sender.message("roster")
+    assert isinstance(message, Push) and message.version == 21
+    context.sent = message.value
     assert len(context.sent) * 2 < len(encode_key_map(context.map)), len(context.sent)
-    receiver.adopt_entry(context.sent)
+    receiver.take(message)
     assert receiver.of("roster") == context.map
 
 
@@ -262,7 +264,7 @@
     log = mock.create_autospec(DecisionLog, instance=True)
     receiver = KeyMaps(log)
     for data in (context.sent[:-20], b"", b"no zlib", packed(b"no JSON"), packed(b"{}")):
-        receiver.adopt_entry(data)
+        receiver.take(Push(key_map_key("roster"), 21, data))
     assert receiver.of("roster") is None
     assert [call.args[0] for call in log.decided.call_args_list] == ["key_map_unreadable"] * 5
 
--- a/features/steps/mesh_store_steps.py
+++ b/features/steps/mesh_store_steps.py
@@ -1,13 +1,20 @@
 """Steps of a daemon's dealings with the store, in virtual time and against a counted store."""
 
-from typing import Any
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any, cast
+from unittest import mock
 
 from behave import given, then, when
 from twisted.internet.task import Clock
 
+from pearward_coordination.directory import Directory
+from pearward_coordination.messages import AskChanges, ControlMessage, PeerId, TellChanges
+from pearward_daemon.mesh import member_feed, store_session
 from pearward_daemon.mesh.log import DecisionLog
+from pearward_daemon.mesh.member_feed import MemberFeed
 from pearward_daemon.mesh.settings import MeshSettings
-from pearward_daemon.mesh.store_session import StoreSession
+from pearward_daemon.mesh.store_session import SessionListener, StoreSession
 from pearward_protocol.entries import encode_member, member_key
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.members import Member, TargetState
@@ -16,6 +23,7 @@
 
 STEP_S = 0.05
 CALL_S = 0.004
+LINK_S = 0.002
 LISTENERS = ("callers", "heartbeats", "readiness", "peers", "metrics")
 SETTINGS = {
     "instance": "one",
@@ -38,12 +46,12 @@
     def __init__(self, clock: Clock, members: int, every_s: float) -> None:
         self._clock = clock
         self._members = members
-        self._every_s = every_s
+        self.every_s = every_s
         self.waits = 0
 
     @property
     def _revision(self) -> int:
-        return 1 + int(self._clock.seconds() / self._every_s)
+        return 1 + int(self._clock.seconds() / self.every_s)
 
     async def scan(self, prefix: str) -> Snapshot:
         """Return all members."""
@@ -77,38 +85,123 @@
         return True
 
 
-class _Listener:
-    """Takes what a session reads and counts the members' changes."""
+class _Follower:
+    """One daemon's members, and its ways to the store and to the other daemons."""
 
-    def __init__(self) -> None:
+    def __init__(self, fleet: "_Fleet", number: int) -> None:
+        self.peer = PeerId(f"life-{number}", f"m{number}:1")
         self.written = 0
+        self.reads = 0
+        self._clock = fleet.clock
+        self._directory = Directory("a", f"m{number}")
+        settings = MeshSettings.from_config(SETTINGS | {"instance": f"m{number}"})
+        log = DecisionLog(1000, fleet.clock.seconds)
+
+        def send(address: str, message: ControlMessage) -> None:
+            fleet.deliver(self.peer, address, message)
+
+        self.feed = MemberFeed(fleet.clock, settings, fleet.store, self._directory, send, log)
+        self.session = StoreSession(
+            fleet.clock, settings, fleet.store, log, cast("SessionListener", self), self.feed
+        )
+
+    def take(self, sender: PeerId, message: ControlMessage) -> None:
+        """Take another daemon's message."""
+        if isinstance(message, AskChanges):
+            self.feed.asked(sender, message)
+        elif isinstance(message, TellChanges):
+            self.feed.told(message)
+
+    def members_read(self, members: list[Member]) -> None:
+        """All members were read from the store."""
+        self.reads += 1
+        self._directory.entries_read(members, self._clock.seconds())
 
     def member_written(self, member: Member) -> None:
+        """A member's entry has changed."""
         self.written += 1
+        self._directory.entry_written(member)
 
     def __getattr__(self, name: str) -> Any:
         return lambda *_: None
 
 
-@given("a store in which one of {members:d} members changes every {every:g} s")
+class _Fleet:
+    """Daemons that follow the members, in one process and in virtual time."""
+
+    def __init__(self, members: int, every_s: float) -> None:
+        self.clock = Clock()
+        self.store = ChangingStore(self.clock, members, every_s)
+        self.followers = [_Follower(self, number) for number in range(members)]
+        self._by_address = {each.peer.address: each for each in self.followers}
+        self.lost: set[str] = set()
+
+    def deliver(self, sender: PeerId, address: str, message: ControlMessage) -> None:
+        """Carry a message; those of lost daemons go nowhere."""
+        if address not in self.lost and sender.address not in self.lost:
+            receiver = self._by_address[address]
+            self.clock.callLater(LINK_S, receiver.take, sender, message)
+
+    def play(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            for follower in self.followers:
+                follower.feed.tick()
+
+
+@contextmanager
+def _virtual_time(fleet: _Fleet) -> Iterator[None]:
+    """Let the daemons read the time of the fleet's clock."""
+    with ExitStack() as stack:
+        for module in (member_feed, store_session):
+            stack.enter_context(mock.patch.object(module, "boot_time", fleet.clock.seconds))
+        yield
+
+
+@given("{members:d} daemons and a store in which one of them changes every {every:g} s")
 def changing_store(context: Any, members: int, every: float) -> None:
-    context.clock = Clock()
-    context.store = ChangingStore(context.clock, members, every)
-    context.listener = _Listener()
-    settings = MeshSettings.from_config(SETTINGS)
-    log = DecisionLog(1000, context.clock.seconds)
-    context.session = StoreSession(context.clock, settings, context.store, log, context.listener)
+    context.fleet = _Fleet(members, every)
 
 
-@when("a daemon follows the members for {seconds:d} s")
+@when("they follow the members for {seconds:d} s")
 def follow(context: Any, seconds: int) -> None:
-    context.session.start()
-    for _ in range(int(seconds / STEP_S)):
-        context.clock.advance(STEP_S)
+    with _virtual_time(context.fleet):
+        for follower in context.fleet.followers:
+            follower.session.start()
+        context.fleet.play(seconds)
+
+
+@when("the watchers are lost and {seconds:d} s pass")
+def watchers_lost(context: Any, seconds: int) -> None:
+    fleet = context.fleet
+    watchers = [f for f in fleet.followers if f.feed.is_watcher]
+    assert len(watchers) == 3, len(watchers)
+    fleet.lost = {f.peer.address for f in watchers}
+    fleet.followers = [f for f in fleet.followers if f not in watchers]
+    context.before = [f.written for f in fleet.followers]
+    context.lost_at = fleet.clock.seconds()
+    with _virtual_time(fleet):
+        fleet.play(seconds)
+
+
+@then("all have made at most {most:d} calls for changes, and missed none older than {late:g} s")
+def few_calls(context: Any, most: int, late: float) -> None:
+    fleet = context.fleet
+    assert 0 < fleet.store.waits <= most, fleet.store.waits
+    changes = int((fleet.clock.seconds() - late) / fleet.store.every_s)
+    behind = [f.written for f in fleet.followers if f.written < changes - 1]
+    assert not behind, (changes, behind)
 
 
-@then("it has made at most {most:d} calls for changes, and missed none older than {late:g} s")
-def few_calls(context: Any, most: int, late: float) -> None:
-    assert 0 < context.store.waits <= most, context.store.waits
-    changed = context.clock.seconds() - late
-    assert context.listener.written >= int(changed / context.store._every_s) - 1
+@then("each has read all members from the store at most {most:d} times")
+def few_reads(context: Any, most: int) -> None:
+    assert all(f.reads <= most for f in context.fleet.followers)
+
+
+@then("none of the others has missed a change older than {late:g} s")
+def none_missed(context: Any, late: float) -> None:
+    fleet = context.fleet
+    changes = int((fleet.clock.seconds() - late) / fleet.store.every_s)
+    behind = [f.written for f in fleet.followers if f.written < changes - 1]
+    assert not behind, (changes, behind)
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -4,9 +4,11 @@
 
 from .grants import HeldRow, ReleasedRow
 from .key_load import KeyCount
+from .watchers import EntryChange
 
 __all__ = [
     "Announce",
+    "AskChanges",
     "AskKeys",
     "AskRelease",
     "ControlMessage",
@@ -18,10 +20,12 @@
     "PeerId",
     "Pull",
     "Push",
+    "PushChange",
     "ReleaseReply",
     "Released",
     "Renew",
     "RenewReply",
+    "TellChanges",
     "VersionedKey",
 ]
 
@@ -158,6 +162,8 @@
     """Asks for the values of some keys."""
 
     keys: tuple[str, ...]
+    held: int = 0
+    """Version that the asker holds, where one key is asked for: a change may do then."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +175,16 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PushChange:
+    """What turns one version of a value into the next; of no use to who lacks the former."""
+
+    key: str
+    base: int
+    version: int
+    value: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class KeyReport:
     """The daemon beside a target of a keyed service tells the planner what it sees."""
@@ -212,6 +228,29 @@
     rows: tuple[ReleasedRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskChanges:
+    """Asks a watcher what has changed in the members' entries."""
+
+    nonce: int
+    after: int
+    """Revision of the store up to which the asker knows all."""
+
+
+@dataclass(frozen=True, slots=True)
+class TellChanges:
+    """A watcher's answer: with the next news, or after a while without any."""
+
+    nonce: int
+    follows: bool
+    """Whether the sender follows the store at present; if not, it tells nothing."""
+    known: bool
+    """Whether it knows all changes after the revision asked for; if not, it tells none."""
+    revision: int
+    """Revision of the store up to which all is told."""
+    changes: tuple[EntryChange, ...]
+
+
 ControlMessage = (
     Renew
     | RenewReply
@@ -227,4 +266,7 @@
     | KeyReport
     | AskKeys
     | KeysLetGo
+    | AskChanges
+    | TellChanges
+    | PushChange
 )
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -12,6 +12,7 @@
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import (
     Announce,
+    AskChanges,
     AskKeys,
     AskRelease,
     ControlMessage,
@@ -20,14 +21,16 @@
     PeerId,
     Pull,
     Push,
+    PushChange,
     ReleaseReply,
     Renew,
     RenewReply,
+    TellChanges,
 )
+from pearward_coordination.overload.policy import Mechanism
 from pearward_protocol.entries import key_map_key
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap, Predecessor
-from pearward_coordination.overload.policy import Mechanism
 from pearward_state.members import Member, TargetState
 from pearward_state.routes import RoutingTable
 from pearward_transport.clock import boot_time
@@ -38,6 +41,7 @@
 from .key_maps import KeyMaps
 from .key_planner import REPORT_INTERVAL_S, TICK_S, KeyPlanner
 from .log import DecisionLog
+from .member_feed import MemberFeed
 from .settings import MeshSettings
 from .store_session import StoreSession
 from .target_lease import TargetLease, Witnesses
@@ -93,7 +97,8 @@
             settings.instance, settings.service, settings.holds, self._side.keeper, self._maps,
             self._directory, self._witnesses, log, send,
         )  # fmt: skip
-        self._session = StoreSession(reactor, settings, store, log, self)
+        self._feed = MemberFeed(reactor, settings, store, self._directory, send, log)
+        self._session = StoreSession(reactor, settings, store, log, self, self._feed)
         self._table: RoutingTable | None = None
         self._on_table: Callable[[RoutingTable], None] | None = None
         self._former: list[str] = []
@@ -180,6 +185,7 @@
         self._side.reconsider()
         self._lease.ask_releases()
         self._answer_askers()
+        self._feed.tick()
 
     def _renew(self) -> None:
         """Keep the lease under which keys are granted."""
@@ -353,11 +359,9 @@
 
     def _spread(self, key_map: KeyMap) -> None:
         """Tell every other daemon of a map that this one wrote."""
-        entry = self._maps.entry(key_map_key(key_map.service))
-        if entry is None:
+        message = self._maps.message(key_map.service, key_map.version - 1)
+        if message is None:
             return
-        version, value = entry
-        message = Push(key_map_key(key_map.service), version, value)
         for member in self._directory.members:
             if member.instance != self._settings.instance:
                 self._send(member.peer_address, message)
@@ -373,7 +377,8 @@
         now = boot_time()
         if now - self._pulled.get(service, -1.0) >= ASK_INTERVAL_S:
             self._pulled[service] = now
-            self._send(address, Pull((key_map_key(service),)))
+            held = self._maps.version(service)
+            self._send(address, Pull((key_map_key(service),), held))
 
     # -- peers -----------------------------------------------------------------------------
 
@@ -384,7 +389,7 @@
                 self._directory.heard(message.target, boot_time())
                 version = self._planner.reported(message)
                 if version > message.version:
-                    self._send_map(message.service, sender)
+                    self._send_map(message.service, sender, message.version)
             case Renew():
                 self._asked_to_renew(message, sender)
             case RenewReply():
@@ -405,10 +410,18 @@
                 predecessor = Predecessor(message.target, message.fence)
                 self._side.released_elsewhere(predecessor, message.rows)
             case Push():
-                self._maps.adopt_entry(message.value)
+                self._maps.take(message)
+            case PushChange():
+                if self._maps.take_change(message, sender.address):
+                    # Whole: what was held did not do.
+                    self._send(sender.address, Pull((message.key,)))
             case Pull():
                 for key in message.keys:
-                    self._send_map(key.rpartition("/")[2], sender)
+                    self._send_map(key.rpartition("/")[2], sender, message.held)
+            case AskChanges():
+                self._feed.asked(sender, message)
+            case TellChanges():
+                self._feed.told(message)
             case Announce():
                 if message.version > self._maps.version(message.key.rpartition("/")[2]):
                     self._send(sender.address, Pull((message.key,)))
@@ -421,13 +434,14 @@
         if ask.adopted > known:
             self.want_map(ask.cell, sender.address)
         elif ask.adopted < known:
-            self._send_map(ask.cell, sender)
+            self._send_map(ask.cell, sender, ask.adopted)
         self._send(sender.address, self._witnesses.renew(ask))
 
-    def _send_map(self, service: str, peer: PeerId) -> None:
-        entry = self._maps.entry(key_map_key(service))
-        if entry is not None:
-            self._send(peer.address, Push(key_map_key(service), *entry))
+    def _send_map(self, service: str, peer: PeerId, held: int = 0) -> None:
+        """Send a peer the newest map, or the change to it from the one that it holds."""
+        message = self._maps.message(service, held)
+        if message is not None:
+            self._send(peer.address, message)
 
     def _asked_for_keys(self, question: AskKeys, asker: PeerId) -> None:
         """Answer now, or when the keys are let go."""
--- a/packages/daemon/src/pearward_daemon/mesh/key_maps.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_maps.py
@@ -2,16 +2,18 @@
 
 from collections.abc import Callable
 
+from pearward_coordination.messages import Push, PushChange
 from pearward_protocol.entries import (
     KEY_MAPS,
     decode_key_map,
+    decode_key_map_change,
     encode_key_map,
-    key_map_key,
+    encode_key_map_change,
     packed,
     unpacked,
 )
 from pearward_state.errors import InvalidRecord
-from pearward_state.keymap import KeyMap
+from pearward_state.keymap import KeyMap, changed_by
 
 from .log import DecisionLog
 
@@ -24,8 +26,11 @@
     def __init__(self, log: DecisionLog) -> None:
         self._log = log
         self._maps: dict[str, KeyMap] = {}
-        self._packed: dict[str, tuple[int, bytes]] = {}
-        """Version and packed entry of the maps that were sent; each is sent to every member."""
+        self._former: dict[str, KeyMap] = {}
+        """The maps that were known before the newest ones."""
+        self._whole: dict[str, Push] = {}
+        """Messages with the newest maps, made when first sent: each goes to many."""
+        self._changes: dict[str, PushChange] = {}
         self._listeners: list[Callable[[KeyMap], None]] = []
 
     def on_newer(self, listener: Callable[[KeyMap], None]) -> None:
@@ -43,27 +48,71 @@
 
     def adopt(self, key_map: KeyMap) -> bool:
         """Take a map if it is newer than the known one; return whether it was."""
-        if key_map.version <= self.version(key_map.service):
-            return False
+        known = self._maps.get(key_map.service)
+        if known is not None:
+            if key_map.version <= known.version:
+                return False
+            self._former[key_map.service] = known
         self._maps[key_map.service] = key_map
         for listener in self._listeners:
             listener(key_map)
         return True
 
-    def adopt_entry(self, value: bytes) -> None:
-        """Take a map as a peer sent it; one that cannot be read is logged."""
+    # -- between daemons ----------------------------------------------------------------
+
+    def take(self, message: Push) -> None:
+        """Take a whole map of a peer; one that cannot be read is logged."""
+        if message.version <= self.version(message.key.removeprefix(KEY_MAPS)):
+            return
         try:
-            self.adopt(decode_key_map(unpacked(value)))
+            self.adopt(decode_key_map(unpacked(message.value)))
         except InvalidRecord as error:
             self._log.decided("key_map_unreadable", failure=True, error=str(error))
 
-    def entry(self, key: str) -> tuple[int, bytes] | None:
-        """Return version and packed entry of the map that is kept under *key* in the store."""
-        key_map = self._maps.get(key.removeprefix(KEY_MAPS))
-        if key_map is None or key != key_map_key(key_map.service):
+    def take_change(self, message: PushChange, sender: str) -> bool:
+        """Take a change of a map; return whether the whole map has to be asked for."""
+        known = self._maps.get(message.key.removeprefix(KEY_MAPS))
+        held = known.version if known is not None else 0
+        if message.version <= held:
+            return False
+        why = "its base is not held"
+        if known is not None and message.base == held:
+            try:
+                self.adopt(known.after(decode_key_map_change(unpacked(message.value))))
+            except InvalidRecord as error:
+                why = str(error)
+            else:
+                return False
+        self._log.decided(
+            "key_map_change_refused", failure=True, key=message.key, held=held,
+            base=message.base, version=message.version, sender=sender, why=why,
+        )  # fmt: skip
+        return True
+
+    def message(self, service: str, held: int = 0) -> Push | PushChange | None:
+        """Return what brings a daemon that holds a version to the newest one.
+
+        A change where the daemon holds the former version: with 102 owners some hundred bytes
+        in place of 18 kB, and 0.2 ms in place of 2.5 ms to read.
+        """
+        key_map = self._maps.get(service)
+        if key_map is None:
             return None
-        sent = self._packed.get(key)
-        if sent is None or sent[0] != key_map.version:
+        former = self._former.get(service)
+        if former is not None and held == former.version:
+            return self._change(former, key_map)
+        sent = self._whole.get(service)
+        if sent is None or sent.version != key_map.version:
             # A link of 6 Mbit/s takes seconds for the plain map to all members of a fleet.
-            sent = self._packed[key] = (key_map.version, packed(encode_key_map(key_map)))
+            value = packed(encode_key_map(key_map))
+            sent = self._whole[service] = Push(KEY_MAPS + service, key_map.version, value)
+        return sent
+
+    def _change(self, former: KeyMap, key_map: KeyMap) -> PushChange:
+        sent = self._changes.get(key_map.service)
+        if sent is None or (sent.base, sent.version) != (former.version, key_map.version):
+            value = packed(encode_key_map_change(changed_by(former, key_map)))
+            sent = self._changes[key_map.service] = PushChange(
+                KEY_MAPS + key_map.service, former.version, key_map.version, value
+            )
         return sent
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -37,6 +37,7 @@
 )
 
 from .log import DecisionLog
+from .member_feed import MemberFeed
 from .settings import MeshSettings
 
 __all__ = ["SessionListener", "StoreSession"]
@@ -45,11 +46,6 @@
 """Seconds that one call waits for changes: each is priced, and the store allows 30."""
 GATHER_S = 0.25
 """Seconds after a change before the next call, so that changes in a row cost one."""
-GATHER_S_PER_MEMBER = 0.015
-"""The same for each member, where that is more: a change costs as many calls as there are
-daemons, and the fleet has as many changes. At 83 members this is 1.2 s."""
-MOST_GATHER_S = 1.5
-"""Who joins is to get requests within four seconds of its first heartbeat."""
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 0.8
 """Pauses after a failed call double up to this: what lapsed is to be back within 2 s."""
@@ -90,12 +86,14 @@
         store: FleetStore,
         log: DecisionLog,
         listener: SessionListener,
+        feed: MemberFeed,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._store = store
         self._log = log
         self._listener = listener
+        self._feed = feed
         self._lease = 0
         self._member: Member | None = None
         self._written: Member | None = None
@@ -168,6 +166,7 @@
     # -- the lease ------------------------------------------------------------------
 
     async def _keep_lease(self) -> None:
+        retry_s = FIRST_RETRY_S
         while not self._stopped:
             began = boot_time()
             try:
@@ -178,8 +177,13 @@
                 self._answered()
             except PlatformError as error:
                 self._failed(error)
-            pause = self._settings.store.keep_interval_s - (boot_time() - began)
-            await sleep(self._reactor, max(FIRST_RETRY_S, pause) if self._lease else FIRST_RETRY_S)
+            if self._lease:
+                retry_s = FIRST_RETRY_S
+                pause_s = self._settings.store.keep_interval_s - (boot_time() - began)
+                await sleep(self._reactor, max(FIRST_RETRY_S, pause_s))
+            else:
+                await sleep(self._reactor, retry_s)
+                retry_s = min(LAST_RETRY_S, retry_s * 2)
 
     async def _renew(self) -> None:
         lease = self._lease
@@ -295,6 +299,7 @@
             maps = [i for i in snapshot.items if i.key.startswith(KEY_MAPS)]
             self._listener.key_maps_read(self._decoded(maps, decode_key_map))
             self._note_former_targets(snapshot.items)
+            self._feed.began(snapshot.revision)
             return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
@@ -309,13 +314,11 @@
             for member in self._decoded([item], decode_member):
                 self._listener.member_written(member)
 
-        async def wait(after: int, wait_s: float) -> Changes:
-            return await self._store.changes(MEMBERS, after, wait_s)
-
-        await self._follow(number, read, wait, changed, self._gather_members_s)
+        await self._follow(number, read, self._feed.changes, changed, self._gather_members_s)
 
     def _gather_members_s(self) -> float:
-        return min(MOST_GATHER_S, max(GATHER_S, len(self._registered) * GATHER_S_PER_MEMBER))
+        """Return how long a watcher lets changes add up; the others are told what it knows."""
+        return GATHER_S if self._feed.is_watcher else 0.0
 
     async def _follow(
         self,
@@ -350,6 +353,9 @@
                 # Something may have been missed where a watch was cut: the store tells
                 # by HistoryGone if it has forgotten what came since.
                 self._log.decided("watch_cut", after=after, error=str(error))
+                if not self._available:
+                    # The lease is asked for all the time; with its answer this begins anew.
+                    return
                 await sleep(self._reactor, retry_s)
                 retry_s = min(LAST_RETRY_S, retry_s * 2)
 
@@ -358,6 +364,7 @@
     def _answered(self) -> None:
         if not self._available:
             self._available = True
+            self._feed.store_answers(True)
             self._log.decided("store_regained", lease=self._lease)
             self._listener.store_answers(boot_time())
             # Watches that were cut without a word would go on waiting.
@@ -366,5 +373,6 @@
     def _failed(self, error: PlatformError) -> None:
         if self._available:
             self._available = False
+            self._feed.store_answers(False)
             self._log.decided("store_lost", failure=True, error=str(error))
             self._listener.store_answers(None)
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -13,6 +13,7 @@
 from pearward_coordination.key_load import KeyCount
 from pearward_coordination.messages import (
     Announce,
+    AskChanges,
     AskKeys,
     AskRelease,
     ControlMessage,
@@ -23,12 +24,15 @@
     KeysLetGo,
     Pull,
     Push,
+    PushChange,
     Released,
     ReleaseReply,
     Renew,
     RenewReply,
+    TellChanges,
     VersionedKey,
 )
+from pearward_coordination.watchers import EntryChange
 
 from .errors import FrameError
 from .heads import schema
@@ -50,12 +54,16 @@
     KeyReport,
     AskKeys,
     KeysLetGo,
+    AskChanges,
+    TellChanges,
+    PushChange,
 )
 _ROWS: dict[str, type[Any]] = {
     "entries": VersionedKey,
     "confirmed": HeldRow,
     "counts": KeyCount,
     "rows": ReleasedRow,
+    "changes": EntryChange,
 }
 """Lists of rows, by their name in the schema, and what a row is."""
 _TEXTS = frozenset({"silent", "keys", "ended"})
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -12,7 +12,14 @@
 import orjson
 
 from pearward_state.errors import InvalidRecord
-from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange, Predecessor, TargetWitnesses
+from pearward_state.keymap import (
+    KeyMap,
+    KeyMapChange,
+    KeyRange,
+    Predecessor,
+    TargetWitnesses,
+    check_whole,
+)
 from pearward_state.members import Holder, Member, TargetState
 
 __all__ = [
@@ -21,9 +28,11 @@
     "MEMBERS",
     "decode_holder",
     "decode_key_map",
+    "decode_key_map_change",
     "decode_member",
     "encode_holder",
     "encode_key_map",
+    "encode_key_map_change",
     "encode_member",
     "holder_key",
     "key_map_key",
@@ -141,18 +150,7 @@
 
 def encode_key_map(key_map: KeyMap) -> bytes:
     """Return a key map's entry; targets are written once and named by number."""
-    targets = sorted(key_map.targets)
-    number = {target: index for index, target in enumerate(targets)}
-    ranges = [
-        [
-            r.first,
-            r.last,
-            number.get(r.owner, -1),
-            r.fence,
-            [[number[p.target], p.fence] for p in r.predecessors],
-        ]
-        for r in key_map.ranges
-    ]
+    targets, ranges = _rows(key_map.ranges)
     return orjson.dumps(
         {
             "service": key_map.service,
@@ -169,42 +167,90 @@
     """Read a key map; raises InvalidRecord, also where keys are missing or stand twice."""
 
     def read(data: Any) -> KeyMap:
-        targets = [str(target) for target in data["targets"]]
-        ranges = tuple(_range(row, targets) for row in data["ranges"])
-        _check_whole(ranges)
-        witnesses = tuple(
-            TargetWitnesses(target, tuple(tuple(map(str, names)) for names in sets))
-            for target, sets in sorted(data["witnesses"].items())
-        )
+        ranges = _ranges(data)
+        check_whole(ranges)
         return KeyMap(
-            str(data["service"]), int(data["version"]), ranges, int(data["fence"]), witnesses
-        )
+            str(data["service"]), int(data["version"]), ranges, int(data["fence"]),
+            _witnesses(data),
+        )  # fmt: skip
+
+    return _decoded(value, read)
+
+
+def encode_key_map_change(change: KeyMapChange) -> bytes:
+    """Return a change of a key map as it travels between daemons."""
+    targets, ranges = _rows(change.ranges)
+    return orjson.dumps(
+        {
+            "service": change.service,
+            "base": change.base,
+            "version": change.version,
+            "fence": change.fence,
+            "targets": targets,
+            "ranges": ranges,
+            "witnesses": {row.target: row.sets for row in change.witnesses},
+            "left": change.left,
+            "checksum": change.checksum,
+        }
+    )
+
+
+def decode_key_map_change(value: bytes) -> KeyMapChange:
+    """Read a change of a key map; raises InvalidRecord."""
+
+    def read(data: Any) -> KeyMapChange:
+        return KeyMapChange(
+            str(data["service"]), int(data["base"]), int(data["version"]), int(data["fence"]),
+            _ranges(data), _witnesses(data), tuple(map(str, data["left"])), int(data["checksum"]),
+        )  # fmt: skip
 
     return _decoded(value, read)
 
 
+def _rows(ranges: tuple[KeyRange, ...]) -> tuple[list[str], list[list[Any]]]:
+    """Return the targets that ranges name, and the ranges with their numbers."""
+    names = {r.owner for r in ranges if r.owner}
+    names.update(p.target for r in ranges for p in r.predecessors)
+    targets = sorted(names)
+    number = {target: index for index, target in enumerate(targets)}
+    rows = [
+        [
+            r.first,
+            r.last,
+            number.get(r.owner, -1),
+            r.fence,
+            [[number[p.target], p.fence] for p in r.predecessors],
+        ]
+        for r in ranges
+    ]
+    return targets, rows
+
+
+def _ranges(data: Any) -> tuple[KeyRange, ...]:
+    targets = [str(target) for target in data["targets"]]
+    return tuple([_range(row, targets) for row in data["ranges"]])
+
+
 def _range(row: list[Any], targets: list[str]) -> KeyRange:
     first, last, owner, fence, before = row
-    predecessors = tuple(Predecessor(targets[t], int(f)) for t, f in before)
+    predecessors = tuple([Predecessor(targets[t], int(f)) for t, f in before]) if before else ()
     return KeyRange(
         int(first), int(last), targets[owner] if owner >= 0 else "", int(fence), predecessors
     )
 
 
-def _check_whole(ranges: tuple[KeyRange, ...]) -> None:
-    """Refuse ranges that leave a key out or name one twice."""
-    expected = 0
-    for r in ranges:
-        if r.first != expected or r.last < r.first:
-            raise ValueError(f"range {r.first}..{r.last} where {expected} was expected")
-        expected = r.last + 1
-    if expected != KEY_SPACE:
-        raise ValueError(f"ranges end at {expected}")
+def _witnesses(data: Any) -> tuple[TargetWitnesses, ...]:
+    return tuple(
+        TargetWitnesses(target, tuple(tuple(map(str, names)) for names in sets))
+        for target, sets in sorted(data["witnesses"].items())
+    )
 
 
 def _decoded(value: bytes, read: Callable[[Any], _T]) -> _T:
     """Read JSON with *read*; anything that it stumbles over becomes InvalidRecord."""
     try:
         return read(orjson.loads(value))
+    except InvalidRecord as error:
+        raise InvalidRecord(f"{value[:120]!r}: {error}") from error
     except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
         raise InvalidRecord(f"{value[:120]!r}: {error!r}") from error
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -67,6 +67,13 @@
   count @2 :UInt32;
 }
 
+struct EntryChange {
+  key @0 :Text;
+  revision @1 :UInt64;
+  gone @2 :Bool;
+  value @3 :Data;
+}
+
 struct VersionedKey {
   key @0 :Text;
   version @1 :UInt64;
@@ -133,6 +140,13 @@
     }
     pull :group {
       keys @38 :List(Text);
+      held @72 :UInt64;
+    }
+    pushChange :group {
+      key @73 :Text;
+      base @74 :UInt64;
+      version @75 :UInt64;
+      value @76 :Data;
     }
     push :group {
       key @39 :Text;
@@ -167,5 +181,16 @@
       fence @62 :UInt64;
       rows @63 :List(ReleasedRow);
     }
+    askChanges :group {
+      nonce @65 :UInt64;
+      after @66 :UInt64;
+    }
+    tellChanges :group {
+      nonce @67 :UInt64;
+      follows @68 :Bool;
+      known @69 :Bool;
+      revision @70 :UInt64;
+      changes @71 :List(EntryChange);
+    }
   }
 }
--- a/packages/state/src/pearward_state/keymap.py
+++ b/packages/state/src/pearward_state/keymap.py
@@ -6,11 +6,25 @@
 keys only once every such predecessor has let them go.
 """
 
-from bisect import bisect_right
+import zlib
+from array import array
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-__all__ = ["KEY_SPACE", "KeyMap", "KeyRange", "Predecessor", "TargetWitnesses", "covered"]
+from .errors import InvalidRecord
+
+__all__ = [
+    "KEY_SPACE",
+    "KeyMap",
+    "KeyMapChange",
+    "KeyRange",
+    "Predecessor",
+    "TargetWitnesses",
+    "changed_by",
+    "check_whole",
+    "covered",
+]
 
 KEY_SPACE = 65_536
 """Keys are whole numbers below this. Source: the interface of targets divided by key."""
@@ -55,6 +69,17 @@
         return self.last - self.first + 1
 
 
+def check_whole(ranges: Iterable[KeyRange]) -> None:
+    """Refuse ranges that leave a key out or name one twice; raises InvalidRecord."""
+    expected = 0
+    for r in ranges:
+        if r.first != expected or r.last < r.first:
+            raise InvalidRecord(f"range {r.first}..{r.last} where {expected} was expected")
+        expected = r.last + 1
+    if expected != KEY_SPACE:
+        raise InvalidRecord(f"ranges end at {expected}")
+
+
 @dataclass(frozen=True, slots=True)
 class TargetWitnesses:
     """The instances that time the lease of one target's daemon."""
@@ -98,6 +123,56 @@
         """Return the ranges of one target."""
         return tuple(r for r in self.ranges if r.owner == target)
 
+    @property
+    def checksum(self) -> int:
+        """A number that tells this map from others: its ranges, owners, fences, predecessors."""
+        before = [p for r in self.ranges for p in r.predecessors]
+        numbers = array("Q", self._starts)
+        numbers.extend([r.fence for r in self.ranges])
+        numbers.extend([len(r.predecessors) for r in self.ranges])
+        numbers.extend([p.fence for p in before])
+        names = [r.owner for r in self.ranges]
+        names += [p.target for p in before]
+        return zlib.crc32("\n".join(names).encode(), zlib.crc32(numbers.tobytes()))
+
+    def after(self, change: "KeyMapChange") -> "KeyMap":
+        """Return the map that a change leads to.
+
+        Raises InvalidRecord where the change is to another map, or does not fit this one.
+        """
+        if (change.service, change.base) != (self.service, self.version):
+            raise InvalidRecord(
+                f"change of {change.service} from version {change.base} to {change.version} "
+                f"where {self.service} has version {self.version}"
+            )
+        changed = {row.target: row for row in change.witnesses}
+        changed = {w.target: w for w in self.witnesses if w.target not in change.left} | changed
+        witnesses = tuple(changed[target] for target in sorted(changed))
+        ranges = self._with(change.ranges)
+        check_whole(ranges)
+        key_map = KeyMap(self.service, change.version, ranges, change.fence, witnesses)
+        if key_map.checksum != change.checksum:
+            raise InvalidRecord(
+                f"change of {change.service} from version {change.base} to {change.version}: "
+                f"checksum {key_map.checksum} where {change.checksum} was expected"
+            )
+        return key_map
+
+    def _with(self, changed: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+        """Return the ranges with others in place of what these cover."""
+        result: list[KeyRange] = []
+        at = 0
+        for r in changed:
+            upto = bisect_left(self._starts, r.first, at)
+            if upto > at and self.ranges[upto - 1].last >= r.first:
+                # It ends within the new one: what is left of it is among the new ones as well.
+                upto -= 1
+            result.extend(self.ranges[at:upto])
+            result.append(r)
+            at = bisect_right(self._starts, r.last, upto)
+        result.extend(self.ranges[at:])
+        return tuple(result)
+
     def witnesses_of(self, target: str) -> tuple[tuple[str, ...], ...]:
         """Return the witness sets of a target, the one in force first."""
         for row in self.witnesses:
@@ -111,3 +186,39 @@
         owners = {r.owner for r in self.ranges if r.owner}
         before = {p.target for r in self.ranges for p in r.predecessors}
         return frozenset(owners | before)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyMapChange:
+    """What turns one version of a key map into the next."""
+
+    service: str
+    base: int
+    """Version that is changed."""
+    version: int
+    fence: int
+    ranges: tuple[KeyRange, ...]
+    """Ranges that the former version lacks, in order; they replace what they cover."""
+    witnesses: tuple[TargetWitnesses, ...]
+    """Witness sets that are new or have changed."""
+    left: tuple[str, ...]
+    """Targets that have no witness sets any more."""
+    checksum: int
+    """Checksum of the map that this leads to."""
+
+
+def changed_by(before: KeyMap, key_map: KeyMap) -> KeyMapChange:
+    """Return what turns *before* into a later version of the same map."""
+    known = set(before.ranges)
+    former = {row.target: row for row in before.witnesses}
+    targets = {row.target for row in key_map.witnesses}
+    return KeyMapChange(
+        key_map.service,
+        before.version,
+        key_map.version,
+        key_map.fence,
+        tuple(r for r in key_map.ranges if r not in known),
+        tuple(row for row in key_map.witnesses if former.get(row.target) != row),
+        tuple(sorted(former.keys() - targets)),
+        key_map.checksum,
+    )
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -26,6 +26,7 @@
     call_delivery,
     core,
     key_planner,
+    member_feed,
     store_session,
     target_lease,
     target_side,
@@ -367,7 +368,8 @@
 
     with ExitStack() as stack:
         for module in (
-            beat_answers, call_delivery, core, key_planner, store_session, target_lease,
+            beat_answers, call_delivery, core, key_planner, member_feed, store_session,
+            target_lease,
             target_side,
         ):  # fmt: skip
             stack.enter_context(mock.patch.object(module, "boot_time", now))
