Heartbeats, readiness and metrics are served by twisted.web.http alone

Cause: twisted.web.server imports templates, authentication and remote objects (64 of some 600 ms of a start by -X importtime), formats an access log line for each heartbeat (2 % of an idle daemon by py-spy) and keeps a timer a site. Change: a small server of whole requests in the transport layer; one of them serves readiness and metrics.

--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -6,8 +6,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import ControlMessage, PeerId
@@ -16,6 +14,7 @@
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
 from pearward_transport.http_server import CallerFactory, HttpLimits
+from pearward_transport.local_server import LocalReply, LocalRequest, LocalServer
 from pearward_transport.peer import PeerListener, PeerPool
 from pearward_transport.peer_connection import InboundHandler, PeerConnection
 from pearward_transport.store import FleetStore
@@ -44,6 +43,7 @@
 """Bytes of a request's headers before a configuration sets a limit."""
 HEADER_COUNT = 200
 MS_PER_S = 1000
+OK, UNAVAILABLE = 200, 503
 IDLE_S = 60.0
 """Seconds for which a caller's connection may rest before a configuration sets a limit."""
 IDLE_MARGIN_S = 1.0
@@ -60,12 +60,12 @@
         store: FleetStore,
         dialect: Dialect,
         grants: GrantPort,
-        beat_site: Callable[[TargetSide], Site],
+        beat_server: Callable[[TargetSide], LocalServer],
         rng: Random,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
-        self._beat_site = beat_site
+        self._beat_server = beat_server
         self._me = PeerId(secrets.token_hex(8), str(settings.peers_reached_at))
         self._log = DecisionLog(settings.log_lines_per_s, boot_time)
         link = LinkQueue(settings.link_mbit_per_s)
@@ -104,10 +104,11 @@
         peers = PeerListener(self._me, self, self._reactor, WINDOW, self._note_sent)
         listen(settings.peers.port, peers, interface=settings.peers.ip, backlog=512)
         self._core.start(self._table_changed)
-        heartbeats = self._beat_site(self._side)
+        heartbeats = self._beat_server(self._side)
+        status = LocalServer(self._status, self._reactor)
         listen(settings.heartbeats.port, heartbeats, interface=settings.heartbeats.ip)
-        listen(settings.readiness.port, self._status_site(), interface=settings.readiness.ip)
-        listen(settings.metrics.port, self._status_site(), interface=settings.metrics.ip)
+        listen(settings.readiness.port, status, interface=settings.readiness.ip)
+        listen(settings.metrics.port, status, interface=settings.metrics.ip)
         self._caller_port = listen(
             settings.callers.port, self._callers, interface=settings.callers.ip, backlog=512
         )
@@ -232,10 +233,13 @@
 
     # -- readiness, metrics ---------------------------------------------------------------
 
-    def _status_site(self) -> Site:
-        site = Site(_Status(lambda: self._core.missing, self._metrics.exposition))
-        site.noisy = False
-        return site
+    def _status(self, request: LocalRequest) -> LocalReply:
+        """Answer whether this daemon takes callers, or its figures."""
+        if request.path.endswith(b"/metrics"):
+            return LocalReply(self._metrics.exposition(), content_type=b"text/plain")
+        missing = self._core.missing
+        status = UNAVAILABLE if missing else OK
+        return LocalReply((missing or "ready").encode() + b"\n", status, b"text/plain")
 
     def _export_gauges(self) -> None:
         gauge = self._metrics.gauge
@@ -261,23 +265,3 @@
         gauge(
             "pearward.store.available", "Store answers", lambda: float(self._core.session.available)
         )
-
-
-class _Status(Resource):
-    """Readiness and metrics."""
-
-    isLeaf = True
-
-    def __init__(self, missing: Callable[[], str], exposition: Callable[[], bytes]) -> None:
-        super().__init__()
-        self._missing = missing
-        self._exposition = exposition
-
-    def render_GET(self, request: Any) -> bytes:
-        request.setHeader(b"Content-Type", b"text/plain")
-        if request.path.endswith(b"/metrics"):
-            return self._exposition()
-        missing = self._missing()
-        if missing:
-            request.setResponseCode(503)
-        return (missing or "ready").encode() + b"\n"
