The planner's holder and the registered members are put together after changes only

Change: both are kept until a member changes; lapsed members alone are looked through; who is there is noted once a second.

--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -63,6 +63,11 @@
         self._groups: dict[str, _Group] = {}
         """Members by service; put together anew when one was added, changed or forgotten."""
         self._services: dict[str, MeanService] = {}
+        self._registered: tuple[Member, ...] | None = None
+        """Members that have an entry; put together anew after each change."""
+        self._lapsed: set[str] = set()
+        """Instances whose entries are missing."""
+        self._revision = 0
         self._by_instance: dict[str, _Known] = {}
         self._by_target: dict[str, _Known] = {}
         self._store_since: float | None = None
@@ -80,7 +85,8 @@
 
     def entry_written(self, member: Member) -> None:
         """Take a new or changed entry."""
-        self._groups.clear()
+        self._changed()
+        self._lapsed.discard(member.instance)
         known = self._by_instance.get(member.instance)
         if known is not None and known.member.target == member.target:
             same_process = known.member.incarnation == member.incarnation
@@ -100,6 +106,8 @@
         """An entry lapsed or was taken away."""
         known = self._by_instance.get(instance)
         if known is not None and known.lapsed_at is None:
+            self._changed()
+            self._lapsed.add(instance)
             known.lapsed_at = now
 
     def store_answers(self, since: float | None) -> None:
@@ -132,8 +140,9 @@
 
     def expire(self, now: float) -> None:
         """Forget members whose entries have been gone for long."""
-        for known in list(self._by_instance.values()):
-            if self._gone_for(known, now) > LAPSED_KEPT_S:
+        for instance in tuple(self._lapsed):
+            known = self._by_instance.get(instance)
+            if known is not None and self._gone_for(known, now) > LAPSED_KEPT_S:
                 self._forget(known)
 
     def _gone_for(self, known: _Known, now: float) -> float:
@@ -145,9 +154,16 @@
             return NEVER
         return now - max(known.lapsed_at, self._store_since, known.heard_at + HEARD_S)
 
-    def _forget(self, known: _Known) -> None:
+    def _changed(self) -> None:
+        """A member was added, has changed or is forgotten."""
+        self._revision += 1
         self._groups.clear()
+        self._registered = None
+
+    def _forget(self, known: _Known) -> None:
+        self._changed()
         member = known.member
+        self._lapsed.discard(member.instance)
         if self._by_instance.get(member.instance) is known:
             del self._by_instance[member.instance]
         if self._by_target.get(member.target) is known:
@@ -161,9 +177,18 @@
         return [known.member for known in self._by_instance.values()]
 
     @property
-    def registered(self) -> list[Member]:
+    def revision(self) -> int:
+        """Rises with each change of the members."""
+        return self._revision
+
+    @property
+    def registered(self) -> tuple[Member, ...]:
         """Members that have an entry now."""
-        return [k.member for k in self._by_instance.values() if k.lapsed_at is None]
+        if self._registered is None:
+            self._registered = tuple(
+                k.member for k in self._by_instance.values() if k.lapsed_at is None
+            )
+        return self._registered
 
     def member_of(self, target: str) -> Member | None:
         """Return the member beside which a target runs."""
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -62,6 +62,8 @@
 believed: targets seen so far run at 0.6 to 1.6, and slow ones for some seconds at less."""
 WITNESS_GONE_S = 6.0
 """Seconds after which an instance without an entry is replaced as a witness."""
+SEEN_INTERVAL_S = 1.0
+"""Seconds between looks at who is there, for the instances that may be witnesses."""
 SETTLED_LEASES = 1.2
 """Leases after which nothing that former witnesses granted can run."""
 GRACE_S = 1.5
@@ -118,6 +120,10 @@
         self._services: dict[str, _Service] = {}
         self._on_duty_since: float | None = None
         self._registered = False
+        self._holder: Member | None = None
+        self._holder_known_by: tuple[int, bool] = (-1, False)
+        """Revision of the members, and state of the own entry, that the holder follows from."""
+        self._seen_at = float("-inf")
         self._seen: dict[str, tuple[str, float]] = {}
         """Failure domain of each instance that had an entry, and when that was last seen."""
         self._limits = PlanLimits()
@@ -135,12 +141,16 @@
         Leaving ones come last; of the others the one with the fastest link is taken, as each
         map goes from there to every member, and by name where links are alike.
         """
-        me = self._settings.instance
-        return min(
-            (m for m in self._directory.registered if m.instance != me or self._registered),
-            key=_fitness,
-            default=None,
-        )
+        known_by = (self._directory.revision, self._registered)
+        if known_by != self._holder_known_by:
+            self._holder_known_by = known_by
+            me = self._settings.instance
+            self._holder = min(
+                (m for m in self._directory.registered if m.instance != me or self._registered),
+                key=_fitness,
+                default=None,
+            )
+        return self._holder
 
     # -- what becomes known ------------------------------------------------------
 
@@ -184,8 +194,10 @@
         elif not mine and self._on_duty_since is not None:
             self._on_duty_since = None
             self._log.decided("planner_duty_ended", holder=holder.instance if holder else "")
-        for member in self._directory.registered:
-            self._seen[member.instance] = (member.failure_domain, now)
+        if now - self._seen_at >= SEEN_INTERVAL_S:
+            self._seen_at = now
+            for member in self._directory.registered:
+                self._seen[member.instance] = (member.failure_domain, now)
         if not mine:
             return
         for name in keyed_services:
