The load of a service's keys and the pauses between plans get a file of their own

One change of policy with it: while less than 1.5 s of load is known, as after the start of traffic, plans follow each other after 0.7 s in place of 1.5 s.

--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -13,16 +13,14 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
-from pearward_coordination.key_load import RECENT_S, KeyLoadTable
 from pearward_coordination.key_pieces import KeyOwner, rates_by_owner
 from pearward_coordination.keyplan import (
     PlanLimits,
-    PlannedLoad,
     first_map,
-    has_surged,
     plan_moves,
     without_targets,
 )
+from pearward_coordination.load_watch import LoadWatch
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
@@ -44,12 +42,6 @@
 """A report is used this long: five intervals."""
 SETTLE_S = 1.0
 """Seconds after the first owner is known before the first map is made: targets beat within."""
-MOVE_PAUSE_S = 1.5
-"""Seconds between two plans that only level load: keys that move rest for half a second."""
-SURGE_PAUSE_S = 0.7
-"""The same for as long after a surge of load as the load is still being learned."""
-SURGE_LEARNED_S = 1.5
-"""Seconds after a surge by which the load is known about as well as ever."""
 RESTART_SILENT_S = 4.0
 """The same after a planned stop: a daemon that ended stands again after 1.4 s, and reports
 when its target has beaten, up to 0.9 s later; what else is lost then waits as long."""
@@ -84,12 +76,7 @@
     ended: set[str] = field(default_factory=set)
     confirmed_at: dict[str, float] = field(default_factory=dict)
     """When an owner first acted on a map that changed its witnesses."""
-    load: KeyLoadTable = field(default_factory=KeyLoadTable)
-    recent: KeyLoadTable = field(default_factory=lambda: KeyLoadTable(RECENT_S))
-    surged_at: float = float("-inf")
-    looked_at: float = float("-inf")
-    """When the load was last looked at as a whole."""
-    moved_at: float = 0.0
+    load: LoadWatch = field(default_factory=lambda: LoadWatch(PlanLimits()))
     owners_since: float | None = None
     stopping: dict[str, bool] = field(default_factory=dict)
     """Targets whose daemons were told to stop, and are to be started again; whether the
@@ -158,8 +145,7 @@
         """Take an owner's report; return the version of the map that it should know."""
         now = boot_time()
         service = self._service(report.service)
-        service.load.add(report.counts, now)
-        service.recent.add(report.counts, now)
+        service.load.reported(report.counts, now)
         if report.target:
             service.reports[report.target] = (report, now)
         for target in report.ended:
@@ -309,21 +295,22 @@
         present = {owner.target for owner in owners}
         unheard = self._unheard(key_map, service, present, now) - silent
         orphaned = any(r.owner not in present | unheard for r in key_map.ranges)
-        if not orphaned and now - service.looked_at < REPORT_INTERVAL_S:
-            # Each owner's load is told anew once in this time: in between nothing is learned.
+        if not orphaned and not service.load.is_due(now):
             return None
-        service.looked_at = now
-        load = self._load(key_map, service, now)
-        learning = now - service.surged_at < SURGE_LEARNED_S
-        pause_s = SURGE_PAUSE_S if learning else MOVE_PAUSE_S
-        if not orphaned and now - service.moved_at < pause_s:
+        load, surged = service.load.look(key_map, now)
+        if surged:
+            self._log.decided(
+                "load_surged", service=key_map.service, version=key_map.version,
+                asked=round(sum(row.rate for row in load.rates)),
+            )  # fmt: skip
+        if not orphaned and not service.load.may_move(now):
             return None
         planned = plan_moves(
             key_map, owners, load, frozenset(service.ended), self._limits, fixed=unheard
         )
         if planned is None:
             return None
-        service.moved_at = now
+        service.load.moved(now)
         asked = rates_by_owner(key_map, load.rates)
         self._log.decided(
             "keys_moved", service=key_map.service, version=planned.version,
@@ -335,21 +322,6 @@
         )  # fmt: skip
         return planned
 
-    def _load(self, key_map: KeyMap, service: _Service, now: float) -> PlannedLoad:
-        """Return the load to plan by; after a surge, what came before it is forgotten."""
-        load = PlannedLoad(service.load.rates(now), service.load.seen_s(now))
-        recent = PlannedLoad(service.recent.rates(now), service.recent.seen_s(now))
-        if not has_surged(key_map, recent, load, self._limits):
-            return load
-        service.surged_at = now
-        service.load.begin_anew(service.recent, now)
-        self._log.decided(
-            "load_surged", service=key_map.service, version=key_map.version,
-            asked=round(sum(row.rate for row in recent.rates)),
-            usually=round(sum(row.rate for row in load.rates)),
-        )  # fmt: skip
-        return PlannedLoad(service.load.rates(now), service.load.seen_s(now))
-
     def _unheard(
         self, key_map: KeyMap, service: _Service, present: set[str], now: float
     ) -> frozenset[str]:
