Where hardly a target has a free place, nobody asks for one first

Change: a daemon keeps the odds of a place without a queue by service and asks for one first only at 0.4 or more, and with one request in eight below that. A daemon that becomes a watcher, or is none any more, says so in the log; gauges tell who plans and who watches. Test: features/size.feature.

--- a/features/size.feature
+++ b/features/size.feature
@@ -36,6 +36,12 @@
     When 3 requests come
     Then a request that may go elsewhere is refused, and one that may not waits
 
+  Scenario: Where hardly a target has a free place nobody asks for one first, but for a few
+    Given a service of whose targets 9 in 10 have a queue
+    When 200 requests look for a target
+    Then fewer than 60 of them ask for a place without a queue
+    And when the rush is over, all of the next 100 but 40 ask for one
+
   Scenario: The last target that is asked may be one that said how short its queue is
     Given a request that two targets had no free slot for
     Then the next target may be one of these two
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -11,7 +11,7 @@
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
 from pearward_coordination.directory import Directory
 from pearward_coordination.key_load import WINDOW_S, KeyCount, KeyLoadTable
-from pearward_coordination.selection import TargetLoad, choose_target
+from pearward_coordination.selection import IdleOdds, TargetLoad, choose_target
 from pearward_coordination.slots import Refused, SlotTicket
 from pearward_state.members import Member, TargetState
 from pearward_state.outcome import Outcome, Reason
@@ -198,3 +198,34 @@
 def refused_at_last(context: Any) -> None:
     step = context.plan.after_failure(Outcome.NOT_RUN, Reason.OVERLOADED, "t2", NOW)
     assert step is NextStep.GIVE_UP
+
+
+@given("a service of whose targets 9 in 10 have a queue")
+def rush(context: Any) -> None:
+    context.odds = IdleOdds()
+    context.rng = Random(4)
+
+
+@when("{count:d} requests look for a target")
+def requests_look(context: Any, count: int) -> None:
+    context.asked = _asking(context, count, free=0.1)
+
+
+def _asking(context: Any, count: int, free: float) -> int:
+    """Let requests look for a target; return how many ask for a place without a queue."""
+    asked = 0
+    for _ in range(count):
+        if context.odds.worth_asking():
+            asked += 1
+            context.odds.asked(found=context.rng.random() < free)
+    return asked
+
+
+@then("fewer than {most:d} of them ask for a place without a queue")
+def few_ask(context: Any, most: int) -> None:
+    assert context.asked < most, context.asked
+
+
+@then("when the rush is over, all of the next {count:d} but {skipped:d} ask for one")
+def ask_again(context: Any, count: int, skipped: int) -> None:
+    assert _asking(context, count, free=1.0) >= count - skipped
--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -20,6 +20,7 @@
     "NEAR_LOOKS",
     "Candidate",
     "Exchange",
+    "IdleOdds",
     "LoadView",
     "MeanService",
     "TargetLoad",
@@ -57,6 +58,13 @@
 42 us a choice in place of 293 among 75 targets of 195 members (processor time, 3,000 choices)."""
 REPORT_WEIGHT = 0.05
 """Weight of the newest report in the mean time of a service: some twenty targets' speeds."""
+LEAST_ODDS = 0.4
+"""Part of the targets that must have a place without a queue for that to be asked for: below it
+two that are asked find one in half of the cases at most."""
+ODDS_WEIGHT = 0.1
+"""Weight of the newest answer in these odds: ten answers, three seconds of a usual daemon."""
+ASK_AGAIN = 8
+"""One request in so many asks all the same."""
 DRAWS_PER_LOOK = 4
 """Targets that are drawn for each one that is compared before all are gone through: while three
 quarters of them cannot be asked, this finds one in two of three cases."""
@@ -212,6 +220,30 @@
     return best
 
 
+class IdleOdds:
+    """How often targets of a service that are asked for a place without a queue have one.
+
+    Where few of them do, asking first for such a place costs two daemons half a millisecond of
+    processor time each time and finds nothing: the first target that is asked may as well keep
+    the request. One request in a while still asks, so that the end of the rush is seen.
+    """
+
+    def __init__(self) -> None:
+        self._found = 1.0
+        self._skipped = 0
+
+    def worth_asking(self) -> bool:
+        """Return whether the next request should look for a place without a queue first."""
+        if self._found >= LEAST_ODDS:
+            return True
+        self._skipped = (self._skipped + 1) % ASK_AGAIN
+        return self._skipped == 0
+
+    def asked(self, *, found: bool) -> None:
+        """A target was asked and had such a place, or not."""
+        self._found += ODDS_WEIGHT * (found - self._found)
+
+
 class WeightedTurns:
     """Shares one route's requests among services exactly by their weights."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -261,6 +261,11 @@
             "pearward.configuration.version", "Configuration in force",
             lambda: self._core.table.version if self._core.table is not None else 0,
         )  # fmt: skip
+        gauge("pearward.planner", "Plans the keys", lambda: float(self._core.planner.on_duty))
+        gauge(
+            "pearward.watcher", "Follows the members in the store",
+            lambda: float(self._core.feed.is_watcher),
+        )  # fmt: skip
         gauge("pearward.members", "Members known", lambda: len(self._core.directory.members))
         gauge(
             "pearward.store.available", "Store answers", lambda: float(self._core.session.available)
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -131,6 +131,11 @@
         """The dealings with the store."""
         return self._session
 
+    @property
+    def feed(self) -> MemberFeed:
+        """Where changes of the members are heard of."""
+        return self._feed
+
     @property
     def planner(self) -> KeyPlanner:
         """The duty of planning, which this daemon may have."""
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -10,7 +10,13 @@
 from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.overload.returns import UsualDeadline
 from pearward_coordination.retry_window import RetryWindow
-from pearward_coordination.selection import Exchange, TargetLoad, WeightedTurns, choose_target
+from pearward_coordination.selection import (
+    Exchange,
+    IdleOdds,
+    TargetLoad,
+    WeightedTurns,
+    choose_target,
+)
 from pearward_protocol.errors import BadHeader
 from pearward_state.routes import RequestKind, Route, RoutingTable
 from pearward_transport.caller_request import BodySink, CallerRequest
@@ -124,6 +130,7 @@
         """Mean size of a request and its answer, by route."""
         self._deadlines: dict[str, UsualDeadline] = {}
         """Time that callers usually allow for their first try, by route."""
+        self._odds: dict[str, IdleOdds] = {}
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._refusing_s = 0.0
@@ -299,9 +306,11 @@
         """Return whether a service has a target that was not tried."""
         return self.directory.has_candidate(service, frozenset(tried))
 
-    def idle_first(self) -> bool:
-        """Return whether targets without a free slot are passed over at first."""
-        return self._settings.overload.uses(Mechanism.IDLE_FIRST)
+    def idle_odds(self, service: str) -> IdleOdds | None:
+        """Return how often targets of a service have a free place; None where nobody asks."""
+        if not self._settings.overload.uses(Mechanism.IDLE_FIRST):
+            return None
+        return self._odds.setdefault(service, IdleOdds())
 
     def connection(self, address: str) -> PeerConnection | None:
         """Return the connection to another daemon if it is up."""
--- a/packages/daemon/src/pearward_daemon/mesh/member_feed.py
+++ b/packages/daemon/src/pearward_daemon/mesh/member_feed.py
@@ -4,13 +4,19 @@
 case, so that one that is silent is found out. Whoever hears from no watcher asks the store.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
-from pearward_coordination.messages import AskChanges, PeerId, TellChanges
+from pearward_coordination.messages import (
+    AskChanges,
+    ControlMessage,
+    PeerId,
+    TellChanges,
+)
 from pearward_coordination.watchers import ChangeLog, EntryChange, Watchers
 from pearward_protocol.entries import MEMBERS
 from pearward_protocol.etcd import WatchEvent
@@ -50,7 +56,7 @@
         settings: MeshSettings,
         store: FleetStore,
         directory: Directory,
-        send: Any,
+        send: Callable[[str, ControlMessage], None],
         log: DecisionLog,
     ) -> None:
         self._reactor = reactor
@@ -63,6 +69,8 @@
         self._questions: list[_Question] = []
         self._nonce = 0
         self._asked: dict[int, Deferred[TellChanges | None]] = {}
+        self._watches: bool | None = None
+        """Whether this daemon was a watcher when it last asked; None before."""
         self._from_store = 0
         """Calls to the store that wait for changes now."""
         self._followed_at = float("-inf")
@@ -100,7 +108,12 @@
 
         Raises what the store raises: HistoryGone where all has to be read anew.
         """
-        if not self.is_watcher:
+        watches = self.is_watcher
+        if watches != self._watches:
+            self._watches = watches
+            members = len(self._directory.registered)
+            self._log.decided("watching", follows_store=watches, members=members, after=after)
+        if not watches:
             for watcher in self._watchers.to_ask(self._directory.registered, boot_time()):
                 told = await self._ask(watcher, after)
                 if told is not None:
@@ -176,7 +189,7 @@
         before = boot_time() - HOLD_S
         self._answer(lambda question: question.came <= before)
 
-    def _answer(self, due: Any) -> None:
+    def _answer(self, due: Callable[[_Question], bool]) -> None:
         """Answer the questions that are due."""
         waiting: list[_Question] = []
         answers: dict[int, TellChanges] = {}
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -26,6 +26,8 @@
 from .dialect import CallerIntent
 
 if TYPE_CHECKING:
+    from pearward_coordination.selection import IdleOdds
+
     from .ingress import MeshIngress, Placement
 
 __all__ = ["RoutedRequest"]
@@ -85,6 +87,8 @@
         )
         self._retry_after_s = 0.0
         self._last_reason: Reason | None = None
+        self._idle_asked: IdleOdds | None = None
+        """Told whether the target that was asked first had a place without a queue."""
         self._answering = False
         self._caller_paused = False
         self._unconsumed = 0
@@ -269,9 +273,17 @@
 
     def _asks_idle(self, placement: Placement) -> bool:
         """Return whether the target is passed over if it has no free slot now."""
-        if self._keyed or not self._ingress.idle_first():
+        odds = None if self._keyed else self._ingress.idle_odds(self._service)
+        if odds is None or self._asks_last(placement) or not odds.worth_asking():
             return False
-        return not self._asks_last(placement)
+        self._idle_asked = odds
+        return True
+
+    def _idle_told(self, *, found: bool) -> None:
+        """The target that was asked for a place without a queue has answered."""
+        odds, self._idle_asked = self._idle_asked, None
+        if odds is not None:
+            odds.asked(found=found)
 
     def _asks_last(self, placement: Placement) -> bool:
         """Return whether no other target would be asked if this one refuses."""
@@ -319,6 +331,7 @@
             attempt.send_data(rest, ended=self._body_ended)
 
     def _cancel_attempt(self) -> None:
+        self._idle_asked = None
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
@@ -337,6 +350,7 @@
             return
         if head.load is not None:
             self._ingress.loaded(self._placement.target, head.load)
+        self._idle_told(found=head.reason is not Reason.OVERLOADED)
         if head.outcome is not Outcome.SERVED:
             self._refused(head)
             return
--- a/packages/devtools/src/pearward_devtools/experiment/model.py
+++ b/packages/devtools/src/pearward_devtools/experiment/model.py
@@ -17,6 +17,7 @@
     FAR_LOOKS,
     NEAR_LOOKS,
     Candidate,
+    IdleOdds,
     LoadView,
     MeanService,
     TargetLoad,
@@ -115,6 +116,7 @@
         }
         self._keyed = {spec.name for spec in pattern.services if spec.keyed}
         self._views: dict[tuple[int, str], LoadView] = {}
+        self._odds: dict[tuple[int, str], IdleOdds] = {}
         self._usual: dict[tuple[int, str], MeanService] = {}
         self.tally = Tally({r.name: Fate() for r in pattern.requests if r.per_s})
 
@@ -254,6 +256,10 @@
         """Return whether a service has a target that was not tried."""
         return any(t.name not in tried and not t.lost for t in self._targets[spec.service])
 
+    def odds(self, requester: int, service: str) -> IdleOdds:
+        """Return how often one requester finds a place without a queue at a service."""
+        return self._odds.setdefault((requester, service), IdleOdds())
+
     def loaded(self, requester: int, target: _Target, load: TargetLoad) -> None:
         """A requester was told a target's load."""
         self.view(requester, target).reported(load, self.now)
@@ -379,12 +385,16 @@
             and not self._plan.asks_last
             and world.policy.uses(Mechanism.IDLE_FIRST)
             and world.has_other(spec, self._plan.tried | {target.name})
+            and world.odds(self._requester, spec.service).worth_asking()
         )
         ticket = SlotTicket(
             spec.rank, self._deadline, objective, arrives, spec.name, idle_only=idle_only
         )
 
         def back(outcome: Outcome, reason: Reason | None, back_s: float) -> None:
+            if idle_only:
+                odds = world.odds(self._requester, spec.service)
+                odds.asked(found=reason is not Reason.OVERLOADED)
             load = target.load(world.now)
             world.after(HOP_S, lambda: self._answered(target, load, outcome, reason, back_s))
 
