Only owners that surely have too much give keys away

Daemons also worked out the change of a map anew that they had just received. Change: owners give keys only if they are over their share by two standard deviations and by the tolerance; a received change is passed on as it came.

--- a/features/size.feature
+++ b/features/size.feature
@@ -68,3 +68,14 @@
 
   Scenario: Changes lead where whole maps lead, whatever the maps
     Then 300 random maps and their random successors differ by changes that lead from one to the other
+
+  Scenario: What is uneven by chance among a hundred owners moves hardly a key
+    Given 102 owners whose keys are asked for 1000 times a second in all, by chance
+    When their load is planned for 6 s
+    Then the map has fewer than 300 ranges, and no owner has 1.5 times its share
+
+  Scenario: One owner of a hundred that has surely too much gives it to the others
+    Given 102 owners whose keys are asked for 1000 times a second in all, by chance
+    And the first of them is asked for 60 a second more
+    When their load is planned for 6 s
+    Then no owner has 1.5 times its share
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -11,8 +11,12 @@
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
 from pearward_coordination.directory import Directory
 from pearward_coordination.key_load import WINDOW_S, KeyCount, KeyLoadTable
+from pearward_coordination.key_pieces import KeyOwner
+from pearward_coordination.keyplan import PlanLimits, first_map, plan_moves
+from pearward_coordination.load_watch import LOOK_INTERVAL_S, LoadWatch
 from pearward_coordination.selection import IdleOdds, TargetLoad, choose_target
 from pearward_coordination.slots import Refused, SlotTicket
+from pearward_state.keymap import KEY_SPACE
 from pearward_state.members import Member, TargetState
 from pearward_state.outcome import Outcome, Reason
 
@@ -229,3 +233,66 @@
 @then("when the rush is over, all of the next {count:d} but {skipped:d} ask for one")
 def ask_again(context: Any, count: int, skipped: int) -> None:
     assert _asking(context, count, free=1.0) >= count - skipped
+
+
+# -- planning ----------------------------------------------------------------------------------
+
+
+@given("{owners:d} owners whose keys are asked for {rate:d} times a second in all, by chance")
+def owners_by_chance(context: Any, owners: int, rate: int) -> None:
+    context.owners = [KeyOwner(f"t{number}", rate / owners / 0.7) for number in range(owners)]
+    context.key_map = first_map("roster", context.owners)
+    context.rates = {(0, KEY_SPACE - 1): float(rate)}
+
+
+@given("the first of them is asked for {rate:d} a second more")
+def first_has_more(context: Any, rate: int) -> None:
+    first = context.key_map.ranges[0]
+    context.rates[(first.first, first.last)] = float(rate)
+
+
+@when("their load is planned for {seconds:d} s")
+def planned(context: Any, seconds: int) -> None:
+    rng = Random(2)
+    watch = LoadWatch(PlanLimits())
+    now = NOW
+    while now < NOW + seconds:
+        now += LOOK_INTERVAL_S
+        counts: dict[int, int] = {}
+        for (first, last), rate in context.rates.items():
+            mean = rate * LOOK_INTERVAL_S
+            for _ in range(max(0, round(rng.gauss(mean, mean**0.5)))):
+                key = rng.randint(first, last)
+                counts[key] = counts.get(key, 0) + 1
+        watch.reported([KeyCount(key, key, count) for key, count in counts.items()], now)
+        load, _ = watch.look(context.key_map, now)
+        if not watch.may_move(now):
+            continue
+        moved = plan_moves(context.key_map, context.owners, load, frozenset(), PlanLimits())
+        if moved is not None:
+            watch.moved(now)
+            context.key_map = moved
+
+
+def _true_rates(context: Any) -> dict[str, float]:
+    """Return what each owner is asked for, without chance."""
+    found: dict[str, float] = {}
+    for (first, last), rate in context.rates.items():
+        for r in context.key_map.ranges:
+            shared = min(r.last, last) - max(r.first, first) + 1
+            if shared > 0:
+                found[r.owner] = found.get(r.owner, 0.0) + rate * shared / (last - first + 1)
+    return found
+
+
+@then("the map has fewer than {most:d} ranges, and no owner has {times:g} times its share")
+def few_ranges(context: Any, most: int, times: float) -> None:
+    assert len(context.key_map.ranges) < most, len(context.key_map.ranges)
+    even(context, times)
+
+
+@then("no owner has {times:g} times its share")
+def even(context: Any, times: float) -> None:
+    rates = _true_rates(context)
+    share = sum(rates.values()) / len(context.owners)
+    assert max(rates.values()) < times * share, max(rates.values()) / share
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -240,7 +240,8 @@
         excess = (rates[target] - mean * by_target[target].capacity) * seen_s
         return excess > limits.certainty * float((rates[target] * seen_s) ** 0.5)
 
-    if not any(uneven(target) for target in rates):
+    donors = {target for target in rates if uneven(target)}
+    if not donors:
         return False
     by_owner: dict[str, list[Piece]] = {target: [] for target in by_target}
     for piece in pieces:
@@ -250,18 +251,18 @@
         own.sort(key=lambda p: -p.rate)
     moved = 0
     most_moves = max(limits.moves, limits.moves_per_owner * len(by_target))
-    stuck: set[str] = set()
-    while moved < most_moves and len(stuck) < len(rates):
-        busiest = max((t for t in rates if t not in stuck), key=used)
+    while moved < most_moves and donors:
+        busiest = max(donors, key=used)
         idlest = min(rates, key=used)
         excess = rates[busiest] - mean * by_target[busiest].capacity
         room = mean * by_target[idlest].capacity - rates[idlest]
         if used(busiest) - mean <= limits.tolerance / 3:
-            break
+            donors.discard(busiest)
+            continue
         fitting = _best_fit(by_owner[busiest], min(excess, room))
         if fitting is None:
             # What it has left are keys that are too heavy for anybody.
-            stuck.add(busiest)
+            donors.discard(busiest)
             continue
         by_owner[busiest].remove(fitting)
         by_owner[idlest].append(fitting)
--- a/packages/daemon/src/pearward_daemon/mesh/key_maps.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_maps.py
@@ -79,6 +79,8 @@
         if known is not None and message.base == held:
             try:
                 self.adopt(known.after(decode_key_map_change(unpacked(message.value))))
+                # Others that hold the base get it as it came.
+                self._changes[known.service] = message
             except InvalidRecord as error:
                 why = str(error)
             else:
