--- a/packages/coordination/src/pearward_coordination/watchers.py
+++ b/packages/coordination/src/pearward_coordination/watchers.py
@@ -12,6 +12,8 @@
 
 from pearward_state.members import Member, TargetState
 
+from .directory import Directory
+
 __all__ = ["ChangeLog", "EntryChange", "Watchers", "watchers_of"]
 
 WATCHERS = 3
@@ -56,19 +58,32 @@
 class Watchers:
     """The watchers from one daemon's point of view, and which of them it asks."""
 
-    def __init__(self, instance: str, failure_domain: str) -> None:
+    def __init__(self, directory: Directory, instance: str, failure_domain: str) -> None:
+        self._directory = directory
         self._instance = instance
         self._failure_domain = failure_domain
+        self._chosen: list[Member] = []
+        self._chosen_by = -1
+        """Revision of the members that they were chosen by: going through all takes 0.2 ms."""
         self._silent: dict[str, float] = {}
 
-    def watches(self, members: Iterable[Member]) -> bool:
-        """Return whether this daemon is a watcher, or there is nobody else to ask."""
-        chosen = watchers_of(members)
+    @property
+    def chosen(self) -> list[Member]:
+        """The members that follow the store."""
+        if self._chosen_by != self._directory.revision:
+            self._chosen_by = self._directory.revision
+            self._chosen = watchers_of(self._directory.registered)
+        return self._chosen
+
+    @property
+    def has_own(self) -> bool:
+        """Whether this daemon is a watcher, or there is nobody else to ask."""
+        chosen = self.chosen
         return not chosen or any(member.instance == self._instance for member in chosen)
 
-    def to_ask(self, members: Iterable[Member], now: float) -> list[Member]:
+    def to_ask(self, now: float) -> list[Member]:
         """Return the watchers in the order in which they are asked; silent ones are left out."""
-        usable = [m for m in watchers_of(members) if self._silent.get(m.instance, 0.0) <= now]
+        usable = [m for m in self.chosen if self._silent.get(m.instance, 0.0) <= now]
         if not usable:
             return []
         # Those without one in their failure domain are spread over all.
--- a/packages/daemon/src/pearward_daemon/mesh/member_feed.py
+++ b/packages/daemon/src/pearward_daemon/mesh/member_feed.py
@@ -64,7 +64,7 @@
         self._directory = directory
         self._send = send
         self._log = log
-        self._watchers = Watchers(settings.instance, settings.failure_domain)
+        self._watchers = Watchers(directory, settings.instance, settings.failure_domain)
         self._changes = ChangeLog()
         self._questions: list[_Question] = []
         self._nonce = 0
@@ -82,7 +82,7 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this daemon follows the store itself."""
-        return self._watchers.watches(self._directory.registered)
+        return self._watchers.has_own
 
     @property
     def _follows(self) -> bool:
@@ -114,7 +114,7 @@
             members = len(self._directory.registered)
             self._log.decided("watching", follows_store=watches, members=members, after=after)
         if not watches:
-            for watcher in self._watchers.to_ask(self._directory.registered, boot_time()):
+            for watcher in self._watchers.to_ask(boot_time()):
                 told = await self._ask(watcher, after)
                 if told is not None:
                     return self._took(after, told)
