A watcher's call to the store waits for 4 s in place of 29

Cause, by reading: where a connection to the store goes silent while new ones work, a watcher heard nothing for up to 29 s, and with it all daemons that ask it; its lease, on another connection, said that the store answers.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -166,6 +166,13 @@
     Then none of the others has missed a change older than 3 s
     And each has read all members from the store at most 1 times
 
+  Scenario: Connections to the store go silent without a word
+    Given 40 daemons and a store in which one of them changes every 0.5 s
+    When they follow the members for 10 s
+    And all connections to the store go silent while new ones work, and 9 s pass
+    Then none of them has missed a change older than 3 s
+    And each has read all members from the store at most 1 times
+
   # -- key maps ------------------------------------------------------------------------------
 
   Scenario: The first map divides the keys by capacity
--- a/features/steps/mesh_store_steps.py
+++ b/features/steps/mesh_store_steps.py
@@ -19,6 +19,7 @@
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.members import Member, TargetState
 from pearward_transport.clock import sleep
+from pearward_transport.errors import PlatformUnavailable
 from pearward_transport.store import Changes, Snapshot
 
 STEP_S = 0.05
@@ -48,6 +49,8 @@
         self._members = members
         self.every_s = every_s
         self.waits = 0
+        self.silent_before = 0.0
+        """Calls that began before then get no answer."""
 
     @property
     def _revision(self) -> int:
@@ -61,9 +64,14 @@
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes since *after*, once there is one."""
         self.waits += 1
+        began = self._clock.seconds()
         await sleep(self._clock, CALL_S)
-        while self._revision <= after:
+        while self._revision <= after or began < self.silent_before:
             await sleep(self._clock, STEP_S)
+            if self._clock.seconds() - began > wait_s:
+                if began < self.silent_before:
+                    raise PlatformUnavailable("no answer")
+                return Changes((), max(after, self._revision))
         rows = [_entry(r % self._members, r) for r in range(after + 1, self._revision + 1)]
         return Changes(tuple(WatchEvent(r.key, r.value, r.revision) for r in rows), self._revision)
 
@@ -199,6 +207,17 @@
     assert all(f.reads <= most for f in context.fleet.followers)
 
 
+@when("all connections to the store go silent while new ones work, and {seconds:d} s pass")
+def silent_connections(context: Any, seconds: int) -> None:
+    fleet = context.fleet
+    with _virtual_time(fleet):
+        # Until the watchers wait for changes again, and do not just let them add up.
+        fleet.play(0.4)
+        fleet.store.silent_before = fleet.clock.seconds()
+        fleet.play(seconds)
+
+
+@then("none of them has missed a change older than {late:g} s")
 @then("none of the others has missed a change older than {late:g} s")
 def none_missed(context: Any, late: float) -> None:
     fleet = context.fleet
--- a/packages/daemon/src/pearward_daemon/mesh/member_feed.py
+++ b/packages/daemon/src/pearward_daemon/mesh/member_feed.py
@@ -33,6 +33,9 @@
 """Seconds after which a watcher answers without news: its silence then tells that it is gone."""
 ANSWER_S = 1.5
 """Seconds for which an answer is waited for: the hold, and what a busy link adds."""
+STORE_WAIT_S = 4.0
+"""Seconds for which one call to the store waits for changes. A connection may go silent while
+others work; then this daemon, and all that ask it, hear nothing until the call has timed out."""
 FOLLOWS_S = 1.0
 """Seconds between two calls to the store in which a watcher still tells what it knows."""
 QUESTIONS_KEPT = 4096
@@ -123,7 +126,7 @@
     async def _of_store(self, after: int, wait_s: float) -> Changes:
         self._from_store += 1
         try:
-            changes = await self._store.changes(MEMBERS, after, wait_s)
+            changes = await self._store.changes(MEMBERS, after, min(wait_s, STORE_WAIT_S))
         finally:
             self._from_store -= 1
         self._followed_at = boot_time()
@@ -200,10 +203,7 @@
             found = answers.get(question.after)
             if found is None:
                 found = answers[question.after] = self._answer_to(question.after)
-            self._send(
-                question.asker.address,
-                replace(found, nonce=question.nonce),
-            )
+            self._send(question.asker.address, replace(found, nonce=question.nonce))
         self._questions = waiting
 
     def _answer_to(self, after: int) -> TellChanges:
