--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -5,8 +5,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory
+from twisted.internet.protocol import ClientFactory, Factory
 from twisted.python.failure import Failure
 
 from pearward_coordination.messages import ControlMessage, PeerId
@@ -207,13 +206,10 @@
         on_ready: Callable[[PeerConnection], None],
         on_lost: Callable[[PeerConnection], None],
     ) -> "Deferred[Any]":
-        """Open one connection."""
+        """Open one connection; the Deferred fails where there is none, and does nothing else."""
         # Asked before dialling: only who was known by now can be shown to have ended.
         expected = self._handler.expected_at(address)
         host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S, bindAddress=self._bind
-        )
         factory = _DialFactory(
             lambda: PeerConnection(
                 self._me,
@@ -228,7 +224,8 @@
                 on_sent=self._on_sent,
             )
         )
-        return endpoint.connect(factory)
+        self._reactor.connectTCP(host, int(port), factory, CONNECT_TIMEOUT_S, self._bind)
+        return factory.failed
 
     def _link(self, address: str) -> _Link:
         link = self._links.get(address)
@@ -237,13 +234,17 @@
         return link
 
 
-class _DialFactory(Factory):  # type: ignore[misc]
+class _DialFactory(ClientFactory):  # type: ignore[misc]
     """Builds the protocol of one outbound connection."""
 
     noisy = False
 
     def __init__(self, build: Callable[[], PeerConnection]) -> None:
         self._build = build
+        self.failed: Deferred[Any] = Deferred()
 
     def buildProtocol(self, addr: Any) -> PeerConnection:
         return self._build()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.failed.errback(reason)
