--- a/packages/devtools/src/pearward_devtools/capacity.py
+++ b/packages/devtools/src/pearward_devtools/capacity.py
@@ -1,4 +1,4 @@
-"""``make capacity``: run the bench and rewrite the tables of docs/CAPACITY.md from its figures.
+"""``make capacity``: run the bench and rewrite the tables of the cells' capacity page from its figures.
 
 ``--figures FILE`` takes the figures of an earlier run instead of measuring again.
 """
@@ -14,7 +14,7 @@
 
 __all__ = ["main"]
 
-PAGE = Path("docs/CAPACITY.md")
+PAGE = Path("docs/design/cells-capacity.md")
 FIGURES = Path("docs/figures.jsonl")
 BEGIN, END = "<!-- figures: begin -->", "<!-- figures: end -->"
 GROUPS = ("path", "slopes", "spread", "faults")
