A daemon that returns from a planned stop is not taken for silent by its last report

In virtual time: the returned daemon's entry reached the planner at 16.88 s, its first report a moment later; with the entry the stop's patience of 4.0 s was over, the last report before the stop was 2.2 s old, and the keys moved at 16.94 s. Change: the new entry of a daemon that was stopped is a sign of life.

--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -374,7 +374,8 @@
             if member.service != name:
                 continue
             if not member.stopping:
-                service.stopping.pop(member.target, None)
+                if service.stopping.pop(member.target, None) is not None:
+                    self._back(service, member.target, now)
             elif informed and member.target not in service.stopping:
                 room = self._room_without(service, member.target, now)
                 service.stopping[member.target] = room
@@ -382,6 +383,17 @@
                     "planned_stop_seen", target=member.target, keys_move=room, service=name,
                 )  # fmt: skip
 
+    @staticmethod
+    def _back(service: _Service, target: str, now: float) -> None:
+        """Take the new entry of a daemon that was stopped for a sign of life.
+
+        Its first report follows a moment later; by the last one before the stop it would be
+        taken for silent just as it returns.
+        """
+        found = service.reports.get(target)
+        if found is not None:
+            service.reports[target] = (found[0], now)
+
     def _room_without(self, service: _Service, target: str, now: float) -> bool:
         """Return whether the owners that stay can run what is asked of all."""
         asked = service.load.rate(now)
