--- a/packages/devtools/src/pearward_devtools/capacity.py
+++ b/packages/devtools/src/pearward_devtools/capacity.py
@@ -1,4 +1,4 @@
-"""``make capacity``: run the bench and rewrite the tables of the cells' capacity page from its figures.
+"""``make capacity``: run the bench and rewrite the tables of the page on cells from its figures.
 
 ``--figures FILE`` takes the figures of an earlier run instead of measuring again.
 """
