The dialled side of a connection pings after half a second again

Not traced; by reading, a side that pings after 1.0 s and looks each 0.5 s may give a sound connection up at 1.5 s without having pinged, if its loop stands still for a moment.

--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -29,10 +29,6 @@
 
 CHECK_INTERVAL_S = 0.5
 """Seconds between looks for silent connections, and of silence before a ping."""
-ANSWERER_PING_S = 1.0
-"""Seconds of silence before the side that was dialled pings: the other one, whose requests run
-here, does so after half of it, and its ping is a sign of life as well. Where requests run for
-half a second and longer this saves half of the pings of a fleet."""
 SILENCE_LIMIT_S = 1.5
 """A connection that owes a sign of life and stays silent for longer, pings included, is dead."""
 
@@ -277,8 +273,7 @@
             if silent_s >= SILENCE_LIMIT_S:
                 self.transport.abortConnection()
                 return
-            ping_s = CHECK_INTERVAL_S if self._opener else ANSWERER_PING_S
-            if silent_s >= ping_s and self._peer is not None:
+            if silent_s >= CHECK_INTERVAL_S and self._peer is not None:
                 self._mux.send_ping()
                 self._flush()
         else:
