--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -105,8 +105,6 @@
         self._stopped = False
         self._round = 0
         self._writing = False
-        self._registered: set[str] = set()
-        """Keys of the members' entries that are there, as far as is known."""
 
     # -- properties -------------------------------------------------------------
 
@@ -293,7 +291,6 @@
             # One call for everything: the store takes so many calls, however much each brings.
             snapshot = await self._store.scan("")
             members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
-            self._registered = {item.key for item in members}
             self._listener.members_read(self._decoded(members, decode_member))
             if not any(item.key == self._own_key for item in members):
                 self._own_entry_gone()
@@ -305,12 +302,10 @@
 
         def changed(event: WatchEvent) -> None:
             if event.value is None:
-                self._registered.discard(event.key)
                 self._listener.member_gone(event.key.removeprefix(MEMBERS))
                 if event.key == self._own_key:
                     self._own_entry_gone()
                 return
-            self._registered.add(event.key)
             item = KeyValue(event.key, event.value, event.revision)
             for member in self._decoded([item], decode_member):
                 self._listener.member_written(member)
