--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -111,3 +111,14 @@
     When a "safe" request to the pooled service is answered "short"
     Then the logs lead from its id to the target and the reason
     And the metrics of its daemon count it by route and outcome
+
+  Scenario: A failure domain that operators drain gets nothing until they take it back
+    When the failure domain of a keyed target is drained and 1.5 s have passed
+    Then no target there gets any of 100 requests and every key is served elsewhere
+    When the drain is taken back
+    Then every target there holds keys again within 6 s
+
+  Scenario: A target that turns cold gets what it bears, and the others the rest
+    When a target of the pooled service turns cold and 60 requests a second come for 2 s
+    Then it got at most 5 of them in any second
+    And all of them were served
--- /dev/null
+++ b/features/steps/cold_steps.py
@@ -0,0 +1,114 @@
+"""Steps of cold targets: what they get in any second, whatever comes."""
+
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+
+from pearward_coordination.cold_limit import ColdLimit
+from pearward_coordination.link_queue import LinkQueue
+from pearward_coordination.overload.policy import OverloadPolicy
+from pearward_daemon.mesh import target_slots
+from pearward_daemon.mesh.target_slots import TargetSlots
+
+START = 100.0
+COLD_S = 3.0
+
+
+@given("a target that bears {per_s:d} requests a second while it is cold")
+def cold_target(context: Any, per_s: int) -> None:
+    context.limit = ColdLimit()
+    context.limit.set_rate(per_s)
+    context.sent = []
+    context.too_early = []
+
+
+@given("a target of which nothing is said")
+def unlimited(context: Any) -> None:
+    cold_target(context, 0)
+
+
+def _play(context: Any, arrivals: list[float]) -> None:
+    limit = context.limit
+    limit.told(COLD_S, START)
+    for now in arrivals:
+        room_in_s = limit.room_in_s(now)
+        if room_in_s > 0.0:
+            if now + room_in_s < START + COLD_S and limit.room_in_s(now + room_in_s) > 1e-9:
+                context.too_early.append((now, room_in_s))
+            continue
+        limit.sent(now)
+        context.sent.append(now)
+
+
+@when("it says that it is cold for 3 s and {count:d} requests a second come")
+def steady(context: Any, count: int) -> None:
+    _play(context, [START + number / count for number in range(int(COLD_S * count))])
+
+
+@when("it says that it is cold for 3 s and {count:d} requests come at once, each second")
+def bursts(context: Any, count: int) -> None:
+    _play(context, [START + second for second in range(int(COLD_S)) for _ in range(count)])
+
+
+@then("it gets at most {most:d} requests in any second while it is cold")
+def bounded(context: Any, most: int) -> None:
+    for begin in context.sent:
+        within = [at for at in context.sent if begin <= at < begin + 1.0]
+        assert len(within) <= most, (begin, len(within))
+
+
+@then("it gets at least {least:d} requests in these 3 s")
+def used(context: Any, least: int) -> None:
+    assert len(context.sent) >= least, len(context.sent)
+
+
+@then("whoever is refused is told to come back when there is room")
+def told_when(context: Any) -> None:
+    assert not context.too_early, context.too_early[:3]
+
+
+@when("it gets {count:d} requests in a second and then says that it is cold")
+def turned_cold(context: Any, count: int) -> None:
+    for number in range(count):
+        context.limit.sent(START - 1.0 + number / count)
+    context.limit.told(COLD_S, START)
+
+
+@then("it gets no request for {seconds:g} s")
+def nothing_for(context: Any, seconds: float) -> None:
+    assert context.limit.room_in_s(START + seconds) > 0.0
+
+
+@when("there is doubt whether it is cold")
+def doubt(context: Any) -> None:
+    context.limit.doubt(START)
+
+
+@when("it says {seconds:g} s later that it is not cold")
+def says_warm(context: Any, seconds: float) -> None:
+    context.limit.told(0.0, START + seconds)
+
+
+@then("it counts as {what}")
+def counts_as(context: Any, what: str) -> None:
+    assert context.limit.is_cold(START + 0.6) is (what == "cold")
+
+
+@given("a target with {slots:d} slots that bears {per_s:d} requests a second while it is cold")
+def slots_of_cold(context: Any, slots: int, per_s: int) -> None:
+    context.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0))
+    context.slots.set_slots(slots)
+    context.slots.cold.set_rate(per_s)
+
+
+@when("it says that it is cold for 3 s")
+def says_cold(context: Any) -> None:
+    context.slots.cold.told(COLD_S, START)
+
+
+@then("it tells {slots:d} slots and a capacity of {capacity:g} requests a second")
+def tells(context: Any, slots: int, capacity: float) -> None:
+    with mock.patch.object(target_slots, "boot_time", lambda: START + 1.0):
+        assert context.slots.load().slots == slots, context.slots.load()
+        assert context.slots.capacity() == capacity, context.slots.capacity()
--- a/features/steps/mesh_store_steps.py
+++ b/features/steps/mesh_store_steps.py
@@ -10,11 +10,13 @@
 
 from pearward_coordination.directory import Directory
 from pearward_coordination.messages import AskChanges, ControlMessage, PeerId, TellChanges
-from pearward_daemon.mesh import member_feed, store_session
+from pearward_daemon.mesh import drain_control, member_feed, store_session
+from pearward_daemon.mesh.drain_control import DrainControl
 from pearward_daemon.mesh.log import DecisionLog
 from pearward_daemon.mesh.member_feed import MemberFeed
 from pearward_daemon.mesh.settings import MeshSettings
 from pearward_daemon.mesh.store_session import SessionListener, StoreSession
+from pearward_platform.headers import PlatformDialect
 from pearward_protocol.entries import encode_member, member_key
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.members import Member, TargetState
@@ -75,11 +77,11 @@
         rows = [_entry(r % self._members, r) for r in range(after + 1, self._revision + 1)]
         return Changes(tuple(WatchEvent(r.key, r.value, r.revision) for r in rows), self._revision)
 
-    async def configuration(self) -> Snapshot:
+    async def operator_entries(self) -> Snapshot:
         """Return no configuration."""
         return Snapshot((), 0)
 
-    async def configuration_changes(self, after: int, wait_s: float) -> Changes:
+    async def operator_changes(self, after: int, wait_s: float) -> Changes:
         """Return no change, after a while."""
         await sleep(self._clock, wait_s)
         return Changes((), after)
@@ -108,7 +110,10 @@
         def send(address: str, message: ControlMessage) -> None:
             fleet.deliver(self.peer, address, message)
 
-        self.feed = MemberFeed(fleet.clock, settings, fleet.store, self._directory, send, log)
+        drains = DrainControl(frozenset(), PlatformDialect(), log, lambda since: None)
+        self.feed = MemberFeed(
+            fleet.clock, settings, fleet.store, self._directory, send, log, drains
+        )
         self.session = StoreSession(
             fleet.clock, settings, fleet.store, log, cast("SessionListener", self), self.feed
         )
@@ -162,7 +167,7 @@
 def _virtual_time(fleet: _Fleet) -> Iterator[None]:
     """Let the daemons read the time of the fleet's clock."""
     with ExitStack() as stack:
-        for module in (member_feed, store_session):
+        for module in (drain_control, member_feed, store_session):
             stack.enter_context(mock.patch.object(module, "boot_time", fleet.clock.seconds))
         yield
 
--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class _Group:
-    """The targets of one service, in the own failure domain and elsewhere."""
+    """The targets of one service that may get work, in the own failure domain and elsewhere."""
 
     near: list[_Known] = field(default_factory=list)
     far: list[_Known] = field(default_factory=list)
@@ -61,7 +61,8 @@
         self._instance = instance
         self._few_looks = few_looks
         self._groups: dict[str, _Group] = {}
-        """Members by service; put together anew when one was added, changed or forgotten."""
+        """Members by service; put together anew when one was added, changed or forgotten, or when a
+        failure domain is drained."""
         self._services: dict[str, MeanService] = {}
         self._registered: tuple[Member, ...] | None = None
         """Members that have an entry; put together anew after each change."""
@@ -71,6 +72,8 @@
         self._by_instance: dict[str, _Known] = {}
         self._by_target: dict[str, _Known] = {}
         self._store_since: float | None = None
+        self._drained: Mapping[str, float] = {}
+        """Failure domains whose targets get no new work, and since when."""
 
     # -- what becomes known -----------------------------------------------------
 
@@ -117,6 +120,11 @@
         """
         self._store_since = since
 
+    def set_drained(self, domains: Mapping[str, float]) -> None:
+        """Take the failure domains that operators drain, and since when each is drained."""
+        self._changed()
+        self._drained = dict(domains)
+
     def heard(self, target: str, now: float) -> None:
         """The daemon beside a target answered or reported: it lives, entry or not."""
         known = self._by_target.get(target)
@@ -205,6 +213,26 @@
         known = self._by_target.get(target)
         return known is not None and known.lapsed_at is None
 
+    def is_drained(self, failure_domain: str) -> bool:
+        """Return whether operators drain a failure domain."""
+        return failure_domain in self._drained
+
+    def drained_since(self, target: str) -> float | None:
+        """Return since when a target's failure domain is drained, or None where it is not."""
+        known = self._by_target.get(target)
+        return self._drained.get(known.member.failure_domain) if known is not None else None
+
+    def is_wholly_drained(self, service: str) -> bool:
+        """Return whether a service has targets, all of them in drained failure domains."""
+        if not self._drained:
+            return False
+        domains = {
+            known.member.failure_domain
+            for known in self._by_instance.values()
+            if known.member.service == service and known.member.target
+        }
+        return bool(domains) and domains <= self._drained.keys()
+
     def lapsed_since(self, target: str) -> float | None:
         """Return when a target's entry went, or None while it is there or unknown."""
         known = self._by_target.get(target)
@@ -257,7 +285,9 @@
         found = draw(group.near, near_looks, usable, rng) + draw(group.far, far_looks, usable, rng)
         for target in asked:
             known = self._by_target.get(target)
-            if known is not None and known not in found and usable(known):
+            if known is None or self.is_drained(known.member.failure_domain):
+                continue
+            if known not in found and usable(known):
                 found.append(known)
         if not found:
             found = [known for known in group.near + group.far if _takes(known, tried)]
@@ -274,6 +304,8 @@
             group = self._groups[service] = _Group()
             for known in self._by_instance.values():
                 member = known.member
+                if self.is_drained(member.failure_domain):
+                    continue
                 if member.service == service and member.target:
                     near = member.failure_domain == self._failure_domain
                     (group.near if near else group.far).append(known)
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -297,7 +297,8 @@
             keys[piece.owner] += piece.last - piece.first + 1
     donor = max(keys, key=lambda t: keys[t])
     wanted_keys = min(KEY_SPACE // len(by_target), keys[donor] // 2)
-    wanted_rate = min(sum(rates.values()) / len(by_target), rates[donor] / 2)
+    share = sum(rates.values()) / len(by_target)
+    wanted_rate = min(share, rates[donor] / 2, by_target[target].capacity)
     got_keys, got_rate = 0, 0.0
     for piece in [p for p in pieces if p.owner == donor]:
         size = piece.last - piece.first + 1
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -249,6 +249,10 @@
     revision: int
     """Revision of the store up to which all is told."""
     changes: tuple[EntryChange, ...]
+    drains_revision: int = 0
+    """Revision of the store up to which the sender knows the drains of failure domains."""
+    drained: tuple[str, ...] = ()
+    """Failure domains that are drained as of that revision."""
 
 
 ControlMessage = (
--- a/packages/coordination/src/pearward_coordination/watchers.py
+++ b/packages/coordination/src/pearward_coordination/watchers.py
@@ -83,7 +83,8 @@
 
     def to_ask(self, now: float) -> list[Member]:
         """Return the watchers in the order in which they are asked; silent ones are left out."""
-        usable = [m for m in self.chosen if self._silent.get(m.instance, 0.0) <= now]
+        others = [m for m in self.chosen if m.instance != self._instance]
+        usable = [m for m in others if self._silent.get(m.instance, 0.0) <= now]
         if not usable:
             return []
         # Those without one in their failure domain are spread over all.
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -5,7 +5,7 @@
 so that tests run many of these in one process and in virtual time.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from pearward_coordination.directory import Directory
@@ -29,6 +29,7 @@
 )
 from pearward_coordination.overload.policy import Mechanism
 from pearward_protocol.entries import key_map_key
+from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import Member, TargetState
@@ -38,6 +39,7 @@
 from pearward_transport.store import FleetStore
 
 from .dialect import Dialect, GrantPort
+from .drain_control import DrainControl
 from .key_maps import KeyMaps
 from .key_planner import REPORT_INTERVAL_S, TICK_S, KeyPlanner
 from .log import DecisionLog
@@ -97,7 +99,8 @@
             settings.instance, settings.service, settings.holds, self._side.keeper, self._maps,
             self._directory, self._witnesses, log, send,
         )  # fmt: skip
-        self._feed = MemberFeed(reactor, settings, store, self._directory, send, log)
+        self._drains = DrainControl(settings.failure_domains, dialect, log, self._drains_in_force)
+        self._feed = MemberFeed(reactor, settings, store, self._directory, send, log, self._drains)
         self._session = StoreSession(reactor, settings, store, log, self, self._feed)
         self._table: RoutingTable | None = None
         self._on_table: Callable[[RoutingTable], None] | None = None
@@ -141,6 +144,11 @@
         """The duty of planning, which this daemon may have."""
         return self._planner
 
+    @property
+    def drains(self) -> DrainControl:
+        """The drained failure domains."""
+        return self._drains
+
     @property
     def table(self) -> RoutingTable | None:
         """The configuration in force; None before one was read."""
@@ -236,9 +244,26 @@
         self._table = table
         if self._on_table is not None:
             self._on_table(table)
-        self._side.set_keyed(self._settings.service in table.keyed_services)
+        self._side.set_rules(table.rules(self._settings.service))
         self._publish()
 
+    def drains_read(self, items: list[KeyValue], revision: int) -> None:
+        """Take all drains of failure domains."""
+        self._drains.entries_read(items, revision)
+
+    def drain_changed(self, event: WatchEvent) -> None:
+        """Take one changed drain of a failure domain."""
+        self._drains.entry_changed(event)
+
+    def drains_complete_to(self, revision: int) -> None:
+        """All changes of drains up to a revision have been taken."""
+        self._drains.complete_to(revision)
+
+    def _drains_in_force(self, since: Mapping[str, float]) -> None:
+        """Let no target of a drained failure domain be chosen, nor the own one work on."""
+        self._directory.set_drained(since)
+        self._side.set_drained(since.get(self._settings.failure_domain))
+
     def members_read(self, members: list[Member]) -> None:
         """Take all members' entries."""
         self._members_known = True
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -164,3 +164,6 @@
 
     def configuration(self, document: bytes) -> RoutingTable:
         """Read a configuration document; raises InvalidRecord, naming what is wrong."""
+
+    def check_drain(self, entry: bytes) -> None:
+        """Check an entry that drains a failure domain; raises InvalidRecord."""
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/drain_control.py
@@ -0,0 +1,86 @@
+"""Puts the operators' drains of failure domains in force at this daemon.
+
+Entries come from the store or, where it does not answer, from a daemon that follows it. The
+directory then offers no target there, the planner gives those targets no keys, and the target
+beside this daemon is barred if it is one of them.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from pearward_coordination.drain_view import DrainView
+from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_state.drains import DomainDrains
+from pearward_state.errors import InvalidRecord
+from pearward_transport.clock import boot_time
+from pearward_transport.store import DRAINS
+
+from .dialect import Dialect
+from .log import DecisionLog
+
+__all__ = ["DrainControl"]
+
+InForce = Callable[[Mapping[str, float]], None]
+"""Takes the drained failure domains, and since when each is, after each change."""
+
+
+class DrainControl:
+    """The drains of failure domains, read strictly and put in force."""
+
+    def __init__(
+        self, known_domains: frozenset[str], dialect: Dialect, log: DecisionLog, in_force: InForce
+    ) -> None:
+        self._known_domains = known_domains
+        self._dialect = dialect
+        self._log = log
+        self._in_force = in_force
+        self._view = DrainView()
+
+    @property
+    def state(self) -> DomainDrains:
+        """What is in force, as others are told."""
+        return self._view.state
+
+    def entries_read(self, items: Iterable[KeyValue], revision: int) -> None:
+        """Take all entries as they were read at once."""
+        domains = [d for item in items if (d := self._domain(item.key, item.value)) is not None]
+        self._put_in_force(self._view.read(domains, revision, boot_time()), "read")
+
+    def entry_changed(self, event: WatchEvent) -> None:
+        """Take one changed entry; one that cannot be read changes nothing."""
+        domain = self._domain(event.key, event.value)
+        if domain is None:
+            return
+        drained = event.value is not None
+        changed = self._view.changed(domain, event.revision, boot_time(), drained=drained)
+        self._put_in_force(changed, "watched")
+
+    def complete_to(self, revision: int) -> None:
+        """All changes up to a revision have been taken."""
+        self._view.complete_to(revision)
+
+    def told(self, state: DomainDrains) -> None:
+        """Take what another daemon knows, if that is newer."""
+        self._put_in_force(self._view.told(state, boot_time()), "told by another daemon")
+
+    def _domain(self, key: str, value: bytes | None) -> str | None:
+        """Return the failure domain of an entry, or None where it names none to drain."""
+        domain = key.removeprefix(DRAINS)
+        unknown = self._known_domains and domain not in self._known_domains
+        try:
+            if not domain or unknown:
+                raise InvalidRecord(f"no failure domain of that name: {domain!r}")
+            if value is not None:
+                self._dialect.check_drain(value)
+        except InvalidRecord as error:
+            self._log.decided("drain_unreadable", failure=True, key=key, error=str(error))
+            return None
+        return domain
+
+    def _put_in_force(self, changed: bool, how: str) -> None:
+        if not changed:
+            return
+        state = self._view.state
+        self._log.decided(
+            "drains_in_force", domains=sorted(state.domains), revision=state.revision, how=how
+        )
+        self._in_force(self._view.since)
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -29,7 +29,7 @@
 from .log import DecisionLog
 from .routed_request import RoutedRequest
 from .settings import MeshSettings
-from .target_side import TargetSide
+from .target_side import KEYED_DRAIN_SHARE, TargetSide
 
 __all__ = ["MeshIngress", "Placement", "RequestMetrics"]
 
@@ -297,11 +297,21 @@
 
     def _placement(self, target: str, map_version: int) -> Placement | None:
         member = self.directory.member_of(target)
-        if member is None:
+        if member is None or self._is_drained(target):
             return None
         local = member.instance == self._settings.instance
         return Placement(self.directory, target, member.peer_address, local, map_version)
 
+    def _is_drained(self, target: str) -> bool:
+        """Return whether an owner of keys is where nothing may be sent any more."""
+        since = self.directory.drained_since(target)
+        allowed_s = self._settings.domain_drain_s * KEYED_DRAIN_SHARE
+        return since is not None and boot_time() > since + allowed_s
+
+    def is_wholly_drained(self, service: str) -> bool:
+        """Return whether operators drain every failure domain that has targets of a service."""
+        return self.directory.is_wholly_drained(service)
+
     def has_other(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has a target that was not tried."""
         return self.directory.has_candidate(service, frozenset(tried))
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -26,7 +26,7 @@
 from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
 from pearward_state.keymap import KeyMap
 from pearward_state.members import Member, TargetState
-from pearward_transport.clock import boot_time
+from pearward_transport.clock import boot_time, unix_time
 from pearward_transport.errors import CasConflict, PlatformError
 from pearward_transport.store import Expectation, FleetStore, Put
 
@@ -263,6 +263,8 @@
                 continue
             if member.state is TargetState.DRAINING or service.stopping.get(member.target):
                 continue
+            if self._directory.is_drained(member.failure_domain):
+                continue
             report, age = self._report(service, member.target, now)
             if report is None or age > REPORT_AGE_S:
                 if self._directory.is_registered(member.target):
@@ -270,7 +272,9 @@
                 continue
             if report.draining:
                 continue
-            capacity = min(max(report.capacity, mean * LEAST_SPEED), mean * MOST_SPEED)
+            # What a cold target bears is a limit that is set, not a speed that is measured.
+            least = 0.0 if member.cold_until > unix_time() else mean * LEAST_SPEED
+            capacity = min(max(report.capacity, least), mean * MOST_SPEED)
             owners.append(KeyOwner(member.target, capacity, report.confirmed))
         return owners
 
@@ -333,6 +337,8 @@
             fresh = report is not None and age <= REPORT_AGE_S
             if member is not None and member.state is TargetState.DRAINING:
                 continue
+            if member is not None and self._directory.is_drained(member.failure_domain):
+                continue
             if service.stopping.get(target):
                 continue
             if not (fresh and report is not None and report.draining):
@@ -400,7 +406,10 @@
         can = sum(
             report.capacity
             for other, (report, at) in service.reports.items()
-            if other != target and other not in service.stopping and now - at <= REPORT_AGE_S
+            if other != target
+            and other not in service.stopping
+            and now - at <= REPORT_AGE_S
+            and self._directory.drained_since(other) is None
         )
         return asked <= can * ROOM
 
--- a/packages/daemon/src/pearward_daemon/mesh/member_feed.py
+++ b/packages/daemon/src/pearward_daemon/mesh/member_feed.py
@@ -20,10 +20,13 @@
 from pearward_coordination.watchers import ChangeLog, EntryChange, Watchers
 from pearward_protocol.entries import MEMBERS
 from pearward_protocol.etcd import WatchEvent
+from pearward_state.drains import DomainDrains
 from pearward_state.members import Member
 from pearward_transport.clock import boot_time
+from pearward_transport.errors import PlatformUnavailable
 from pearward_transport.store import Changes, FleetStore
 
+from .drain_control import DrainControl
 from .log import DecisionLog
 from .settings import MeshSettings
 
@@ -61,8 +64,10 @@
         directory: Directory,
         send: Callable[[str, ControlMessage], None],
         log: DecisionLog,
+        drains: DrainControl,
     ) -> None:
         self._reactor = reactor
+        self._drains = drains
         self._store = store
         self._directory = directory
         self._send = send
@@ -116,11 +121,14 @@
             self._watches = watches
             members = len(self._directory.registered)
             self._log.decided("watching", follows_store=watches, members=members, after=after)
-        if not watches:
+        if not watches or not self._available:
             for watcher in self._watchers.to_ask(boot_time()):
                 told = await self._ask(watcher, after)
                 if told is not None:
                     return self._took(after, told)
+        if not self._available:
+            # The lease shows when the store is back: until then a call would be refused too.
+            raise PlatformUnavailable("neither the store nor a watcher tells of changes")
         return await self._of_store(after, wait_s)
 
     async def _of_store(self, after: int, wait_s: float) -> Changes:
@@ -154,6 +162,8 @@
         told = await answer
         if timer.active():
             timer.cancel()
+        if told is not None:
+            self._drains.told(DomainDrains(told.drains_revision, frozenset(told.drained)))
         if told is None or not told.follows:
             self._watchers.silent(watcher.instance, boot_time())
             self._log.decided(
@@ -207,13 +217,16 @@
         self._questions = waiting
 
     def _answer_to(self, after: int) -> TellChanges:
-        if not self._follows:
-            return TellChanges(0, follows=False, known=False, revision=0, changes=())
-        changes = self._changes.after(after)
+        drains = self._drains.state
+        told = TellChanges(
+            0, follows=self._follows, known=False, revision=0, changes=(),
+            drains_revision=drains.revision, drained=tuple(sorted(drains.domains)),
+        )  # fmt: skip
+        changes = self._changes.after(after) if self._follows else None
         if changes is None:
-            return TellChanges(0, follows=True, known=False, revision=0, changes=())
+            return told
         revision = max(after, self._changes.revision)
-        return TellChanges(0, follows=True, known=True, revision=revision, changes=changes)
+        return replace(told, known=True, revision=revision, changes=changes)
 
 
 def _entry_change(event: WatchEvent) -> EntryChange:
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -202,7 +202,9 @@
 
     def _no_target(self) -> None:
         """No target may be asked now: wait a little for one, or refuse."""
-        if not self._plan.waits_for_owner(boot_time()):
+        # Operators want nothing sent there: only they can change that.
+        drained = self._ingress.is_wholly_drained(self._service)
+        if drained or not self._plan.waits_for_owner(boot_time()):
             reason = self._last_reason or Reason.NO_ROUTE
             self._give_up(Outcome.NOT_RUN, reason, self._retry_after_s or RETRY_AFTER_S)
             return
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -29,6 +29,8 @@
 reports again after 1.6 s."""
 LINK_MBIT_PER_S = 1000.0
 """Rate of an instance's link where the settings do not tell: it is never waited for."""
+DOMAIN_DRAIN_S = 5.0
+"""Seconds from an operator's drain of a failure domain until nothing may be sent there."""
 LOG_LINES_PER_S = 200
 """Lines of the log in a second; further ones are counted. A busy daemon takes 60 requests."""
 
@@ -68,6 +70,8 @@
 
     instance: str
     failure_domain: str
+    failure_domains: frozenset[str]
+    """All failure domains that there are; empty where the settings do not tell."""
     service: str
     """Service of the target beside this daemon."""
     target_address: str
@@ -91,6 +95,10 @@
     """Seconds after its leave is acknowledged in which a target may get new requests."""
     stop_s: float
     """Seconds from SIGTERM to the platform's SIGKILL."""
+    domain_drain_s: float
+    """Seconds from an operator's drain of a failure domain until nothing may be sent there."""
+    cold_overage: float
+    """What a cold target may get, over what the configuration says that it bears."""
     link_mbit_per_s: float
     """Rate of the instance's own link."""
     log_lines_per_s: int
@@ -118,6 +126,7 @@
         settings = cls(
             instance=root.text("instance"),
             failure_domain=root.text("failure_domain"),
+            failure_domains=_texts(root, "failure_domains"),
             service=target.text("service"),
             target_address=str(_address(target, "address")),
             callers=_address(listen, "callers"),
@@ -134,6 +143,8 @@
             overload=_overload(root.section("overload")),
             drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
             stop_s=limits.number("stop_s", 6, low=1),
+            domain_drain_s=limits.number("domain_drain_ms", DOMAIN_DRAIN_S * 1000, low=500) / 1000,
+            cold_overage=limits.number("cold_overage", 1.0, low=1.0, high=100.0),
             link_mbit_per_s=limits.number("link_mbit_per_s", LINK_MBIT_PER_S, low=0.1),
             log_lines_per_s=root.section("log").integer("lines_per_s", LOG_LINES_PER_S, low=1),
         )
@@ -159,6 +170,14 @@
             raise ValueError(str(error)) from error
 
 
+def _texts(reader: FieldReader, name: str) -> frozenset[str]:
+    """Return a list of texts; an absent one is empty."""
+    for value in (values := reader.items(name)):
+        if not isinstance(value, str) or not value:
+            raise InvalidField(reader.path(name), value, "expected a non-empty string")
+    return frozenset(values)
+
+
 def _address(reader: FieldReader, name: str, default: str | None = None) -> Address:
     """Return an IP address and port."""
     value = reader.text(name, default)
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -29,6 +29,7 @@
 from pearward_transport.clock import boot_time, sleep
 from pearward_transport.errors import PlatformError
 from pearward_transport.store import (
+    CONFIGURATION,
     Changes,
     FleetStore,
     HistoryGone,
@@ -58,6 +59,15 @@
     def configuration_read(self, document: bytes) -> None:
         """A configuration document was read, perhaps an old one again."""
 
+    def drains_read(self, items: list[KeyValue], revision: int) -> None:
+        """All drains of failure domains were read, as they were at a revision."""
+
+    def drain_changed(self, event: WatchEvent) -> None:
+        """One drain of a failure domain was written or taken back."""
+
+    def drains_complete_to(self, revision: int) -> None:
+        """All changes of drains up to a revision were told."""
+
     def members_read(self, members: list[Member]) -> None:
         """All members' entries were read."""
 
@@ -268,23 +278,31 @@
     def _start_watches(self) -> None:
         """Begin the watches, or begin them anew: older rounds end by themselves."""
         self._round += 1
-        self._run(self._follow_configuration(self._round))
+        self._run(self._follow_operators(self._round))
         self._run(self._follow_members(self._round))
 
-    async def _follow_configuration(self, number: int) -> None:
+    async def _follow_operators(self, number: int) -> None:
+        """Follow the configuration and the drains by one watch: both cost the same calls."""
+
         async def read() -> int:
-            snapshot = await self._store.configuration()
+            snapshot = await self._store.operator_entries()
             for item in snapshot.items:
-                self._listener.configuration_read(item.value)
+                if item.key == CONFIGURATION:
+                    self._listener.configuration_read(item.value)
+            drains = [item for item in snapshot.items if item.key != CONFIGURATION]
+            self._listener.drains_read(drains, snapshot.revision)
             return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
-            if event.value is not None:
+            if event.key != CONFIGURATION:
+                self._listener.drain_changed(event)
+            elif event.value is not None:
                 self._listener.configuration_read(event.value)
 
         await self._follow(
-            number, read, self._store.configuration_changes, changed, lambda: GATHER_S
-        )
+            number, read, self._store.operator_changes, changed, lambda: GATHER_S,
+            self._listener.drains_complete_to,
+        )  # fmt: skip
 
     async def _follow_members(self, number: int) -> None:
         async def read() -> int:
@@ -310,7 +328,9 @@
             for member in self._decoded([item], decode_member):
                 self._listener.member_written(member)
 
-        await self._follow(number, read, self._feed.changes, changed, self._gather_members_s)
+        await self._follow(
+            number, read, self._feed.changes, changed, self._gather_members_s, persists=True
+        )
 
     def _gather_members_s(self) -> float:
         """Return how long a watcher lets changes add up; the others are told what it knows."""
@@ -323,10 +343,15 @@
         wait: Callable[[int, float], Awaitable[Changes]],
         changed: Callable[[WatchEvent], None],
         gather: Callable[[], float],
+        complete_to: Callable[[int], None] = lambda revision: None,
+        *,
+        persists: bool = False,
     ) -> None:
         """Read once, then take changes as they come; read again after a gap.
 
-        *gather* tells for how many seconds changes are left to add up before the next call.
+        *gather* tells for how many seconds changes are left to add up before the next call,
+        *complete_to* takes the revision up to which all changes have been taken. With *persists*
+        changes can be heard of from others while the store does not answer.
         """
         after: int | None = None
         retry_s = FIRST_RETRY_S
@@ -340,6 +365,7 @@
                 for event in changes.events:
                     changed(event)
                 after = max(after, changes.revision)
+                complete_to(after)
                 retry_s = FIRST_RETRY_S
                 await sleep(self._reactor, gather() if changes.events else 0.0)
             except HistoryGone:
@@ -349,7 +375,7 @@
                 # Something may have been missed where a watch was cut: the store tells
                 # by HistoryGone if it has forgotten what came since.
                 self._log.decided("watch_cut", after=after, error=str(error))
-                if not self._available:
+                if not self._available and not (persists and after is not None):
                     # The lease is asked for all the time; with its answer this begins anew.
                     return
                 await sleep(self._reactor, retry_s)
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -173,12 +173,21 @@
             self._ticket = None
             self.admit()
             return
+        if self._refused_as_cold():
+            return
         connection = self._side.client.take()
         if connection is not None:
             self._send(connection)
         else:
             self._side.client.connect().addCallbacks(self._send, self._no_connection)
 
+    def _refused_as_cold(self) -> bool:
+        """Refuse the request if the target is cold and has got all that it bears for now."""
+        room_in_s = self._side.slots.cold.room_in_s(boot_time())
+        if room_in_s > 0.0:
+            self._refuse(Reason.OVERLOADED, detail="target is cold", retry_after_s=room_in_s)
+        return room_in_s > 0.0
+
     def too_late(self) -> None:
         """The request waited so long that it could not be answered any more."""
         self._ticket = None
@@ -194,6 +203,9 @@
             connection.abort()
             self._refuse(barred, retry_after_s=self._side.back_after_s())
             return
+        if self._refused_as_cold():
+            connection.abort()
+            return
         left_ms = int((self._deadline - boot_time()) * MS_PER_S)
         if left_ms <= 0:
             connection.abort()
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -15,6 +15,7 @@
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState
 from pearward_state.outcome import Outcome, Reason
+from pearward_state.routes import ServiceRules
 from pearward_transport.clock import boot_time, unix_time
 from pearward_transport.errors import ServerUnreachable
 from pearward_transport.http_client import ServerClient
@@ -29,7 +30,7 @@
 from .target_request import TargetRequest
 from .target_slots import TargetSlots
 
-__all__ = ["TargetInfo", "TargetSide", "TargetSideListener"]
+__all__ = ["KEYED_DRAIN_SHARE", "TargetInfo", "TargetSide", "TargetSideListener"]
 
 LATE_S = 4.0
 """Seconds without a heartbeat after which a target counts as leaving: they may be late by
@@ -42,6 +43,11 @@
 """Requests that wait for the target's keys, at most; further ones are refused."""
 MOVED_RETRY_S = 0.05
 """Seconds after which the owner of a key is asked again."""
+KEYED_DRAIN_SHARE = 0.6
+"""Part of the time that operators allow for the drain of a failure domain in which keys that are
+still held there are served: their hand-over takes half a second, up to two for some."""
+COLD_ESTIMATE_S = 1.0
+"""Seconds by which a target's own estimate of its cold time must differ to be told anew."""
 BACK_S = 1.2
 """Seconds after which a daemon that ends now serves its target again."""
 
@@ -100,6 +106,7 @@
         self._beats = BeatClock()
         self._info: TargetInfo | None = None
         self._keyed = False
+        self._drained_since: float | None = None
         self._leaving_since: float | None = None
         self._silent = False
         self._refused_at: float | None = None
@@ -178,6 +185,7 @@
         if beat.target != self._keeper.target:
             self._target_began(beat)
         self._keeper.heartbeat(now, beat.held, beat.released)
+        self._slots.cold.told(beat.cold_s, now)
         self._note_state(beat, now)
         if beat.released and self._listener is not None:
             self._listener.keys_changed()
@@ -222,11 +230,9 @@
         if beat.state is TargetState.DRAINING and self._leaving_since is None:
             self._log.decided("target_leaves", target=beat.target, how="draining")
             self._leaving_since = now
+        cold_until = unix_time() + beat.cold_s if beat.cold_s > 0.0 else 0.0
         if self._info is not None and self._info.target == beat.target:
-            # The first estimate stays: clocks and rounding must not look like a change.
-            cold_until = self._info.cold_until
-        else:
-            cold_until = unix_time() + beat.cold_s if beat.cold_s > 0.0 else 0.0
+            cold_until = _settled_estimate(self._info.cold_until, cold_until)
         self._publish(TargetInfo(beat.target, beat.slots, self._state(), cold_until))
 
     def _state(self) -> TargetState:
@@ -282,10 +288,21 @@
 
     # -- keys ------------------------------------------------------------------------
 
-    def set_keyed(self, keyed: bool) -> None:
-        """Take from the configuration whether the target's service is divided by key."""
-        self._keyed = keyed
-        self._delivery.set_keyed(keyed)
+    def set_rules(self, rules: ServiceRules | None) -> None:
+        """Take what the configuration says of the target's service."""
+        self._keyed = rules is not None and rules.keyed
+        self._delivery.set_keyed(self._keyed)
+        per_s = rules.cold_per_s if rules is not None else 0.0
+        self._slots.cold.set_rate(per_s * self._settings.cold_overage)
+
+    def set_drained(self, since: float | None) -> None:
+        """Take since when the target's failure domain is drained; None where it is not.
+
+        Targets turn cold while nothing is sent to them; a heartbeat tells it later.
+        """
+        if since is None and self._drained_since is not None:
+            self._slots.cold.doubt(boot_time())
+        self._drained_since = since
 
     def adopt(self, key_map: KeyMap) -> None:
         """Act on a newer key map."""
@@ -362,6 +379,8 @@
         if self._refusing:
             return Reason.DRAINING
         now = boot_time()
+        if self._is_drained_for(head, now):
+            return Reason.MOVED
         leaving = self._leaving_since
         if leaving is not None and now > leaving + self._settings.drain_s * DRAIN_SHARE:
             return Reason.DRAINING
@@ -375,6 +394,18 @@
             return Reason.NOT_READY
         return Reason.MOVED
 
+    def _is_drained_for(self, head: RequestHead, now: float) -> bool:
+        """Return whether the drain of the failure domain keeps a request from the target.
+
+        Keys are served until they have been handed over, in the time that operators allow.
+        """
+        since = self._drained_since
+        if since is None:
+            return False
+        if not self._keyed or not head.key:
+            return True
+        return now > since + self._settings.domain_drain_s * KEYED_DRAIN_SHARE
+
     def park(self, request: TargetRequest) -> bool:
         """Let a request wait for its key; return False where too many wait."""
         if len(self._parked) >= PARKED_LIMIT:
@@ -408,6 +439,7 @@
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """A request goes to the target."""
+        self._slots.cold.sent(boot_time())
         self._log.decided(
             "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
             running=self._slots.running, waiting=self._slots.waiting, map=self.map_version,
@@ -440,6 +472,8 @@
         """No connection to the target could be made."""
         if error.refused and self._refused_at is None:
             self._refused_at = boot_time()
+            # What listens there next has just started.
+            self._slots.cold.doubt(self._refused_at)
 
     def _watch_target(self) -> None:
         """Look whether a target that leaves, or refused a connection, has ended."""
@@ -484,5 +518,10 @@
             self._listener.keys_changed()
 
 
+def _settled_estimate(before: float, now: float) -> float:
+    """Return the Unix time in s to tell: clocks and rounding must not look like a change."""
+    return before if abs(now - before) < COLD_ESTIMATE_S else now
+
+
 def _text(request_id: bytes) -> str:
     return request_id.decode("latin-1")
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from pearward_coordination.cold_limit import ColdLimit
 from pearward_coordination.link_queue import LinkQueue, LongRequest
 from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.selection import TargetLoad
@@ -41,6 +42,7 @@
     def __init__(self, policy: OverloadPolicy, link: LinkQueue) -> None:
         self._policy = policy
         self._link = link
+        self._cold = ColdLimit()
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy))
         self._users: dict[SlotTicket, SlotUser] = {}
 
@@ -56,18 +58,32 @@
         """Requests that wait for one."""
         return self._queue.waiting
 
+    @property
+    def cold(self) -> ColdLimit:
+        """What the target may get while it is cold."""
+        return self._cold
+
     def load(self) -> TargetLoad:
-        """Return the load of the target and its instance's link as this daemon counts it."""
+        """Return the load of the target and its instance's link as this daemon counts it.
+
+        A cold target tells so many slots as what it bears fills: requesters ask others first.
+        """
         queue = self._queue
         now = boot_time()
+        slots, service_s = queue.slots, queue.service_s(now)
+        rate = self._cold.rate(now)
+        if rate is not None:
+            slots = max(1, min(slots, round(rate * service_s)))
         return TargetLoad(
-            queue.running, queue.waiting, queue.slots, queue.service_s(now),
-            self._link.long_wait_s(now),
-        )  # fmt: skip
+            queue.running, queue.waiting, slots, service_s, self._link.long_wait_s(now)
+        )
 
     def capacity(self) -> float:
         """Return the requests a second that the target can run."""
-        return self._queue.slots / max(self._queue.service_s(boot_time()), SHORTEST_SERVICE_S)
+        now = boot_time()
+        warm = self._queue.slots / max(self._queue.service_s(now), SHORTEST_SERVICE_S)
+        rate = self._cold.rate(now)
+        return warm if rate is None else min(warm, rate)
 
     def set_slots(self, slots: int) -> None:
         """Take from the target how many requests it works on at once."""
@@ -79,6 +95,8 @@
     def offer(self, user: SlotUser, ticket: SlotTicket) -> bool | Refused:
         """Ask for a slot: True is given now, False is given later."""
         now = boot_time()
+        if (room_in_s := self._cold.room_in_s(now)) > 0.0:
+            return Refused(max(room_in_s, self._queue.retry_after(ticket, room_in_s, now)))
         if user.needs_link and (too_late_s := self._link_too_late_s(user, ticket, now)) > 0.0:
             return Refused(self._queue.retry_after(ticket, too_late_s, now))
         offered = self._queue.offer(ticket, now)
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -28,6 +28,8 @@
 PROXY_OFFSET = 100
 """Added to the last byte of a daemon's IP where the proxy listens in its place."""
 HOST = "app.example"
+COLD_PER_S = 5.0
+"""Requests a second that a cold target bears."""
 SILENT_MS = 12_000
 """Silence after which an owner loses its keys here: on a crowded machine a daemon that was
 killed needs up to seven seconds to stand again, and that is not what the tests are about."""
@@ -201,6 +203,7 @@
         for service in self._services:
             document["services"][service] = {
                 "maxConnections": 100, "enableSharding": service == self._keyed, "warmupS": 0.0,
+                "coldPerS": COLD_PER_S,
             }  # fmt: skip
             for kind in ("safe", "unsafe"):
                 document["routes"][f"{service}-{kind}"] = {
@@ -216,6 +219,10 @@
         """Write a document as it is."""
         self.store_call("/standin/configuration", document)
 
+    def drain(self, domain: str, entry: str | None = "{}") -> None:
+        """Drain a failure domain, or take that back (None)."""
+        self.store_call("/standin/drain", json.dumps({"domain": domain, "entry": entry}))
+
     def store_call(self, path: str, body: str = "{}") -> Any:
         """Make one call to the store stand-in."""
         return self._http(f"{self._network}.1:{STORE_PORT}", "POST", path, body.encode())
--- a/packages/devtools/src/pearward_devtools/mesh/store.py
+++ b/packages/devtools/src/pearward_devtools/mesh/store.py
@@ -5,7 +5,8 @@
 ``lose_writes`` (how many writes are done and not answered), ``late_s`` (done so much later),
 ``lapse`` (whether leases run out in a fault). ``POST /standin/forget`` drops the history,
 ``POST /standin/revoke`` takes keys under a prefix away, ``GET /standin/counts`` tells how
-often each call was made, ``PUT /standin/configuration`` is the operator's write.
+often each call was made, ``PUT /standin/configuration`` is the operator's write, and
+``POST /standin/drain`` with ``domain`` and ``entry`` (null takes it back) another one.
 """
 
 import base64
@@ -22,6 +23,7 @@
 __all__ = ["main"]
 
 CONFIGURATION = "op/config"
+DRAINS = "op/evacuate/"
 BUSY, MANY, CONFLICT, GONE, NOT_FOUND = 503, 429, 412, 410, 404
 
 
@@ -289,6 +291,8 @@
             case b"/standin/configuration":
                 store.revision += 1
                 store.put(CONFIGURATION, base64.b64encode(body).decode(), 0)
+            case b"/standin/drain":
+                self._drain(json.loads(body))
             case b"/standin/faults":
                 store.faults = Faults(**json.loads(body or b"{}"))
             case b"/standin/forget":
@@ -304,6 +308,15 @@
                     store.remove(key)
         return b"{}"
 
+    def _drain(self, asked: dict[str, Any]) -> None:
+        """Write the operator's entry of a failure domain, or take it back."""
+        store, key = self._store, DRAINS + asked["domain"]
+        if asked["entry"] is None:
+            store.remove(key)
+            return
+        store.revision += 1
+        store.put(key, base64.b64encode(asked["entry"].encode()).decode(), 0)
+
 
 @click.command()
 @click.option("--ip", required=True)
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -3,7 +3,8 @@
 Requests name what is to happen in their query: ``work_ms``, ``bytes`` of the answer, and
 ``spoil`` (``short``, ``unsigned``, ``surplus``, ``late``, ``unframed``, ``close``, ``fail``,
 ``refuse``). ``GET /standin/state`` tells what is held, what ran and with which headers;
-``POST /standin/drain`` and ``/standin/leave`` begin a leave with and without notice.
+``POST /standin/drain`` and ``/standin/leave`` begin a leave with and without notice,
+``POST /standin/cold`` with ``seconds`` makes the target say that it is cold for so long.
 """
 
 import json
@@ -56,6 +57,11 @@
         self._client = ServerClient(reactor, beats_to, idle_limit_s=5.0)
         self._sequence = 0
         self._silent = False
+        self._cold_until = 0.0
+
+    def turn_cold(self, seconds: float) -> None:
+        """Say from the next heartbeat on that it is cold."""
+        self._cold_until = time.monotonic() + seconds
 
     def work_began(self, key: int) -> None:
         """Count a request for a key as running."""
@@ -95,7 +101,11 @@
                 "zone": self.zone,
                 "capacitySlots": self.slots,
             },
-            "status": {"state": self.state, "sequence": self._sequence, "coldRemainingMs": 0},
+            "status": {
+                "state": self.state,
+                "sequence": self._sequence,
+                "coldRemainingMs": max(0, round((self._cold_until - sent) * 1000)),
+            },
         }
         if not self.by_call:
             body["holds"] = [[r.first, r.last, r.fence] for r in self.rows]
@@ -234,7 +244,7 @@
         head = {
             "Request-Id": request_id,
             "Server-Signature": f"signed.{request_id}",
-            "Server-Load": f"{target.running},0,{target.slots}",
+            "Server-Load": f"{target.running},0,{target.slots},100",
             "Target": target.id,
         }
         status = 500 if spoil == "fail" else 200
@@ -290,6 +300,8 @@
                 target.state = "draining"
             case b"/standin/leave":
                 target.leave()
+            case b"/standin/cold":
+                target.turn_cold(json.loads(request.content.read())["seconds"])
             case b"/standin/late":
                 target.calls.late(json.loads(request.content.read()))
         return b"{}"
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -66,7 +66,7 @@
     "changes": EntryChange,
 }
 """Lists of rows, by their name in the schema, and what a row is."""
-_TEXTS = frozenset({"silent", "keys", "ended"})
+_TEXTS = frozenset({"silent", "keys", "ended", "drained"})
 """Lists of texts, by their name in the schema."""
 
 
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -191,6 +191,8 @@
       known @69 :Bool;
       revision @70 :UInt64;
       changes @71 :List(EntryChange);
+      drainsRevision @77 :UInt64;
+      drained @78 :List(Text);
     }
   }
 }
--- a/packages/state/src/pearward_state/routes.py
+++ b/packages/state/src/pearward_state/routes.py
@@ -73,6 +73,8 @@
     """Connections that a target accepts from all callers together."""
     warmup_s: float
     """Seconds for which a key is slow at a target that got it without a hand-over token."""
+    cold_per_s: float = 0.0
+    """Requests a second that a target bears while it is cold; 0 where nothing is said."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/transport/src/pearward_transport/store.py
+++ b/packages/transport/src/pearward_transport/store.py
@@ -12,6 +12,8 @@
 from .errors import PlatformError
 
 __all__ = [
+    "CONFIGURATION",
+    "DRAINS",
     "Changes",
     "Expectation",
     "FleetStore",
@@ -22,6 +24,11 @@
     "StoreRefused",
 ]
 
+CONFIGURATION = "configuration"
+"""Key of the operators' configuration document."""
+DRAINS = "drains/"
+"""Before the name of a failure domain: key of the operators' entry that drains it."""
+
 
 class LeaseGone(PlatformError):
     """The lease that a write names does not exist any more."""
@@ -102,8 +109,8 @@
         Raises HistoryGone where the changes have to be replaced by a scan.
         """
 
-    async def configuration(self) -> Snapshot:
-        """Return the operators' configuration document, or nothing before there is one."""
+    async def operator_entries(self) -> Snapshot:
+        """Return what operators have written: the configuration and the drains."""
 
-    async def configuration_changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes of the configuration document, as changes() does."""
+    async def operator_changes(self, after: int, wait_s: float) -> Changes:
+        """Wait for changes of what operators have written, as changes() does."""
--- a/tests/fuzz/mesh_store.py
+++ b/tests/fuzz/mesh_store.py
@@ -10,6 +10,8 @@
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_transport.errors import CasConflict, PlatformUnavailable
 from pearward_transport.store import (
+    CONFIGURATION,
+    DRAINS,
     Changes,
     Expectation,
     HistoryGone,
@@ -157,18 +159,24 @@
     async def revoke(self, lease: int) -> None:
         return await self._call(lambda: self._world.store.end(lease))
 
-    async def configuration(self) -> Snapshot:
+    async def operator_entries(self) -> Snapshot:
         # Written long ago: its own revision lies before any history that was forgotten.
-        item = KeyValue("config", b"", 1)
-        return await self._call(lambda: Snapshot((item,), self._world.store.revision))
+        configuration = KeyValue(CONFIGURATION, b"", 1)
 
-    async def configuration_changes(self, after: int, wait_s: float) -> Changes:
-        return await self._watch("config", after, wait_s)
+        def look() -> Snapshot:
+            store = self._world.store
+            drains = [item for key, item in store.items.items() if key.startswith(DRAINS)]
+            return Snapshot((configuration, *drains), store.revision)
+
+        return await self._call(look)
+
+    async def operator_changes(self, after: int, wait_s: float) -> Changes:
+        return await self._watch((CONFIGURATION, DRAINS), after, wait_s)
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
-        return await self._watch(prefix, after, wait_s)
+        return await self._watch((prefix,), after, wait_s)
 
-    async def _watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    async def _watch(self, prefixes: tuple[str, ...], after: int, wait_s: float) -> Changes:
         store = self._world.store
         until = self._world.now + wait_s
         while True:
@@ -177,7 +185,7 @@
                 if after < store.forgotten:
                     raise HistoryGone(str(after))
                 events = [
-                    e for e in store.history if e.revision > after and e.key.startswith(prefix)
+                    e for e in store.history if e.revision > after and e.key.startswith(prefixes)
                 ]
                 return Changes(tuple(events), store.revision)
 
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from unittest import mock
 
@@ -25,18 +26,22 @@
     beat_answers,
     call_delivery,
     core,
+    drain_control,
     key_planner,
     member_feed,
     store_session,
     target_lease,
     target_side,
+    target_slots,
 )
 from pearward_daemon.mesh.core import MeshCore
 from pearward_daemon.mesh.log import DecisionLog
 from pearward_daemon.mesh.settings import Address, GrantWay, MeshSettings, StoreSettings
+from pearward_platform.document import check_drain
 from pearward_protocol.control import decode_control, encode_control
 from pearward_state.routes import RoutingTable, ServiceRules
 from pearward_transport.errors import ServerUnreachable
+from pearward_transport.store import DRAINS, Put
 
 from .mesh_store import FakeStore, StoreClient
 from .mesh_targets import SERVICE, FakeGrants, FakeTarget, HeldKeys
@@ -66,8 +71,23 @@
         return succeed(mock.Mock())
 
 
+class _Log(DecisionLog):
+    """Writes nothing, and counts the decisions by their names."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        super().__init__(0, now)
+        self.counts: Counter[str] = Counter()
+
+    def decided(self, what: str, *, failure: bool = False, **fields: Any) -> None:
+        """Count a decision."""
+        self.counts[what] += 1
+
+
 class _Dialect:
-    """Reads the one configuration of the world."""
+    """Reads the one configuration of the world, and drains as the platform writes them."""
+
+    def check_drain(self, entry: bytes) -> None:
+        check_drain(entry)
 
     def configuration(self, document: bytes) -> RoutingTable:
         return RoutingTable(1, (), {SERVICE: ServiceRules(SERVICE, True, 100, 2.0)})
@@ -80,6 +100,7 @@
     core: MeshCore
     clock: Clock
     me: PeerId
+    log: _Log
     alive: bool = True
     frozen: bool = False
     waiting: list[Callable[[], None]] = field(default_factory=list)
@@ -108,11 +129,13 @@
         timing: GrantTiming,
         seed: int = 1,
         way: GrantWay = GrantWay.HEARTBEAT,
+        domains: tuple[str, ...] = ("a",),
     ) -> None:
         import random
 
         self.now = 1000.0
         self._way = way
+        self._domains = domains
         self._late_orders: list[tuple[float, ...]] = []
         self._on_sent: dict[int, list[Pull]] = {}
         self._rng = random.Random(seed)
@@ -135,6 +158,19 @@
         """Whether targets are told their keys by calls."""
         return self._way is GrantWay.CALL
 
+    def domain_of(self, node: Node) -> str:
+        """Return the failure domain of an instance."""
+        return self._domains[node.number % len(self._domains)]
+
+    def drain(self, name: str, entry: bytes = b"{}") -> None:
+        """The operator writes that a failure domain is to be drained."""
+        self.store.revision += 1
+        self.store.put(Put(DRAINS + name, entry))
+
+    def end_drain(self, name: str) -> None:
+        """The operator takes the drain of a failure domain back."""
+        self.store.remove(DRAINS + name)
+
     # -- time ------------------------------------------------------------------------
 
     def at(self, when: float, call: Callable[[], None]) -> None:
@@ -253,7 +289,11 @@
         self.end_daemon(node)
         clock = Clock()
         clock.advance(self.now)
-        settings = _settings(node.number, self._timing, self._way)
+        settings = replace(
+            _settings(node.number, self._timing, self._way),
+            failure_domain=self.domain_of(node),
+            failure_domains=frozenset(self._domains),
+        )
         node.lives += 1
         me = PeerId(f"d{node.number}-{node.lives}", str(settings.peers))
 
@@ -261,19 +301,20 @@
             self._send(node, me, address, message)
 
         node.grants = FakeGrants(self, node)
+        log = _Log(lambda: self.now)
         core_ = MeshCore(
             clock,
             settings,
             StoreClient(self, node, clock),
             _Dialect(),  # type: ignore[arg-type]
-            DecisionLog(0, lambda: self.now),
+            log,
             me,
             _Client(node),  # type: ignore[arg-type]
             send,
             LinkQueue(settings.link_mbit_per_s),
             node.grants,
         )
-        node.daemon = Daemon(core_, clock, me)
+        node.daemon = Daemon(core_, clock, me, log)
         core_.start(lambda table: None)
 
     def end_daemon(self, node: Node) -> None:
@@ -337,6 +378,7 @@
     return MeshSettings(
         instance=f"instance-{number}",
         failure_domain="a",
+        failure_domains=frozenset(),
         service=SERVICE,
         target_address="127.0.0.1:1",
         callers=here,
@@ -353,6 +395,8 @@
         overload=OverloadPolicy(),
         drain_s=2.0,
         stop_s=6.0,
+        domain_drain_s=5.0,
+        cold_overage=1.0,
         link_mbit_per_s=1000.0,
         log_lines_per_s=1,
     )
@@ -368,10 +412,10 @@
 
     with ExitStack() as stack:
         for module in (
-            beat_answers, call_delivery, core, key_planner, member_feed, store_session,
-            target_lease,
-            target_side,
+            beat_answers, call_delivery, core, drain_control, key_planner, member_feed,
+            store_session, target_lease, target_side, target_slots,
         ):  # fmt: skip
             stack.enter_context(mock.patch.object(module, "boot_time", now))
-        stack.enter_context(mock.patch.object(target_side, "unix_time", now))
+        for module in (key_planner, target_side):
+            stack.enter_context(mock.patch.object(module, "unix_time", now))
         yield
