A target that starts again under its id is another incarnation

Cause: heartbeats of the new process counted below those of the old one and were dropped as repeats; its daemon believed that it held all its keys. Change: identity is the id and the birth that the target tells, (id~birth in records, the bare id on the wire); an older birth is a late heartbeat. Where births are not told, two heartbeats in turn that count anew while the known life misses one name a new life, and what the old one may hold has to run out before others get it. Late heartbeats in either order change nothing. The ownership machine draws restarts under one id with and without births, and heartbeats that are held up for seconds.

--- a/features/steps/mesh_ownership_steps.py
+++ b/features/steps/mesh_ownership_steps.py
@@ -29,7 +29,8 @@
     world = World.__new__(World)
     stack.enter_context(virtual_time(lambda: world))
     way = getattr(context, "way", GrantWay.HEARTBEAT)
-    world.__init__(count, GrantTiming(), way=way)  # type: ignore[misc]
+    born = getattr(context, "born", False)
+    world.__init__(count, GrantTiming(), way=way, born=born)  # type: ignore[misc]
     context.world = world
     context.unserved = []
     return world
--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -106,6 +106,8 @@
         self._begun: set[HeldRow] = set()
         self._heard = False
         self._ended: set[str] = set()
+        self._lingering: dict[str, float] = {}
+        """Former incarnations that may live yet, and when all that they may hold has run out."""
 
     # -- properties -------------------------------------------------------------
 
@@ -147,6 +149,17 @@
             return
         if self._target:
             self._ended.add(self._target)
+        self._begin(target)
+
+    def target_supposed(self, target: str, now: float) -> None:
+        """Another incarnation seems to beat, under the same id: the former one may live yet.
+
+        It counts as ended when all that it may hold has run out.
+        """
+        self._lingering[self._target] = now + self._timing.hold_s * CLOCK_SLACK
+        self._begin(target)
+
+    def _begin(self, target: str) -> None:
         self._target = target
         self._ledger.clear()
         self._begun.clear()
@@ -167,6 +180,14 @@
         """Return whether an incarnation beside this daemon is known to be gone."""
         return target in self._ended
 
+    def ended_by(self, now: float) -> list[str]:
+        """Return former incarnations that might have lived, and now count as ended."""
+        over = [target for target, until in self._lingering.items() if now >= until]
+        for target in over:
+            del self._lingering[target]
+            self._ended.add(target)
+        return over
+
     def adopt(self, key_map: KeyMap) -> bool:
         """Act on a newer map; return whether it was newer."""
         if self._map is not None and key_map.version <= self._map.version:
@@ -371,6 +392,8 @@
                 return None
             return self._tokens_between(first, last)
         run_out = now >= self._started + self._timing.hold_s * CLOCK_SLACK
+        if now < self._lingering.get(target, 0.0):
+            return None
         if target in self._ended or run_out:
             # Not heard of in this life: what an earlier one granted has run out.
             return [ReleasedRow(first, last, "")]
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -1,22 +1,62 @@
 """Which incarnation of a target is the one that lives, by its heartbeats alone.
 
 A heartbeat can be held up on its way and arrive after its sender has crashed, and after
-another incarnation has begun at the same address. No I/O and no clock.
+another incarnation has begun at the same address, perhaps under the same id. Where targets
+tell when they were born, that tells two lives of one id apart; where they do not, their
+counts of calls do. No I/O and no clock.
 """
 
-__all__ = ["BeatClock"]
+from dataclasses import dataclass
+
+from pearward_state.members import LIFE_MARK, target_id
+
+__all__ = ["BeatClock", "BeatSign"]
 
 FIRST_CALLS = 6
 """Calls of a new incarnation that may have met a daemon that was not there yet."""
 PRESENT_S = 2.0
 """Seconds after a heartbeat in which its sender counts as present: two intervals."""
+COUNTS_ANEW_S = 0.2
+"""Seconds between two heartbeats that count anew from which they are a new life's: late ones
+that were held up together arrive at once."""
+MISSED_S = 1.2
+"""Seconds since the last heartbeat of the known life after which it has missed one."""
+
+
+@dataclass(frozen=True, slots=True)
+class BeatSign:
+    """What a heartbeat says of who sent it."""
+
+    target: str
+    """Id of the target; may be the same in two lives."""
+    born_ms: int | None
+    """Unix time in ms at which its process started; None where it does not say."""
+    sequence: int
+    """Rises with each call of one life."""
+    holds_nothing: bool
+    """Whether it says that it holds no key."""
+
+
+@dataclass(slots=True)
+class _Life:
+    """The newest life of one id."""
+
+    name: str
+    born_ms: int | None
+    sequence: int
+    heard_at: float
+    supposed: bool = False
+    low_sequence: int = 0
+    """Count of the last heartbeat that was not above the newest; 0 where there was none."""
+    low_at: float = 0.0
 
 
 class BeatClock:
     """When the present incarnation beat last, and which heartbeats are old ones."""
 
     def __init__(self) -> None:
-        self._sequences: dict[str, int] = {}
+        self._lives: dict[str, _Life] = {}
+        self._former: tuple[str, ...] = ()
         self._last = 0.0
         self._sure = False
 
@@ -25,13 +65,70 @@
         """When the present incarnation beat last, in s of the steady clock."""
         return self._last
 
-    def is_repeated(self, target: str, sequence: int) -> bool:
-        """Return whether a heartbeat is older than one heard; remember it otherwise."""
-        if sequence <= self._sequences.get(target, -1):
+    # -- lives of one id ----------------------------------------------------------
+
+    def former_known(self, names: list[str]) -> None:
+        """Take the incarnations that earlier lives of this daemon served, the newest last."""
+        self._former = tuple(names)
+        for target, life in self._lives.items():
+            if life.born_ms is None and life.name == target:
+                life.name = self._served_last(target)
+
+    def incarnation_of(self, sign: BeatSign, now: float, unix_ms: int) -> str | None:
+        """Return the incarnation that a heartbeat is of, or None for one that is late."""
+        life = self._lives.get(sign.target)
+        if life is None:
+            if sign.born_ms is None:
+                return self._begin(sign, self._served_last(sign.target), now)
+            return self._begin(sign, _name(sign.target, sign.born_ms), now)
+        if sign.born_ms is not None and life.born_ms is not None and sign.born_ms != life.born_ms:
+            if sign.born_ms < life.born_ms:
+                return None
+            return self._begin(sign, _name(sign.target, sign.born_ms), now)
+        if sign.sequence > life.sequence:
+            life.sequence, life.heard_at, life.low_sequence = sign.sequence, now, 0
+            life.born_ms = life.born_ms if sign.born_ms is None else sign.born_ms
+            return life.name
+        if sign.born_ms is not None and sign.born_ms == life.born_ms:
+            return None
+        if self._counts_anew(life, sign, now):
+            name = _name(sign.target, unix_ms if sign.born_ms is None else sign.born_ms)
+            return self._begin(sign, name, now, supposed=True)
+        return None
+
+    def is_supposed(self, target: str) -> bool:
+        """Return whether the newest life of an id is only supposed to be another than before.
+
+        Then the former one may live yet.
+        """
+        life = self._lives.get(target)
+        return life is not None and life.supposed
+
+    def _served_last(self, target: str) -> str:
+        """Name an id that this life of the daemon has not heard before: its newest known life."""
+        served = [name for name in self._former if target_id(name) == target]
+        return served[-1] if served else target
+
+    def _begin(self, sign: BeatSign, name: str, now: float, *, supposed: bool = False) -> str:
+        self._lives[sign.target] = _Life(name, sign.born_ms, sign.sequence, now, supposed)
+        return name
+
+    @staticmethod
+    def _counts_anew(life: _Life, sign: BeatSign, now: float) -> bool:
+        """Return whether a target has started again, of which one life did not tell its birth.
+
+        Two heartbeats in turn have to count anew, while the known life misses one of its own.
+        """
+        rises = 0 < life.low_sequence < sign.sequence
+        apart = now - life.low_at >= COUNTS_ANEW_S
+        if rises and apart and sign.holds_nothing and now - life.heard_at >= MISSED_S:
             return True
-        self._sequences[target] = sequence
+        if not rises or apart:
+            life.low_sequence, life.low_at = sign.sequence, now
         return False
 
+    # -- incarnations at one address ------------------------------------------------
+
     def heard(self, now: float) -> None:
         """The present incarnation beat."""
         self._last = now
@@ -53,3 +150,8 @@
         if not self._sure or now - self._last >= PRESENT_S:
             return False
         return sequence > FIRST_CALLS or connections > 0
+
+
+def _name(target: str, began_ms: int) -> str:
+    """Return the incarnation of a target that began at a Unix time in ms."""
+    return f"{target}{LIFE_MARK}{began_ms}"
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -296,6 +296,7 @@
     def former_targets(self, targets: list[str]) -> None:
         """Take the targets that earlier lives of this daemon granted keys to."""
         self._former = targets
+        self._side.former_known(targets)
         self._note_former()
 
     # -- the target --------------------------------------------------------------------
@@ -420,6 +421,8 @@
                 version = self._planner.reported(message)
                 if version > message.version:
                     self._send_map(message.service, sender, message.version)
+                elif version < message.version:
+                    self.want_map(message.service, sender.address)
             case Renew():
                 self._asked_to_renew(message, sender)
             case RenewReply():
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -11,7 +11,6 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
-from pearward_coordination.selection import TargetLoad
 from pearward_state.members import TargetState
 from pearward_state.routes import RoutingTable
 
@@ -24,6 +23,7 @@
     "GrantReply",
     "GrantVerdict",
     "ReleaseReply",
+    "ReportedLoad",
     "TargetBeat",
     "TargetLeave",
 ]
@@ -41,6 +41,17 @@
     """Key of the request; None where it has none."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """What a target says of its own load; told for operators, trusted for nothing."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None
+    """Time that work takes there now, over its usual time; None where it is not told."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What a target's answer says beside its status and body."""
@@ -53,7 +64,7 @@
     signed: bool
     encoded: bool
     """The body was encoded on the way: it is not the target's own."""
-    load: TargetLoad | None
+    load: ReportedLoad | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +72,7 @@
     """A heartbeat of the target beside this daemon."""
 
     target: str
+    """Id of the target, which a later life of it may have as well."""
     service: str
     address: str
     failure_domain: str
@@ -72,6 +84,8 @@
     """Rises with each call of one incarnation; a late one has a lower number."""
     held: tuple[HeldRow, ...]
     released: tuple[ReleasedRow, ...]
+    born_ms: int | None = None
+    """Unix time in ms at which the target's process started; None where it does not say."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +93,7 @@
     """The target beside this daemon says that it leaves, now or in a moment."""
 
     target: str
+    """Id of the target, without its life."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -1,19 +1,19 @@
 """The target beside this daemon: its heartbeats, its keys, its slots and its requests."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, succeed
 
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
-from pearward_coordination.incarnations import BeatClock
+from pearward_coordination.incarnations import BeatClock, BeatSign
 from pearward_coordination.key_load import KeyCounter
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
 from pearward_protocol.heads import RequestHead
 from pearward_state.keymap import KeyMap, Predecessor
-from pearward_state.members import TargetState
+from pearward_state.members import TargetState, target_id
 from pearward_state.outcome import Outcome, Reason
 from pearward_state.routes import ServiceRules
 from pearward_transport.clock import boot_time, unix_time
@@ -48,6 +48,9 @@
 still held there are served: their hand-over takes half a second, up to two for some."""
 COLD_ESTIMATE_S = 1.0
 """Seconds by which a target's own estimate of its cold time must differ to be told anew."""
+UNREADABLE_KEPT = 64
+"""Ids of unreadable heartbeats that are told of: more come from no target."""
+MS_PER_S = 1000
 BACK_S = 1.2
 """Seconds after which a daemon that ends now serves its target again."""
 
@@ -115,6 +118,9 @@
         self._listener: TargetSideListener | None = None
         self._reported_ended: list[str] = []
         self._pending_since: float | None = None
+        self._slowness = 1.0
+        self._unreadable: set[str] = set()
+        """Ids whose heartbeats could not be read, told once each."""
 
     def _delivery_of(self, way: GrantWay, grants: GrantPort) -> GrantDelivery:
         if way is GrantWay.CALL:
@@ -152,6 +158,16 @@
         key_map = self._keeper.key_map
         return key_map.version if key_map is not None else 0
 
+    @property
+    def slowness(self) -> float:
+        """Time that the target's work takes over its usual time, as it told last."""
+        return self._slowness
+
+    @property
+    def drained_since(self) -> float | None:
+        """Since when the failure domain is drained, in s of the steady clock; None if not."""
+        return self._drained_since
+
     @property
     def open_requests(self) -> int:
         """Requests that are not answered yet."""
@@ -171,8 +187,15 @@
     def beat(self, beat: TargetBeat) -> "Deferred[BeatAnswer]":
         """Take a heartbeat; its answer may wait for a change of the target's keys."""
         now = boot_time()
-        if self._beats.is_repeated(beat.target, beat.sequence):
+        if beat.service != self._settings.service:
+            self.unreadable_beat(beat.target, f"service {beat.service!r} does not run here")
             return succeed(BeatAnswer())
+        told = self._settings.grant_way is GrantWay.HEARTBEAT
+        sign = BeatSign(beat.target, beat.born_ms, beat.sequence, told and not beat.held)
+        incarnation = self._beats.incarnation_of(sign, now, round(unix_time() * MS_PER_S))
+        if incarnation is None:
+            return succeed(BeatAnswer())
+        beat = replace(beat, target=incarnation)
         if self._keeper.has_ended(beat.target) or self._is_from_the_past(beat, now):
             self._log.decided(
                 "late_heartbeat_ignored", target=beat.target, sequence=beat.sequence,
@@ -195,28 +218,41 @@
         self.reconsider()
         return answer
 
+    def unreadable_beat(self, target: str, error: str) -> None:
+        """A heartbeat cannot be read: it names no target to use, and changes nothing."""
+        if target not in self._unreadable and len(self._unreadable) < UNREADABLE_KEPT:
+            self._unreadable.add(target)
+            self._log.decided("heartbeat_unreadable", failure=True, target=target, error=error)
+
     def _is_from_the_past(self, beat: TargetBeat, now: float) -> bool:
         """Whether a heartbeat is a late one of a former target."""
         present = self._keeper.target
         if not present or beat.target == present:
             return False
+        if target_id(beat.target) == target_id(present):
+            # The later life of one id: an earlier one's heartbeats were sorted out before.
+            return False
         return self._beats.is_from_the_past(beat.sequence, self._client.open_connections, now)
 
     def leave(self, leave: TargetLeave) -> None:
         """The target says that it ends soon, without heartbeats from now on."""
-        if self._info is None or leave.target != self._info.target:
+        if self._info is None or leave.target != target_id(self._info.target):
             return
-        self._log.decided("target_leaves", target=leave.target, how="without notice")
+        self._log.decided("target_leaves", target=self._info.target, how="without notice")
         if self._leaving_since is None:
             self._leaving_since = boot_time()
         self._publish_state()
 
     def _target_began(self, beat: TargetBeat) -> None:
         former = self._keeper.target
-        self._keeper.target_changed(beat.target)
+        same_id = bool(former) and target_id(former) == target_id(beat.target)
+        if same_id and self._beats.is_supposed(target_id(beat.target)):
+            self._keeper.target_supposed(beat.target, boot_time())
+        else:
+            self._keeper.target_changed(beat.target)
+            if former:
+                self._reported_ended.append(former)
         self._delivery.target_changed()
-        if former:
-            self._reported_ended.append(former)
         self._client.close()
         self._leaving_since = None
         self._slots.set_slots(beat.slots)
@@ -355,6 +391,10 @@
             counts=self._counter.take(),
         )
 
+    def former_known(self, targets: list[str]) -> None:
+        """Take the incarnations that earlier lives of this daemon served, the newest last."""
+        self._beats.former_known(targets)
+
     def note_ended(self, target: str) -> None:
         """An incarnation that an earlier life of this daemon served is known to be gone."""
         self._keeper.note_ended(target)
@@ -435,7 +475,10 @@
 
     def facts(self, headers: bytes) -> AnswerFacts:
         """Read the headers of a target's answer."""
-        return self._dialect.answer_facts(headers)
+        facts = self._dialect.answer_facts(headers)
+        if facts.load is not None and facts.load.slowness is not None:
+            self._slowness = facts.load.slowness
+        return facts
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """A request goes to the target."""
@@ -479,6 +522,7 @@
         """Look whether a target that leaves, or refused a connection, has ended."""
         self._reactor.callLater(END_CHECK_S, self._watch_target)
         now = boot_time()
+        self._reported_ended.extend(self._keeper.ended_by(now))
         info = self._info
         if info is None:
             return
--- a/packages/state/src/pearward_state/members.py
+++ b/packages/state/src/pearward_state/members.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Holder", "Member", "TargetState"]
+__all__ = ["LIFE_MARK", "Holder", "Member", "TargetState", "target_id"]
+
+LIFE_MARK = "~"
+"""Stands between a target's id and when that life of it began, in the name of an incarnation."""
+
+
+def target_id(incarnation: str) -> str:
+    """Return the id by which a target knows itself; two lives of it may have the same."""
+    return incarnation.partition(LIFE_MARK)[0]
 
 
 class TargetState(StrEnum):
--- a/tests/fuzz/mesh_machine.py
+++ b/tests/fuzz/mesh_machine.py
@@ -12,6 +12,7 @@
 
 NODES = st.integers(0, 4)
 TIMING = GrantTiming()
+DOMAINS = ("a", "b")
 ORDER_DELAYS = st.sampled_from([(2.0,), (2.6,), (0.0, 2.5), (0.5, 6.0), (12.0,), (1.0, 1.5)])
 """Seconds after its arrival at which an unanswered grant is taken."""
 
@@ -26,15 +27,15 @@
         self._stack = ExitStack()
         self.world: World | None = None
 
-    @initialize(count=st.integers(2, 4), seed=st.integers(0, 1000))
-    def form(self, count: int, seed: int) -> None:
+    @initialize(count=st.integers(2, 4), seed=st.integers(0, 1000), born=st.booleans())
+    def form(self, count: int, seed: int, born: bool) -> None:
         """Start a fleet that serves every key."""
         self._stack.enter_context(virtual_time(lambda: self.world))
         # Modules read the time through the patched function from the first call on.
         self.world = None
         world = World.__new__(World)
         self.world = world
-        world.__init__(count, TIMING, seed, self.way)  # type: ignore[misc]
+        world.__init__(count, TIMING, seed, self.way, DOMAINS, born=born)  # type: ignore[misc]
         world.run(6.0)
         assert world.served() > 0
 
@@ -78,6 +79,31 @@
         self.world.end_target(self._node(number))
         self.world.start_target(self._node(number))
 
+    @rule(number=NODES, born=st.booleans())
+    def restart_target(self, number: int, born: bool) -> None:
+        """A target crashes and starts again under the same id, born told or not."""
+        assert self.world is not None
+        node = self._node(number)
+        if node.target is not None and node.target.alive:
+            self.world.restart_target(node, born=born)
+
+    @rule(number=NODES, seconds=st.sampled_from([0.5, 1.5, 4.0]))
+    def late_beat(self, number: int, seconds: float) -> None:
+        """A heartbeat is held up for long; its sender may have ended by then."""
+        assert self.world is not None
+        node = self._node(number)
+        if node.target is not None and node.target.alive:
+            self.world.late_beat(node, node.target, seconds)
+
+    @rule(name=st.sampled_from(DOMAINS), drained=st.booleans())
+    def drain_domain(self, name: str, drained: bool) -> None:
+        """Operators drain a failure domain, or take it back."""
+        assert self.world is not None
+        if drained:
+            self.world.drain(name)
+        else:
+            self.world.end_drain(name)
+
     @rule(number=NODES)
     def crash_target(self, number: int) -> None:
         """A target crashes."""
--- a/tests/fuzz/mesh_targets.py
+++ b/tests/fuzz/mesh_targets.py
@@ -15,7 +15,7 @@
     ReleaseReply,
     TargetBeat,
 )
-from pearward_state.members import TargetState
+from pearward_state.members import TargetState, target_id
 
 if TYPE_CHECKING:
     from .mesh_world import Node, World
@@ -45,10 +45,22 @@
 class FakeTarget:
     """A target that enforces its own lease, by a clock that may run slow."""
 
-    def __init__(self, world: World, node: Node, number: int, rate: float) -> None:
+    def __init__(
+        self,
+        world: World,
+        node: Node,
+        number: int,
+        rate: float,
+        *,
+        target_id: str = "",
+        born_ms: int | None = None,
+    ) -> None:
         self._world = world
         self.node = node
-        self.id = f"i-{node.number}-{number}"
+        self.life = f"i-{node.number}-{number}"
+        """Names the process, which may have the id of a former one."""
+        self.id = target_id or self.life
+        self._born_ms = born_ms
         self._rate = rate
         self._sequence = 0
         self.alive = True
@@ -90,20 +102,8 @@
     def _beat(self, now: float) -> None:
         leaving = any(row.released_at is not None for row in self.rows)
         self._next_beat = now + (SOON_S if leaving else BEAT_S)
-        self._sequence += 1
-        sequence, freed = self._sequence, tuple(self._freed)
-        beat = TargetBeat(
-            target=self.id,
-            service=SERVICE,
-            address="127.0.0.1:1",
-            failure_domain="a",
-            slots=12,
-            state=TargetState.DRAINING if self.draining else TargetState.READY,
-            cold_s=0.0,
-            sequence=sequence,
-            held=() if self._world.by_call else self._held_rows(),
-            released=freed,
-        )
+        beat = self.next_beat()
+        sequence, freed = beat.sequence, beat.released
         daemon = self.node.daemon
 
         def deliver() -> None:
@@ -118,6 +118,23 @@
 
         self._world.deliver(daemon, self._world.now + LINK_S + self.node.beat_delay_s, deliver)
 
+    def next_beat(self) -> TargetBeat:
+        """Return the next heartbeat, which counts as sent."""
+        self._sequence += 1
+        return TargetBeat(
+            target=self.id,
+            service=SERVICE,
+            address="127.0.0.1:1",
+            failure_domain="a",
+            slots=12,
+            state=TargetState.DRAINING if self.draining else TargetState.READY,
+            cold_s=0.0,
+            sequence=self._sequence,
+            born_ms=self._born_ms,
+            held=() if self._world.by_call else self._held_rows(),
+            released=tuple(self._freed),
+        )
+
     def _held_rows(self) -> tuple[HeldRow, ...]:
         return tuple(HeldRow(r.first, r.last, r.fence) for r in self.rows)
 
@@ -234,7 +251,7 @@
         def take() -> GrantReply:
             if present is None or not present.alive:
                 return GrantReply(GrantVerdict.UNANSWERED)
-            if present.id != target:
+            if present.id != target_id(target):
                 return GrantReply(GrantVerdict.UNANSWERED, "status 421", other_target=True)
             return GrantReply(present.take_grant(row, hold_s, arrived))
 
@@ -262,7 +279,7 @@
             world.deliver(daemon, world.now + LINK_S, lambda: answer.callback(reply))
 
         def arrive() -> None:
-            if present is None or not present.alive or present.id != target:
+            if present is None or not present.alive or present.id != target_id(target):
                 back(ReleaseReply(False, detail="gone"))
                 return
             present.take_release(row, world.work_s()).addCallback(back)
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -130,12 +130,16 @@
         seed: int = 1,
         way: GrantWay = GrantWay.HEARTBEAT,
         domains: tuple[str, ...] = ("a",),
+        *,
+        born: bool = False,
     ) -> None:
         import random
 
         self.now = 1000.0
         self._way = way
         self._domains = domains
+        self._born = born
+        """Whether targets tell in their heartbeats when they started."""
         self._late_orders: list[tuple[float, ...]] = []
         self._on_sent: dict[int, list[Pull]] = {}
         self._rng = random.Random(seed)
@@ -228,9 +232,9 @@
             for row in rows:
                 if not row.first <= key <= row.last:
                     continue
-                others = [f for t, f in self._fences[key].items() if t != target.id]
-                assert row.fence > max(others, default=0), (key, target.id, row.fence, others)
-                self._fences[key][target.id] = row.fence
+                others = [f for t, f in self._fences[key].items() if t != target.life]
+                assert row.fence > max(others, default=0), (key, target.life, row.fence, others)
+                self._fences[key][target.life] = row.fence
 
     def served(self) -> int:
         """Return how many of the looked-at keys have a holder."""
@@ -277,7 +281,31 @@
     def start_target(self, node: Node) -> None:
         """A new incarnation of the target begins."""
         node.lives += 1
-        node.target = FakeTarget(self, node, node.lives, self._rng.choice((0.98, 0.99, 1.0)))
+        rate = self._rng.choice((0.98, 0.99, 1.0))
+        node.target = FakeTarget(self, node, node.lives, rate, born_ms=self._born_ms(self._born))
+
+    def restart_target(self, node: Node, *, born: bool) -> None:
+        """The target crashes, and a new process of it starts under the same id.
+
+        With *born* the new one says when it started.
+        """
+        former = node.target
+        assert former is not None
+        former.alive = False
+        node.lives += 1
+        node.target = FakeTarget(
+            self, node, node.lives, self._rng.choice((0.98, 0.99, 1.0)),
+            target_id=former.id, born_ms=self._born_ms(born),
+        )  # fmt: skip
+
+    def _born_ms(self, told: bool) -> int | None:
+        """Return the Unix time in ms at which a target starts now; None where it does not say."""
+        return round(self.now * 1000) if told else None
+
+    def late_beat(self, node: Node, target: FakeTarget, delay_s: float) -> None:
+        """A heartbeat that a target sends now arrives after a while, whatever happens to it."""
+        daemon, beat = node.daemon, target.next_beat()
+        self.deliver(daemon, self.now + delay_s, lambda: daemon and daemon.core.side.beat(beat))
 
     def end_target(self, node: Node) -> None:
         """The target's process ends."""
