--- /dev/null
+++ b/features/steps/foreign_steps.py
@@ -0,0 +1,317 @@
+"""Steps of messages and entries by other writers, mutated from valid ones."""
+
+import base64
+import random
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+from behave import given, then, when
+
+sys.path.insert(0, str(Path(__file__).parents[2]))
+
+from pearward_coordination.messages import Renew
+from pearward_daemon.mesh.dialect import TargetBeat
+from pearward_platform.beats import read_beat
+from pearward_platform.document import check_drain, read_document
+from pearward_platform.headers import PlatformDialect
+from pearward_platform.store import _item
+from pearward_protocol.control import decode_control, encode_control
+from pearward_protocol.entries import (
+    decode_holder,
+    decode_key_map,
+    decode_key_map_change,
+    decode_member,
+    encode_holder,
+    encode_key_map,
+    encode_key_map_change,
+    encode_member,
+    key_map_key,
+    member_key,
+)
+from pearward_protocol.errors import FrameError
+from pearward_protocol.heads import (
+    Hello,
+    RequestHead,
+    ResponseHead,
+    decode_hello,
+    decode_request,
+    decode_response,
+    encode_hello,
+    encode_request,
+    encode_response,
+)
+from pearward_state.errors import InvalidRecord
+from pearward_state.keymap import KeyMap, KeyRange, Predecessor, TargetWitnesses, changed_by
+from pearward_state.members import Holder, Member, TargetState
+from pearward_state.outcome import Outcome, RequestClass
+from pearward_transport.store import Put
+from tests.fuzz.mesh_targets import SERVICE
+from tests.fuzz.mesh_world import KEYS
+
+BEAT = {
+    "address": "10.128.0.9:8080",
+    "born": 1_764_700_000_000,
+    "information": {"service": "roster-app", "version": "v1", "zone": "a", "capacitySlots": 12},
+    "status": {"state": "ready", "sequence": 4, "coldRemainingMs": 1500},
+    "holds": [[0, 4095, 7]],
+    "freed": [[4096, 8191, "5c0e7a21d94b36f8"]],
+}
+MEMBER = Member(
+    "one", "a", "10.0.0.1:7600", "life-1", "roster-app", "i-1", 12, TargetState.READY, 12.5
+)
+FIRST = KeyMap(
+    "roster-app", 1, (KeyRange(0, 99, "i-1", 1), KeyRange(100, 65_535, "i-2", 1)), 1,
+    (TargetWitnesses("i-1", (("one", "two"),)),),
+)  # fmt: skip
+SECOND = KeyMap(
+    "roster-app", 2,
+    (KeyRange(0, 49, "i-1", 1), KeyRange(50, 99, "i-2", 2, (Predecessor("i-1", 1),)),
+     KeyRange(100, 65_535, "i-2", 1)), 2,
+)  # fmt: skip
+DOCUMENT = {
+    "version": "r7",
+    "routes": {"one": {"host": "h", "pathPrefix": "/a/", "kind": "safe", "timeoutMs": 100,
+                       "service": "s"}},
+    "services": {"s": {"enableSharding": True, "coldPerS": 10.0, "coldStartS": 3.0}},
+    "limits": {"maxHeaderBytes": 100},
+}  # fmt: skip
+HEAD = RequestHead(
+    service="roster-app", key=b"7", request_id=b"1", method=b"GET", path=b"/", headers=b"",
+    deadline_ms=1000, request_class=RequestClass.INTERACTIVE, tenant="", repeatable=True,
+    prior_age_ms=0, version=0, task_id="", position=7, body_length=0, target="i-1",
+)  # fmt: skip
+ITEM = {"privateKey": "k", "value": base64.b64encode(b"v").decode(), "revision": 4, "lease": 0}
+ODD: list[Any] = [
+    None, True, "7", -1, 2**70, 1e308, 0.5, [], {}, [[]], {"a": {"a": []}}, "", "x" * 300,
+    "\x00", [1, 2, 3, 4], -(2**40), 65_536, "nan",
+]  # fmt: skip
+
+
+def _answer_load(data: bytes) -> object:
+    return PlatformDialect().answer_facts(b"Server-Load: " + data).load
+
+
+def _read_control(data: bytes) -> object:
+    return decode_control(data)
+
+
+READERS: dict[str, tuple[bytes, Callable[[bytes], object], type[Exception]]] = {
+    "heartbeat": (orjson.dumps(BEAT), lambda data: read_beat("i-1", data), InvalidRecord),
+    "member": (encode_member(MEMBER), decode_member, InvalidRecord),
+    "holder": (encode_holder(Holder("i-1", "one")), decode_holder, InvalidRecord),
+    "key map": (encode_key_map(SECOND), decode_key_map, InvalidRecord),
+    "key map change": (
+        encode_key_map_change(changed_by(FIRST, SECOND)), decode_key_map_change, InvalidRecord,
+    ),
+    "configuration": (orjson.dumps(DOCUMENT), read_document, InvalidRecord),
+    "drain": (b"{}", check_drain, InvalidRecord),
+    "answer's load": (b"3,1,8,150", _answer_load, InvalidRecord),
+    "store's item": (orjson.dumps(ITEM["value"]), lambda d: _item(ITEM | {"value": d}), KeyError),
+    "greeting": (encode_hello(Hello("life-1", "10.0.0.1:7600")), decode_hello, FrameError),
+    "request": (encode_request(HEAD), decode_request, FrameError),
+    "answer": (encode_response(ResponseHead(200, Outcome.SERVED)), decode_response, FrameError),
+    "control": (
+        encode_control(Renew("roster-app", 3, 7, 0, 0, "i-1")), _read_control, FrameError,
+    ),
+}  # fmt: skip
+VALID = {
+    "heartbeat": lambda v: isinstance(v, TargetBeat) and type(v.slots) is int and v.slots > 0,
+    "member": lambda v: isinstance(v, Member) and type(v.slots) is int and bool(v.instance),
+    "key map": lambda v: v.ranges[0].first == 0 and v.ranges[-1].last == 65_535,
+}
+
+
+def _mutated(data: bytes, rng: random.Random) -> bytes:
+    """Spoil bytes, or one value of a JSON document."""
+    try:
+        document = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        document = None
+    if document is None or not isinstance(document, dict) or rng.random() < 0.2:
+        return _cut_or_changed(data, rng)
+    _spoil(document, rng)
+    return orjson.dumps(document, option=orjson.OPT_NON_STR_KEYS)
+
+
+def _cut_or_changed(data: bytes, rng: random.Random) -> bytes:
+    spoiled = bytearray(data)
+    for _ in range(rng.randint(1, 3)):
+        if spoiled:
+            spoiled[rng.randrange(len(spoiled))] = rng.randrange(256)
+    return bytes(spoiled[: rng.randint(0, len(spoiled))] if rng.random() < 0.5 else spoiled)
+
+
+def _spoil(node: Any, rng: random.Random) -> None:
+    """Change, take away or add one value somewhere in a document."""
+    keys = list(node) if isinstance(node, dict) else list(range(len(node)))
+    if not keys:
+        return
+    key = rng.choice(keys)
+    if isinstance(node[key], dict | list) and node[key] and rng.random() < 0.7:
+        _spoil(node[key], rng)
+    elif rng.random() < 0.3:
+        del node[key]
+    else:
+        odd = rng.choice(ODD)
+        node[key] = odd if not isinstance(odd, int) or abs(odd) < 2**63 else str(odd)
+
+
+@when("valid input of the {reader} reader is mutated {times:d} times")
+def mutate(context: Any, reader: str, times: int) -> None:
+    data, read, error = READERS[reader]
+    rng = random.Random(reader)
+    context.outcomes = []
+    read(data)
+    for _ in range(times):
+        spoiled = _mutated(data, rng)
+        try:
+            value = read(spoiled)
+        except error:
+            continue
+        except Exception as other:
+            context.outcomes.append((spoiled, repr(other)))
+            continue
+        if not VALID.get(reader, lambda v: True)(value):
+            context.outcomes.append((spoiled, repr(value)))
+
+
+@then("it gave valid values or its own error each time")
+def readers_sound(context: Any) -> None:
+    assert not context.outcomes, context.outcomes[:3]
+
+
+@when("a heartbeat is read with {fault}")
+def bad_beat(context: Any, fault: str) -> None:
+    beat: dict[str, Any] = orjson.loads(orjson.dumps(BEAT))
+    name = "i-1"
+    changes: dict[str, Callable[[], object]] = {
+        "a state that is not named": lambda: beat["status"].update(state="dozing"),
+        "no state": lambda: beat["status"].pop("state"),
+        "slots as a text": lambda: beat["information"].update(capacitySlots="12"),
+        "a truth value as sequence": lambda: beat["status"].update(sequence=True),
+        "a negative cold time": lambda: beat["status"].update(coldRemainingMs=-1),
+        "a birth that is no number": lambda: beat.update(born="yesterday"),
+        "keys that lie outside": lambda: beat.update(holds=[[0, 70_000, 1]]),
+        "no address": lambda: beat.pop("address"),
+        "a mark of a life in its id": lambda: None,
+    }
+    if fault == "a mark of a life in its id":
+        name = "i-1~5"
+    changes[fault]()
+    try:
+        read_beat(name, orjson.dumps(beat))
+        context.error = ""
+    except InvalidRecord as error:
+        context.error = str(error)
+
+
+@then("it is refused, and the error names {named}")
+def refused_naming(context: Any, named: str) -> None:
+    assert named in context.error, context.error
+
+
+@given('a daemon beside a target of "roster-app" that beats')
+def beating(context: Any) -> None:
+    context.execute_steps(
+        'Given a fleet of 6 targets in failure domains "a", "b" and "c" that serves'
+    )
+    context.node = context.world.nodes[1]
+
+
+@when('{count:d} heartbeats of a target of "{service}" come')
+def foreign_beats(context: Any, count: int, service: str) -> None:
+    for sequence in range(1, count + 1):
+        beat = TargetBeat(
+            target="i-foreign", service=service, address="10.0.0.9:1", failure_domain="a",
+            slots=4, state=TargetState.READY, cold_s=0.0, sequence=sequence, held=(), released=(),
+        )  # fmt: skip
+        context.node.daemon.core.side.beat(beat)
+        context.world.run(0.9)
+
+
+@then("the daemon still serves its target")
+def still_its_target(context: Any) -> None:
+    assert context.node.daemon.core.side.keeper.target == context.node.target.id
+    assert any(context.node.target.holds(key) for key in KEYS)
+
+
+@then("it has logged one heartbeat that cannot be read")
+def one_unreadable(context: Any) -> None:
+    assert context.node.daemon.log.counts["heartbeat_unreadable"] == 1
+
+
+@when('an answer says that its load is "{header}"')
+def load_header(context: Any, header: str) -> None:
+    context.facts = PlatformDialect().answer_facts(b"Server-Load: " + header.encode())
+
+
+# -- entries ------------------------------------------------------------------------------------
+
+
+@when("the entry of daemon {number:d} is written over with {how}")
+def spoil_entry(context: Any, number: int, how: str) -> None:
+    world = context.world
+    key = member_key(f"instance-{number}")
+    item = world.store.items[key]
+    data = orjson.loads(item.value)
+    spoiled = {
+        "bytes that cannot be read": b"\xff\xfe",
+        "the entry of daemon 2": world.store.items[member_key("instance-2")].value,
+        "a state that is not named": orjson.dumps(data | {"state": "dozing"}),
+        "another address": orjson.dumps(data | {"peer_address": "10.9.9.9:1"}),
+    }[how]
+    context.good = item.value
+    context.before = _holders(context)
+    world.store.revision += 1
+    world.store.put(Put(key, spoiled, item.lease))
+
+
+def _holders(context: Any) -> dict[int, str]:
+    return {
+        key: node.target.id
+        for key in KEYS
+        for node in context.world.nodes
+        if node.target is not None and node.target.holds(key)
+    }
+
+
+@then("daemon {number:d} has its own entry again after {seconds:g} s")
+def entry_restored(context: Any, number: int, seconds: float) -> None:
+    context.world.run(seconds)
+    now = context.world.store.items[member_key(f"instance-{number}")].value
+    assert decode_member(now) == decode_member(context.good), now
+
+
+@then("no key changed its holder meanwhile")
+def holders_stay(context: Any) -> None:
+    assert _holders(context) == context.before
+
+
+@when("the key map is spoiled and {then_what}")
+def spoil_map(context: Any, then_what: str) -> None:
+    world = context.world
+    world.store.revision += 1
+    world.store.put(Put(key_map_key(SERVICE), b'{"service": 7}'))
+    planner = next(node for node in world.nodes if node.daemon.core.planner.on_duty)
+    if then_what == "a target is lost":
+        lost = next(node for node in world.nodes if node is not planner)
+        world.end_target(lost)
+        world.run(4.0)
+    elif then_what == "the planner is started again":
+        world.start_daemon(planner)
+        world.run(4.0)
+    else:
+        for node in world.nodes:
+            world.start_daemon(node)
+        world.run(4.0)
+
+
+@then("the store has a key map again that all daemons know")
+def map_restored(context: Any) -> None:
+    world = context.world
+    stored = decode_key_map(world.store.items[key_map_key(SERVICE)].value)
+    known = {node.daemon.core.key_maps.version(SERVICE) for node in world.nodes}
+    assert known == {stored.version}, (stored.version, known)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,7 +13,7 @@
 
 from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
 from pearward_daemon.errors import SettingsError
-from pearward_daemon.mesh.dialect import BeatAnswer
+from pearward_daemon.mesh.dialect import BeatAnswer, ReportedLoad
 from pearward_daemon.mesh.settings import GrantWay, MeshSettings
 from pearward_platform.beats import encode_answer, read_beat
 from pearward_platform.document import read_document
@@ -50,6 +50,7 @@
     "nodeName": "sidecar-a-1",
     "ipAddress": "10.1.0.41",
     "zone": "a",
+    "zones": {"a": "central", "b": "central"},
     "service": "huvo11a",
     "applicationAddress": "10.1.0.41:8628",
     "listenAddresses": {
@@ -58,7 +59,7 @@
     },
     "internalPortRange": [7600, 7615],
     "bounds": {"holdMaxMs": 10000, "retryBudgetRatio": 0.2, "retryBudgetSlack": 64,
-               "budgetWindowS": 10, "drainMs": 2000, "gracePeriodS": 6},
+               "budgetWindowS": 10, "drainMs": 2000, "gracePeriodS": 6, "evacuationMs": 4000},
     "platform": {"address": "10.200.1.7:8627", "ttl_min_ms": 1000},
     "limits": {"cpuShare": 0.86, "memoryMb": 300, "linkMbps": 13.0},
     "grants": "call",
@@ -158,7 +159,7 @@
     try:
         read_beat("i-1", body.encode())
         context.error = ""
-    except ValueError as error:
+    except InvalidRecord as error:
         context.error = str(error)
 
 
@@ -219,6 +220,9 @@
         "of another target": lambda: facts.other_target and not facts.request_id,
         "encoded": lambda: facts.encoded,
         "running 3 of 8": lambda: (facts.load.running, facts.load.slots) == (3, 8),
+        "3 running, 1 waiting, 8 slots": lambda: facts.load == ReportedLoad(3, 1, 8, None),
+        "the same, and 1.5 times as long": lambda: facts.load == ReportedLoad(3, 1, 8, 1.5),
+        "nothing": lambda: facts.load is None,
     }
     assert checks[meaning](), facts
 
@@ -226,9 +230,11 @@
 # -- settings and deploy file --------------------------------------------------------------------
 
 
-def _lookup(path: str) -> Any:
+def _lookup(path: str, *default: Any) -> Any:
     value: Any = FIELDS
     for part in path.split("."):
+        if default and part not in value:
+            return default[0]
         value = value[int(part)] if isinstance(value, list) else value[part]
     return value
 
@@ -237,6 +243,16 @@
     """Fill the template as the platform does: a value, or a value as JSON."""
     template = (ROOT / "deploy/settings.yaml").read_text(encoding="utf-8")
 
+    def section(match: re.Match[str]) -> str:
+        value = _lookup(match[1], None)
+        if isinstance(value, dict):
+            rows = [match[2].replace("{{@}}", name) for name in value]
+            last = len(rows) - 1
+            return "".join(r.replace("{{,}}", "," * (n < last)) for n, r in enumerate(rows))
+        return match[2].replace("{{.}}", str(value)) if value else ""
+
+    template = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
+
     def gap(match: re.Match[str]) -> str:
         path, _, form = match[1].partition("|")
         value = _lookup(path)
@@ -277,6 +293,8 @@
     assert str(settings.peers) == "10.1.0.41:7600"
     assert settings.retries.allowance == 64
     assert settings.grant_way is GrantWay.CALL
+    assert settings.failure_domains == {"a", "b"}
+    assert (settings.domain_drain_s, settings.cold_overage) == (4.0, 1.0)
 
 
 @then("every gap of the template is a field that the platform has")
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Callable
+from math import isfinite
 from random import Random
 from typing import Any
 
@@ -241,6 +242,16 @@
         status = UNAVAILABLE if missing else OK
         return LocalReply((missing or "ready").encode() + b"\n", status, b"text/plain")
 
+    def _drained_s(self) -> float:
+        """Return for how many seconds this daemon has known that its failure domain is drained.
+
+        0 where it is not; -1 where it was before this daemon listened.
+        """
+        since = self._side.drained_since
+        if since is None:
+            return 0.0
+        return boot_time() - since if isfinite(since) else -1.0
+
     def _export_gauges(self) -> None:
         gauge = self._metrics.gauge
         side = self._side
@@ -252,6 +263,16 @@
             "pearward.link.backlog", "Seconds that the link needs for all that waits",
             lambda: self._link.backlog_s(boot_time()),
         )  # fmt: skip
+        gauge("pearward.slowness", "Time of the target's work over usual", lambda: side.slowness)
+        gauge(
+            "pearward.cold", "The target counts as cold",
+            lambda: float(side.slots.cold.is_cold(boot_time())),
+        )  # fmt: skip
+        gauge(
+            "pearward.domains.drained", "Failure domains that are drained",
+            lambda: len(self._core.drains.state.domains),
+        )  # fmt: skip
+        gauge("pearward.drained", "The own failure domain is drained", self._drained_s)
         gauge("pearward.map.version", "Key map acted on", lambda: side.map_version)
         gauge(
             "pearward.lease.left", "Seconds for which keys may be granted",
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -24,10 +24,12 @@
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
+from pearward_protocol.etcd import KeyValue
+from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap
 from pearward_state.members import Member, TargetState
 from pearward_transport.clock import boot_time, unix_time
-from pearward_transport.errors import CasConflict, PlatformError
+from pearward_transport.errors import CasConflict, PlatformError, PlatformUnavailable
 from pearward_transport.store import Expectation, FleetStore, Put
 
 from .key_maps import KeyMaps
@@ -72,6 +74,7 @@
 class _Service:
     """What is known of one keyed service."""
 
+    name: str
     reports: dict[str, tuple[KeyReport, float]] = field(default_factory=dict)
     ended: set[str] = field(default_factory=set)
     confirmed_at: dict[str, float] = field(default_factory=dict)
@@ -81,6 +84,8 @@
     stopping: dict[str, bool] = field(default_factory=dict)
     """Targets whose daemons were told to stop, and are to be started again; whether the
     others have room for their keys meanwhile."""
+    unreadable_since: float | None = None
+    """Since when the map's entry could not be read while no map was known; None if it can."""
     working: bool = False
     revision: int = 0
     """Revision of the map's entry in the store; 0 while it is not known."""
@@ -154,7 +159,10 @@
         return self._maps.version(report.service)
 
     def _service(self, name: str) -> _Service:
-        return self._services.setdefault(name, _Service())
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _Service(name)
+        return service
 
     # -- the duty -----------------------------------------------------------------
 
@@ -235,12 +243,63 @@
         item = await self._store.get(key_map_key(name))
         if item is None:
             return None
-        key_map = decode_key_map(item.value)
+        try:
+            key_map = decode_key_map(item.value)
+        except InvalidRecord as error:
+            return await self._restored(known, item, service, error)
+        if key_map.service != name:
+            other = InvalidRecord(f"the map of {key_map.service!r}")
+            return await self._restored(known, item, service, other)
+        service.unreadable_since = None
         self._maps.adopt(key_map)
         service.revision = item.revision
         self._spread(key_map)
         return key_map
 
+    async def _restored(
+        self, known: KeyMap | None, item: KeyValue, service: _Service, error: InvalidRecord
+    ) -> KeyMap:
+        """Write the known map over an entry that another writer spoiled.
+
+        Without one nothing can be planned: a daemon that knows it tells it, as every report's
+        answer and every renewal names the version.
+        """
+        self._log.decided(
+            "key_map_unreadable", failure=True, key=item.key, error=str(error),
+            known=known.version if known is not None else 0,
+        )  # fmt: skip
+        if known is None:
+            restored = self._made_anew(item, service, error)
+        else:
+            restored = replace(known, version=known.version + 1)
+        service.revision = item.revision
+        await self._write(restored, service, "restored")
+        return restored
+
+    def _made_anew(self, item: KeyValue, service: _Service, error: InvalidRecord) -> KeyMap:
+        """Return a first map once it is sure that nobody holds keys by a former one.
+
+        Whoever holds keys has a lease, and all who renew it know the former map and tell its
+        version. Each version and each fence cost a write of the store, so that its revision
+        is above all of them. Raises PlatformUnavailable until then.
+        """
+        now = boot_time()
+        if service.unreadable_since is None:
+            service.unreadable_since = now
+        owners = self._owners(service.name, service, now)
+        quiet_s = self._settings.holds.lease.lease_s + self._settings.holds.hold_s + GRACE_S
+        heard = all(
+            (report := self._report(service, owner.target, now)[0]) is not None
+            and not report.version
+            for owner in owners
+        )
+        if not owners or not heard or now - service.unreadable_since < quiet_s:
+            raise PlatformUnavailable(f"{item.key} cannot be read, and no map is known") from error
+        first = first_map(service.name, owners)
+        fence = item.revision + 1
+        ranges = tuple(replace(r, fence=fence) for r in first.ranges)
+        return replace(first, version=fence, fence=fence, ranges=ranges)
+
     async def _write_first(self, name: str, service: _Service, now: float) -> None:
         """Make the first map once the owners that are there have had time to appear."""
         owners = self._owners(name, service, now)
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -108,6 +108,8 @@
         self._lease = 0
         self._member: Member | None = None
         self._written: Member | None = None
+        self._written_at = 0
+        """Revision of the store at the last own write."""
         self._keyed = False
         self._holder_written = ""
         """Target whose holder's entry was written."""
@@ -232,7 +234,7 @@
         if self._keyed and self._holder_written != member.target:
             entry = Holder(member.target, member.instance)
             puts.append(Put(holder_key(member.target), encode_holder(entry)))
-        await self._store.commit([], puts)
+        self._written_at = await self._store.commit([], puts)
         self._written = member
         if len(puts) > 1:
             self._holder_written = member.target
@@ -253,6 +255,20 @@
         if self._lease and not self._writing:
             self._run(self._write_entries())
 
+    def _check_own_entry(self, item: KeyValue) -> bool:
+        """Write the own entry again where another writer changed it; return whether it did.
+
+        What came before the last own write says nothing.
+        """
+        written = self._written
+        if written is None or self._writing or item.revision <= self._written_at:
+            return False
+        if item.value == encode_member(written):
+            return False
+        self._unreadable(item.key, "not what this daemon wrote")
+        self._own_entry_gone()
+        return True
+
     def _note_former_targets(self, items: Iterable[KeyValue]) -> None:
         """Find the targets that an earlier life of this daemon granted keys to."""
         entries = sorted(
@@ -270,9 +286,24 @@
             try:
                 result.append(decode(item.value))
             except InvalidRecord as error:
-                self._log.decided("entry_unreadable", failure=True, key=item.key, error=str(error))
+                self._unreadable(item.key, str(error))
+        return result
+
+    def _decoded_members(self, items: Iterable[KeyValue]) -> list[Member]:
+        """Decode members' entries; one under another instance's key is nobody's."""
+        result: list[Member] = []
+        for item in items:
+            for member in self._decoded([item], decode_member):
+                if member_key(member.instance) == item.key:
+                    result.append(member)
+                else:
+                    self._unreadable(item.key, f"the entry of {member.instance}")
         return result
 
+    def _unreadable(self, key: str, error: str) -> None:
+        """Tell of an entry that another writer spoiled: it is left out, the others hold."""
+        self._log.decided("entry_unreadable", failure=True, key=key, error=error)
+
     # -- watches ---------------------------------------------------------------------------
 
     def _start_watches(self) -> None:
@@ -309,9 +340,12 @@
             # One call for everything: the store takes so many calls, however much each brings.
             snapshot = await self._store.scan("")
             members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
-            self._listener.members_read(self._decoded(members, decode_member))
-            if not any(item.key == self._own_key for item in members):
+            self._listener.members_read(self._decoded_members(members))
+            own = next((item for item in members if item.key == self._own_key), None)
+            if own is None:
                 self._own_entry_gone()
+            else:
+                self._check_own_entry(own)
             maps = [i for i in snapshot.items if i.key.startswith(KEY_MAPS)]
             self._listener.key_maps_read(self._decoded(maps, decode_key_map))
             self._note_former_targets(snapshot.items)
@@ -325,7 +359,9 @@
                     self._own_entry_gone()
                 return
             item = KeyValue(event.key, event.value, event.revision)
-            for member in self._decoded([item], decode_member):
+            if item.key == self._own_key and self._check_own_entry(item):
+                return
+            for member in self._decoded_members([item]):
                 self._listener.member_written(member)
 
         await self._follow(
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -108,7 +108,7 @@
             group = getattr(envelope, name)
             values = [_from_wire(wire, getattr(group, wire)) for _, wire in _FIELDS[kind]]
             return kind(*values)
-    except (capnp.KjException, KeyError) as error:
+    except (capnp.KjException, KeyError, ValueError) as error:
         raise FrameError(f"control message: {error}") from error
 
 
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -5,14 +5,17 @@
 adapter may put a prefix of its own before them.
 """
 
+import ipaddress
 import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import orjson
 
-from pearward_state.errors import InvalidRecord
+from pearward_state.errors import InvalidField, InvalidRecord
+from pearward_state.fields import FieldReader
 from pearward_state.keymap import (
+    KEY_SPACE,
     KeyMap,
     KeyMapChange,
     KeyRange,
@@ -50,6 +53,9 @@
 levels gain nothing."""
 MOST_UNPACKED = 8 * 1024 * 1024
 """Bytes that an unpacked entry may have: eight of the largest values that the store takes."""
+MOST_NUMBER = 2**53
+"""Fences and versions stay below: other writers' JSON carries whole numbers up to there."""
+MOST_PORT = 65_536
 
 _T = TypeVar("_T")
 
@@ -108,19 +114,19 @@
 def decode_member(value: bytes) -> Member:
     """Read a member's entry; raises InvalidRecord."""
 
-    def read(data: Any) -> Member:
+    def read(reader: FieldReader) -> Member:
         return Member(
-            instance=str(data["instance"]),
-            failure_domain=str(data["failure_domain"]),
-            peer_address=str(data["peer_address"]),
-            incarnation=str(data["incarnation"]),
-            service=str(data["service"]),
-            target=str(data["target"]),
-            slots=int(data["slots"]),
-            state=TargetState(data["state"]),
-            cold_until=float(data["cold_until"]),
-            stopping=bool(data.get("stopping", False)),
-            link_mbit_per_s=float(data.get("link_mbit_per_s", 0.0)),
+            instance=reader.text("instance"),
+            failure_domain=reader.text("failure_domain"),
+            peer_address=_address(reader, "peer_address"),
+            incarnation=reader.text("incarnation"),
+            service=reader.text("service"),
+            target=reader.text_or_empty("target"),
+            slots=reader.whole("slots"),
+            state=TargetState(reader.text("state")),
+            cold_until=reader.number("cold_until", 0.0),
+            stopping=reader.flag("stopping", False),
+            link_mbit_per_s=reader.number("link_mbit_per_s", 0.0),
         )
 
     return _decoded(value, read)
@@ -138,14 +144,7 @@
 
 def decode_holder(value: bytes) -> Holder:
     """Read the entry that names a target's instance; raises InvalidRecord."""
-
-    def read(data: Any) -> Holder:
-        return Holder(
-            target=str(data["target"]),
-            instance=str(data["instance"]),
-        )
-
-    return _decoded(value, read)
+    return _decoded(value, lambda reader: Holder(reader.text("target"), reader.text("instance")))
 
 
 def encode_key_map(key_map: KeyMap) -> bytes:
@@ -166,13 +165,12 @@
 def decode_key_map(value: bytes) -> KeyMap:
     """Read a key map; raises InvalidRecord, also where keys are missing or stand twice."""
 
-    def read(data: Any) -> KeyMap:
-        ranges = _ranges(data)
+    def read(reader: FieldReader) -> KeyMap:
+        ranges = _ranges(reader)
         check_whole(ranges)
-        return KeyMap(
-            str(data["service"]), int(data["version"]), ranges, int(data["fence"]),
-            _witnesses(data),
-        )  # fmt: skip
+        fence = reader.whole("fence", low=max(r.fence for r in ranges))
+        version = reader.whole("version", low=1)
+        return KeyMap(reader.text("service"), version, ranges, fence, _witnesses(reader))
 
     return _decoded(value, read)
 
@@ -196,12 +194,13 @@
 
 
 def decode_key_map_change(value: bytes) -> KeyMapChange:
-    """Read a change of a key map; raises InvalidRecord."""
+    """Read a change of a key map as it travels between daemons; raises InvalidRecord."""
 
-    def read(data: Any) -> KeyMapChange:
+    def read(reader: FieldReader) -> KeyMapChange:
         return KeyMapChange(
-            str(data["service"]), int(data["base"]), int(data["version"]), int(data["fence"]),
-            _ranges(data), _witnesses(data), tuple(map(str, data["left"])), int(data["checksum"]),
+            reader.text("service"), reader.whole("base"), reader.whole("version"),
+            reader.whole("fence"), _ranges(reader), _witnesses(reader),
+            tuple(_texts(reader.items("left"))), reader.whole("checksum"),
         )  # fmt: skip
 
     return _decoded(value, read)
@@ -226,31 +225,71 @@
     return targets, rows
 
 
-def _ranges(data: Any) -> tuple[KeyRange, ...]:
-    targets = [str(target) for target in data["targets"]]
-    return tuple([_range(row, targets) for row in data["ranges"]])
+def _ranges(reader: FieldReader) -> tuple[KeyRange, ...]:
+    targets = _texts(reader.items("targets"))
+    return tuple([_range(row, targets) for row in reader.items("ranges")])
 
 
 def _range(row: list[Any], targets: list[str]) -> KeyRange:
+    """Read first and last key, number of the owner, fence, and predecessors with fences."""
     first, last, owner, fence, before = row
-    predecessors = tuple([Predecessor(targets[t], int(f)) for t, f in before]) if before else ()
-    return KeyRange(
-        int(first), int(last), targets[owner] if owner >= 0 else "", int(fence), predecessors
+    for number in (first, last, owner, fence):
+        if type(number) is not int or number >= MOST_NUMBER:
+            raise InvalidRecord(f"{row!r}: {number!r}: expected a whole number")
+    if not 0 <= first <= last < KEY_SPACE or not -1 <= owner < len(targets) or fence < 0:
+        raise InvalidRecord(f"{row!r}: no keys, owner and fence of a range")
+    name = targets[owner] if owner >= 0 else ""
+    predecessors = tuple([_predecessor(each, targets) for each in before]) if before else ()
+    return KeyRange(first, last, name, fence, predecessors)
+
+
+def _predecessor(row: list[Any], targets: list[str]) -> Predecessor:
+    number, fence = row
+    if type(number) is not int or type(fence) is not int or not 0 <= number < len(targets):
+        raise InvalidRecord(f"{row!r}: no predecessor of a range")
+    if not 0 <= fence < MOST_NUMBER:
+        raise InvalidRecord(f"{row!r}: {fence!r}: no fence")
+    return Predecessor(targets[number], fence)
+
+
+def _witnesses(reader: FieldReader) -> tuple[TargetWitnesses, ...]:
+    rows = reader.raw("witnesses", {})
+    if not isinstance(rows, dict):
+        raise InvalidField(reader.path("witnesses"), rows, "expected a table")
+    return tuple(
+        TargetWitnesses(target, tuple(tuple(_texts(names)) for names in sets))
+        for target, sets in sorted(rows.items())
     )
 
 
-def _witnesses(data: Any) -> tuple[TargetWitnesses, ...]:
-    return tuple(
-        TargetWitnesses(target, tuple(tuple(map(str, names)) for names in sets))
-        for target, sets in sorted(data["witnesses"].items())
-    )
+def _texts(values: list[Any]) -> list[str]:
+    """Return a list of texts as it is; raises InvalidRecord for anything else."""
+    if not isinstance(values, list) or not all(isinstance(value, str) for value in values):
+        raise InvalidRecord(f"{values!r}: expected a list of texts")
+    return values
+
+
+def _address(reader: FieldReader, name: str) -> str:
+    """Return an address (IP:port) that a daemon can be reached at."""
+    value = reader.text(name)
+    ip, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(ip)
+    except ValueError as error:
+        raise InvalidField(reader.path(name), value, str(error)) from error
+    if not port.isdecimal() or not 0 < int(port) < MOST_PORT:
+        raise InvalidField(reader.path(name), value, "expected IP:port")
+    return value
 
 
-def _decoded(value: bytes, read: Callable[[Any], _T]) -> _T:
-    """Read JSON with *read*; anything that it stumbles over becomes InvalidRecord."""
+def _decoded(value: bytes, read: Callable[[FieldReader], _T]) -> _T:
+    """Read a JSON object with *read*; anything that it stumbles over becomes InvalidRecord."""
     try:
-        return read(orjson.loads(value))
-    except InvalidRecord as error:
+        data = orjson.loads(value)
+        if not isinstance(data, dict):
+            raise InvalidField("entry", data, "expected an object")
+        return read(FieldReader(data, ""))
+    except (InvalidRecord, InvalidField) as error:
         raise InvalidRecord(f"{value[:120]!r}: {error}") from error
     except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
         raise InvalidRecord(f"{value[:120]!r}: {error!r}") from error
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -117,8 +117,8 @@
             if message.protocol != PROTOCOL_VERSION:
                 raise FrameError(f"peer speaks version {message.protocol}")
             return Hello(message.incarnation, message.address)
-    except capnp.KjException as error:
-        raise FrameError(f"greeting: {error.description}") from error
+    except (capnp.KjException, ValueError) as error:
+        raise FrameError(f"greeting: {error}") from error
 
 
 def encode_request(head: RequestHead) -> bytes:
@@ -229,7 +229,7 @@
                 message.bodyLength,
                 _load(message),
             )
-    except (capnp.KjException, IndexError) as error:
+    except (capnp.KjException, IndexError, ValueError) as error:
         raise FrameError(f"response head: {error}") from error
 
 
--- a/packages/state/src/pearward_state/fields.py
+++ b/packages/state/src/pearward_state/fields.py
@@ -54,6 +54,19 @@
             raise InvalidField(self.path(name), value, "expected a non-empty string")
         return value
 
+    def text_or_empty(self, name: str) -> str:
+        """Return a string that may be empty, but has to be there."""
+        value = self.raw(name)
+        if not isinstance(value, str):
+            raise InvalidField(self.path(name), value, "expected a string")
+        return value
+
+    def whole(self, name: str, *, low: int = 0, high: int = 2**53) -> int:
+        """Return a whole number within ``low..high`` that has to be there."""
+        if self.raw(name) is None:
+            raise InvalidField(self.path(name), None, "is required")
+        return self.integer(name, 0, low=low, high=high)
+
     def integer(self, name: str, default: int, *, low: int = 0, high: int = 2**63 - 1) -> int:
         """Return a whole number within ``low..high``."""
         value = self.raw(name, default)
