Requests of a key that has half of the slots wait behind those of other keys

Cause: where one key asks for more than its owner runs, its requests stood in every place of the queue, and those for the owner's other keys, calls among them, waited behind or were refused as too late. Change: requests of a key that already has half of the slots, running and waiting, are ordered behind all others; a hot key still gets every slot that nobody else wants.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -27,6 +27,12 @@
     When a request runs and one waits whose deadline is near
     Then that one is given up when the slot is free
 
+  Scenario: A key that asks for more than its owner runs leaves its other keys their turn
+    Given a target with 4 slots whose requests run 0.1 s
+    When 8 requests for one key and then one of a less urgent rank for another key come
+    Then the one for the other key starts next
+    And requests for the hot key have every slot that nobody else wants
+
   # -- choice of a target ------------------------------------------------------------------
 
   Scenario: The faster of two idle targets is chosen
--- a/features/steps/mesh_target_steps.py
+++ b/features/steps/mesh_target_steps.py
@@ -90,6 +90,32 @@
     assert (started, late) == ([context.waiting[1]], [])
 
 
+@when("8 requests for one key and then one of a less urgent rank for another key come")
+def hot_and_other(context: Any) -> None:
+    hot = [_ticket(NOW, objective_s=2.0, rank=1) for _ in range(8)]
+    for ticket in hot:
+        ticket.key = 14_139
+    context.started = [ticket for ticket in hot if context.queue.offer(ticket, NOW) is True]
+    context.other = _ticket(NOW, objective_s=2.0, rank=2)
+    context.other.key = 7
+    assert context.queue.offer(context.other, NOW) is False
+
+
+@then("the one for the other key starts next")
+def other_first(context: Any) -> None:
+    context.queue.finish(context.started.pop(0), NOW + 0.1, measured=True)
+    started, _ = context.queue.next_starts(NOW + 0.1)
+    assert started == [context.other], started
+
+
+@then("requests for the hot key have every slot that nobody else wants")
+def hot_has_rest(context: Any) -> None:
+    assert len(context.started) == 3
+    context.queue.finish(context.other, NOW + 0.2, measured=True)
+    started, _ = context.queue.next_starts(NOW + 0.2)
+    assert [ticket.key for ticket in started] == [14_139], started
+
+
 @when("a request runs and one waits whose deadline is near")
 def near_deadline(context: Any) -> None:
     context.running = _ticket(NOW)
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -1,8 +1,9 @@
 """Which requests the target beside this daemon runs now, which wait, and which are refused.
 
 All work of a target passes the daemon beside it, so slots are counted exactly. Waiting
-requests are ordered by rank, then by deadline. A request that could not be answered in
-time is refused at once, while the caller still has time to try again.
+requests are ordered by rank, then by deadline; where one key asks for more than its owner runs,
+those of a key that has half of the slots wait behind all others. A request that could not be
+answered in time is refused at once, while the caller still has time to try again.
 
 No I/O and no clock.
 """
@@ -33,6 +34,12 @@
 """Part of the slots that must be taken for the ages to tell anything."""
 
 
+KEY_SHARE = 0.5
+"""Part of the slots that requests of one key may have, running and waiting, before they wait behind
+those of other keys: a hot key still gets every slot that nobody else wants, and callers of its
+owner's other keys do not pay for it."""
+
+
 @dataclass(frozen=True, slots=True)
 class SlotLimits:
     """Limits of one target."""
@@ -57,6 +64,10 @@
     """Requests of one route run about equally long."""
     idle_only: bool = False
     """Whether another target is asked next, so that it does not wait here."""
+    key: int | None = None
+    """Key of the request; None where its service is not divided by key."""
+    crowds: bool = False
+    """Whether its key had its share of the slots when it came: others go first."""
     started: float = 0.0
     waiting: bool = False
     gone: bool = False
@@ -85,7 +96,7 @@
 
 @dataclass(order=True, slots=True)
 class _Entry:
-    order: tuple[int, float, int]
+    order: tuple[bool, int, float, int]
     ticket: SlotTicket = field(compare=False)
 
 
@@ -100,6 +111,8 @@
         self._age = QueueAge()
         self._mean = _MovingMean(FIRST_GUESS_S)
         self._by_route: dict[str, _MovingMean] = {}
+        self._by_key: dict[int, int] = {}
+        """Requests of each key that run or wait."""
         self._number = 0
 
     # -- properties -------------------------------------------------------------
@@ -127,7 +140,9 @@
 
     def offer(self, ticket: SlotTicket, now: float) -> bool | Refused:
         """Start a request (True), let it wait (False) or refuse it."""
+        ticket.crowds = self._is_crowding(ticket)
         if len(self._running) < self._limits.slots and not self._waiting:
+            self._count_key(ticket, 1)
             self._start(ticket, now)
             return True
         wait_s = self.expected_wait(ticket, now)
@@ -139,9 +154,26 @@
         ticket.waiting = True
         self._waiting += 1
         self._age.joined(ticket.rank, now)
-        heapq.heappush(self._heap, _Entry((ticket.rank, ticket.deadline, self._number), ticket))
+        self._count_key(ticket, 1)
+        order = (*_place(ticket), self._number)
+        heapq.heappush(self._heap, _Entry(order, ticket))
         return False
 
+    def _is_crowding(self, ticket: SlotTicket) -> bool:
+        if ticket.key is None:
+            return False
+        return self._by_key.get(ticket.key, 0) >= max(1.0, self._limits.slots * KEY_SHARE)
+
+    def _count_key(self, ticket: SlotTicket, change: int) -> None:
+        """Count a request of a key as begun, or as over."""
+        if ticket.key is None:
+            return
+        count = self._by_key.get(ticket.key, 0) + change
+        if count > 0:
+            self._by_key[ticket.key] = count
+        else:
+            self._by_key.pop(ticket.key, None)
+
     def finish(self, ticket: SlotTicket, now: float, *, measured: bool) -> None:
         """Free a slot, or the place of a request that waited.
 
@@ -150,6 +182,7 @@
         if ticket.gone:
             return
         ticket.gone = True
+        self._count_key(ticket, -1)
         if ticket.waiting:
             self._stop_waiting(ticket)
             return
@@ -185,6 +218,7 @@
             self._stop_waiting(ticket)
             if now + self._mean.seconds * 0.5 > ticket.deadline:
                 ticket.gone = True
+                self._count_key(ticket, -1)
                 late.append(ticket)
                 continue
             self._start(ticket, now)
@@ -221,8 +255,8 @@
 
     def _ahead(self, ticket: SlotTicket) -> int:
         """Return the waiting requests that would start before one that comes now."""
-        place = (ticket.rank, ticket.deadline)
-        return sum(1 for each in self._heap if each.ticket.waiting and each.order[:2] <= place)
+        place = _place(ticket)
+        return sum(1 for each in self._heap if each.ticket.waiting and each.order[:3] <= place)
 
     def retry_after(self, ticket: SlotTicket, wait_s: float, now: float) -> float:
         """Return the seconds after which a request that is refused now should come back."""
@@ -240,3 +274,8 @@
     def _start(self, ticket: SlotTicket, now: float) -> None:
         ticket.started = now
         self._running.add(ticket)
+
+
+def _place(ticket: SlotTicket) -> tuple[bool, int, float]:
+    """Return what the order of waiting requests goes by."""
+    return ticket.crowds, ticket.rank, ticket.deadline
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -124,6 +124,7 @@
             arrived=self._arrived,
             route=self._head.route,
             idle_only=self._head.idle_only,
+            key=self._head.position if self._head.key else None,
         )
         offered = self._side.slots.offer(self, ticket)
         if isinstance(offered, Refused):
