--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -67,10 +67,6 @@
     surge_certainty: float = 4.0
     """Standard deviations by which it must be more: every owner is looked at five times a
     second, and a false alarm costs what was known of all owners' load."""
-    key_share: float = 0.5
-    """What one key counts for at most, over its owner's capacity, when load is levelled: what it
-    asks beyond that is refused wherever it is, and its owner serves other keys first. Moving all
-    its neighbours away would rest their keys for what they do not lose."""
     heavy_keys: int = 4
     """Keys that are looked at for that, at most: hot ones follow one another in seconds."""
     faster: float = 1.3
@@ -137,7 +133,6 @@
             rates[piece.owner] += piece.rate
     moved = _place_orphans(pieces, by_target, rates, fixed)
     moved = _place_heaviest(pieces, by_target, rates, limits) or moved
-    _cap_heavy(pieces, by_target, rates, limits)
     moved = _level(pieces, by_target, rates, load.seen_s, limits) or moved
     moved = _give_newcomers(pieces, by_target, rates) or moved
     if not moved:
@@ -225,23 +220,6 @@
     return moved
 
 
-def _cap_heavy(
-    pieces: list[Piece],
-    by_target: Mapping[str, KeyOwner],
-    rates: dict[str, float],
-    limits: PlanLimits,
-) -> None:
-    """Count no key for more than its owner gives it."""
-    for piece in pieces:
-        owner = by_target.get(piece.owner)
-        if owner is None:
-            continue
-        too_much = piece.rate - owner.capacity * limits.key_share
-        if too_much > 0.0:
-            piece.rate -= too_much
-            rates[piece.owner] -= too_much
-
-
 def _level(
     pieces: list[Piece],
     by_target: Mapping[str, KeyOwner],
