Requests wait for a key that changes hands by what is left and the expected gap

Change: the daemon beside the owner keeps a mean of its hand-overs. A request that can be answered by its deadline once the key is there waits for it, one that cannot is refused at once with the time that is left of the gap; the daemon that took it does not ask again by itself.

--- a/packages/coordination/src/pearward_coordination/attempt_plan.py
+++ b/packages/coordination/src/pearward_coordination/attempt_plan.py
@@ -113,6 +113,9 @@
         return NextStep.REPEAT if self.arrivals < self.max_attempts else NextStep.GIVE_UP
 
     def _elsewhere(self, reason: Reason, target: str, now: float) -> NextStep:
+        if self.keyed and reason is Reason.NOT_READY:
+            # The owner knows best when the key will be there: it has said when to come back.
+            return NextStep.GIVE_UP
         if reason is Reason.OVERLOADED:
             self.full += 1
             self.full_targets.add(target)
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/overload/key_gap.py
@@ -0,0 +1,63 @@
+"""How long a key rests while it changes hands, and whether a request should wait for it.
+
+The load pattern that this answers: load is levelled, or a failure domain drained, while all
+targets are busy. Keys rest until what runs on them has ended at their former owner, half a
+second to two. A request that can be answered by its deadline once the key is there waits: a late
+answer is worth more than none, above all to a target whose own work fails without it. One that
+cannot is told at once when to come back. No I/O and no clock.
+"""
+
+__all__ = ["KeyGap"]
+
+FIRST_GUESS_S = 0.5
+"""Seconds that a key is expected to rest before any hand-over was seen."""
+WEIGHT = 0.2
+"""Weight of the newest hand-over in the mean: five of them show a change of the load."""
+LEAST_S = 0.05
+"""Seconds for which a key is expected to rest on when it has rested longer than usual."""
+RUN_MARGIN = 1.2
+"""Running times, over the mean, that must fit between the key's arrival and the deadline."""
+OVERDUE_SHARE = 0.25
+"""The same over the mean: what has rested for long is often about to end, and never sure to."""
+
+
+class KeyGap:
+    """The hand-overs of keys to one target."""
+
+    def __init__(self) -> None:
+        self._mean_s = FIRST_GUESS_S
+        self._since: float | None = None
+
+    @property
+    def mean_s(self) -> float:
+        """Seconds for which keys usually rest."""
+        return self._mean_s
+
+    def begun(self, now: float) -> None:
+        """Keys are waited for from now on, if they were not already."""
+        if self._since is None:
+            self._since = now
+
+    def ended(self, now: float) -> float | None:
+        """All keys are there; return for how many seconds they were waited for, if they were."""
+        if self._since is None:
+            return None
+        waited_s = now - self._since
+        self._mean_s += WEIGHT * (waited_s - self._mean_s)
+        self._since = None
+        return waited_s
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds that keys are expected to rest on."""
+        if self._since is None:
+            return LEAST_S
+        overdue_s = max(LEAST_S, self._mean_s * OVERDUE_SHARE)
+        return max(overdue_s, self._mean_s - (now - self._since))
+
+    def patience_s(self, deadline_left_s: float, runs_s: float, now: float) -> float:
+        """Return the seconds that a request may wait for its key; 0 where that is no use.
+
+        *deadline_left_s* is what is left until its deadline, *runs_s* how long one like it runs.
+        """
+        most_s = deadline_left_s - runs_s * RUN_MARGIN
+        return most_s if self.left_s(now) <= most_s else 0.0
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -31,9 +31,6 @@
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
-KEY_PATIENCE = 0.55
-"""Part of the latency objective that a request waits for its key to arrive; keys rest for
-0.1 to 0.5 s when they move between living targets."""
 
 
 class TargetRequest:
@@ -110,6 +107,9 @@
         barred = self._side.barred(self._head)
         if barred is Reason.NOT_READY and self._park():
             return
+        if barred is Reason.NOT_READY:
+            self._refuse(barred, retry_after_s=self._side.key_back_after_s())
+            return
         if barred is not None:
             self._refuse(barred, retry_after_s=self._side.back_after_s())
             return
@@ -139,23 +139,19 @@
             )
 
     def _park(self) -> bool:
-        """Wait for the key, for a part of the objective; return False where that has passed."""
-        left_s = self._arrived + self._key_patience_s - boot_time()
-        if left_s <= 0.0 or not self._side.park(self):
+        """Wait for the key; return False where it will not be there in time."""
+        patience_s = self._side.park(self, self._deadline - boot_time())
+        if patience_s <= 0.0:
             return False
         if self._wait_timer is None:
-            self._wait_timer = self._side.call_later(left_s, self._key_came_too_late)
+            self._wait_timer = self._side.call_later(patience_s, self._key_came_too_late)
         return True
 
-    @property
-    def _key_patience_s(self) -> float:
-        return self._head.objective_ms / MS_PER_S * KEY_PATIENCE
-
     def _key_came_too_late(self) -> None:
         """The former owner takes longer than a caller should wait: let it try again."""
         self._wait_timer = None
         if not self._done and self._ticket is None:
-            self._refuse(Reason.NOT_READY, retry_after_s=self._side.back_after_s())
+            self._refuse(Reason.NOT_READY, retry_after_s=self._side.key_back_after_s())
 
     def _waited_too_long(self) -> None:
         """The queue moves slower than was expected: let the caller try again in time."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -11,6 +11,7 @@
 from pearward_coordination.key_load import KeyCounter
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
+from pearward_coordination.overload.key_gap import KeyGap
 from pearward_protocol.heads import RequestHead
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState, target_id
@@ -117,7 +118,7 @@
         self._refusing = False
         self._listener: TargetSideListener | None = None
         self._reported_ended: list[str] = []
-        self._pending_since: float | None = None
+        self._gap = KeyGap()
         self._slowness = 1.0
         self._unreadable: set[str] = set()
         """Ids whose heartbeats could not be read, told once each."""
@@ -307,16 +308,14 @@
         """Ask for keys that others still have; log how long they were waited for."""
         pending = self._keeper.pending(now)
         if pending:
-            if self._pending_since is None:
-                self._pending_since = now
+            self._gap.begun(now)
             if self._listener is not None:
                 self._listener.keys_wanted()
-        elif self._pending_since is not None:
+        elif (waited_s := self._gap.ended(now)) is not None:
             self._log.decided(
                 "keys_released_by_others", target=self._keeper.target, map=self.map_version,
-                waited_s=round(now - self._pending_since, 3), parked=len(self._parked),
+                waited_s=round(waited_s, 3), parked=len(self._parked),
             )  # fmt: skip
-            self._pending_since = None
 
     def refuse_new(self) -> None:
         """Begin no further request at the target: this daemon ends in a moment."""
@@ -446,12 +445,19 @@
             return True
         return now > since + self._settings.domain_drain_s * KEYED_DRAIN_SHARE
 
-    def park(self, request: TargetRequest) -> bool:
-        """Let a request wait for its key; return False where too many wait."""
+    def park(self, request: TargetRequest, deadline_left_s: float) -> float:
+        """Let a request wait for its key; return for how many seconds, 0 where it may not."""
         if len(self._parked) >= PARKED_LIMIT:
-            return False
-        self._parked[request] = None
-        return True
+            return 0.0
+        runs_s = self._slots.load().service_s
+        patience_s = self._gap.patience_s(deadline_left_s, runs_s, boot_time())
+        if patience_s > 0.0:
+            self._parked[request] = None
+        return patience_s
+
+    def key_back_after_s(self) -> float:
+        """Return the seconds after which a request whose key is on its way may come again."""
+        return self._gap.left_s(boot_time())
 
     def unpark(self, request: TargetRequest) -> None:
         """A request no longer waits for its key."""
