--- a/features/shedding.feature
+++ b/features/key_shedding.feature
@@ -1,4 +1,4 @@
-Feature: Requests that would be turned away are refused where they come in
+Feature: Requests for a key that its owner turns away are refused where they come in
 
   # Load pattern: 59 daemons, one owner that runs 30 requests a second of a key; its daemon
   # handles 200 a second, served or refused, and whatever it is behind makes all of its keys late.
@@ -26,15 +26,3 @@
   Scenario: Only so many keys are known
     Given a daemon that was refused 5000 different keys
     Then it knows at most 256 of them
-
-  # Load pattern: a service has lost half of its targets, and each request asks three of the others.
-  Scenario: A route at twice what its service runs
-    Given 59 daemons and a service that runs 400 requests a second
-    When 800 requests a second come for it for 8 s
-    Then from 2 s on at most 640 a second are sent on, and at least 370 are served
-
-  Scenario: A route a little over what its service runs
-    Given 59 daemons and a service that runs 400 requests a second
-    When 460 requests a second come for it for 8 s
-    Then from 2 s on at most 480 a second are sent on, and at least 350 are served
-    And at most 3 in 100 requests are refused where they come in
--- a/features/steps/shedding_steps.py
+++ b/features/steps/key_shedding_steps.py
@@ -6,9 +6,9 @@
 
 from behave import given, then, when
 
-from pearward_coordination.overload.shedding import KEPT, Shedding
+from pearward_coordination.overload.key_shedding import KEPT, KeyShedding
 
-SUBJECT = ("sheets", 14_139)
+SERVICE, KEY = "sheets", 14_139
 
 
 class _Owner:
@@ -53,7 +53,7 @@
     """Bring requests for the hot key and for other keys of its owner."""
     rng = Random(7)
     owner = context.owner
-    daemons = [Shedding(Random(n)) for n in range(context.daemons)]
+    daemons = [KeyShedding(Random(n)) for n in range(context.daemons)]
     end = rates[-1][1]
     coming = [(at, True) for at in _arrivals(rates, rng)]
     coming += [(at, False) for at in _arrivals([(others, end)], rng)] if others else []
@@ -63,16 +63,16 @@
             owner.handle(at)
             continue
         daemon = rng.choice(daemons)
-        if sheds and daemon.sheds(SUBJECT, at):
+        if sheds and daemon.sheds(SERVICE, KEY, at):
             context.shed.append(at)
             continue
         context.sent.append(at)
         context.behind.append((at, owner.behind_s))
         if owner.take(at):
             context.served.append(at)
-            daemon.served(SUBJECT, at)
+            daemon.served(SERVICE, KEY, at)
         else:
-            daemon.refused(SUBJECT, at)
+            daemon.refused(SERVICE, KEY, at)
     context.end = end
 
 
@@ -143,16 +143,16 @@
 @given("a daemon that sends on {per_s:d} requests a second for a key, of which one in six is "
        "refused")  # fmt: skip
 def by_chance(context: Any, per_s: int) -> None:
-    shedding = Shedding(Random(3))
+    shedding = KeyShedding(Random(3))
     context.shed = 0
     for number in range(200):
         now = number / per_s
-        if shedding.sheds(SUBJECT, now):
+        if shedding.sheds(SERVICE, KEY, now):
             context.shed += 1
         elif number % 6 == 0:
-            shedding.refused(SUBJECT, now)
+            shedding.refused(SERVICE, KEY, now)
         else:
-            shedding.served(SUBJECT, now)
+            shedding.served(SERVICE, KEY, now)
 
 
 @then("it refuses none of 200 by itself")
@@ -162,35 +162,11 @@
 
 @given("a daemon that was refused {count:d} different keys")
 def many_keys(context: Any, count: int) -> None:
-    context.shedding = Shedding(Random(3))
+    context.shedding = KeyShedding(Random(3))
     for key in range(count):
-        context.shedding.refused(("sheets", key), key * 0.001)
+        context.shedding.refused(SERVICE, key, key * 0.001)
 
 
 @then("it knows at most {most:d} of them")
 def few_known(context: Any, most: int) -> None:
     assert len(context.shedding._seen) <= most == KEPT, len(context.shedding._seen)
-
-
-@given("{daemons:d} daemons and a service that runs {runs:d} requests a second")
-def fleet_and_service(context: Any, daemons: int, runs: int) -> None:
-    fleet_and_owner(context, daemons, runs, 100_000)
-
-
-@when("{per_s:d} requests a second come for it for {seconds:g} s")
-def route_asked(context: Any, per_s: int, seconds: float) -> None:
-    _play(context, [(per_s, seconds)], 0)
-
-
-@then(
-    "from {since:g} s on at most {most:d} a second are sent on, and at least {least:d} are served"
-)
-def route_sent(context: Any, since: float, most: int, least: int) -> None:
-    asked_at_most(context, since, most)
-    served_at_least(context, least, since)
-
-
-@then("at most {most:d} in 100 requests are refused where they come in")
-def few_shed(context: Any, most: int) -> None:
-    everything = len(context.shed) + len(context.sent)
-    assert len(context.shed) <= everything * most / 100, len(context.shed)
--- a/packages/coordination/src/pearward_coordination/overload/shedding.py
+++ b/packages/coordination/src/pearward_coordination/overload/key_shedding.py
@@ -1,13 +1,12 @@
-"""Requests that would be turned away elsewhere, refused where they come in.
+"""Requests for a key that its owner turns away, refused where they come in.
 
-The load patterns that this answers. One key asks for several times what its owner runs: each
+The load pattern that this answers: one key asks for several times what its owner runs. Each
 request crosses a link and costs the owner's daemon as much to refuse as to take, until that
-daemon is a second behind; then requests for all other keys of that owner run out of time too,
-and refusals arrive after their callers have left. And a service has lost a third of its targets:
-each request asks three of those that are left, and daemons spend what they have on refusing. So
-each daemon refuses a part of the requests for such a key, or on such a route, by itself, by what
-became of those that it sent on lately; the rest still ask, so that room is seen within a second
-or two. No I/O and no clock.
+daemon is a second behind: then requests for all other keys of that owner run out of time too,
+and refusals arrive after their callers have left. No later layer can help, as only the owner
+may run them. So each daemon refuses a part of the requests for such a key by itself, by what
+became of those that it sent on lately; the rest still ask, so that room is seen within a
+second or two. No I/O and no clock.
 """
 
 from __future__ import annotations
@@ -18,10 +17,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["BACK_AFTER_S", "Shedding", "Subject"]
-
-Subject = tuple[str, int | str]
-"""A service, and the key or the route whose requests are counted together."""
+__all__ = ["BACK_AFTER_S", "KeyShedding"]
 
 HALF_LIFE_S = 1.5
 """Seconds in which what was seen counts for half: hot times last some seconds."""
@@ -29,20 +25,20 @@
 """Seconds after which a caller that is refused here may come back: sooner as many would be
 refused again, as nothing that is known here has changed."""
 SENT_PER_SERVED = 1.5
-"""Requests that are sent on for each that was served: targets see half more than they can run, so
-that none is ever idle for want of requests, and one that can run more shows it."""
+"""Requests that are sent on for each that was served: the owner sees half more than it can run, so
+that it is never idle for want of requests, and one that can run more shows it."""
 FREE = 1.0
-"""Refusals that chance brings to any subject: they are no reason to refuse more. Each one allows a
+"""Refusals that chance brings to any key: they are no reason to refuse more. Each one allows a
 daemon a request in two seconds, which a fleet has to be able to send."""
 FORGOTTEN = 0.2
-"""Weight of all requests on a subject below which nothing is known of it."""
+"""Weight of all requests for a key below which nothing is known of it."""
 KEPT = 256
-"""Subjects that are known, at most: few keys are hot at one time."""
+"""Keys that are known, at most: few are hot at one time."""
 
 
 @dataclass(slots=True)
 class _Seen:
-    """What became of the requests on one subject, fading."""
+    """What became of the requests for one key, fading."""
 
     asked: float
     served: float
@@ -56,38 +52,38 @@
         self.at = now
 
 
-class Shedding:
-    """What has been turned away lately, as one daemon knows it."""
+class KeyShedding:
+    """The keys that owners have turned away lately, as one daemon knows them."""
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._seen: dict[Subject, _Seen] = {}
+        self._seen: dict[tuple[str, int], _Seen] = {}
 
-    def sheds(self, subject: Subject, now: float) -> bool:
+    def sheds(self, service: str, key: int, now: float) -> bool:
         """Decide whether a request is refused here; its caller may come back in BACK_AFTER_S."""
-        seen = self._seen.get(subject)
+        seen = self._seen.get((service, key))
         if seen is None:
             return False
         seen.fade(now)
         if seen.asked < FORGOTTEN:
-            del self._seen[subject]
+            del self._seen[service, key]
             return False
         too_many = seen.asked - seen.served * SENT_PER_SERVED - FREE
         odds = max(0.0, too_many / (seen.asked + 1.0))
         seen.asked += 1.0
         return self._rng.random() < odds
 
-    def refused(self, subject: Subject, now: float) -> None:
-        """There was no room for a request, or no answer in time."""
-        if subject in self._seen:
+    def refused(self, service: str, key: int, now: float) -> None:
+        """The owner had no room for a request, or did not answer in time."""
+        if (service, key) in self._seen:
             return
         if len(self._seen) >= KEPT:
             self._forget_oldest()
-        self._seen[subject] = _Seen(1.0, 0.0, now)
+        self._seen[service, key] = _Seen(1.0, 0.0, now)
 
-    def served(self, subject: Subject, now: float) -> None:
-        """A target has run a request."""
-        seen = self._seen.get(subject)
+    def served(self, service: str, key: int, now: float) -> None:
+        """The owner has run a request."""
+        seen = self._seen.get((service, key))
         if seen is not None:
             seen.fade(now)
             seen.served += 1.0
--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -17,8 +17,8 @@
     """A return's objective runs from its caller's first try."""
     FEW_LOOKS = "few-looks"
     """The target of a request is the best of a few that are drawn at random."""
-    SHED_EARLY = "shed-early"
-    """Part of the requests of which targets turn most away is refused where they come in."""
+    SHED_KEYS = "shed-keys"
+    """Part of the requests for a key that its owner turns away is refused where they come in."""
     IDLE_FIRST = "idle-first"
     """A target without a free slot is passed over while others were not asked yet."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -7,9 +7,9 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.overload.key_shedding import KeyShedding
 from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.overload.returns import UsualDeadline
-from pearward_coordination.overload.shedding import Shedding, Subject
 from pearward_coordination.retry_window import RetryWindow
 from pearward_coordination.selection import (
     Exchange,
@@ -132,8 +132,8 @@
         self._deadlines: dict[str, UsualDeadline] = {}
         """Time that callers usually allow for their first try, by route."""
         self._odds: dict[str, IdleOdds] = {}
-        self._shedding = Shedding(rng)
-        self._sheds = settings.overload.uses(Mechanism.SHED_EARLY)
+        self._shedding = KeyShedding(rng)
+        self._sheds = settings.overload.uses(Mechanism.SHED_KEYS)
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._refusing_s = 0.0
@@ -315,17 +315,17 @@
         """Return whether operators drain every failure domain that has targets of a service."""
         return self.directory.is_wholly_drained(service)
 
-    def sheds(self, subject: Subject) -> bool:
-        """Return whether a request is refused here, as most like it are turned away."""
-        return self._sheds and self._shedding.sheds(subject, boot_time())
+    def sheds(self, service: str, key: int) -> bool:
+        """Return whether a request is refused here, as its key's owner turns most away."""
+        return self._sheds and self._shedding.sheds(service, key, boot_time())
 
-    def turned_away(self, subject: Subject) -> None:
-        """There was no room for a request, or no answer in time."""
-        self._shedding.refused(subject, boot_time())
+    def key_refused(self, service: str, key: int) -> None:
+        """The owner of a key had no room for a request, or did not answer in time."""
+        self._shedding.refused(service, key, boot_time())
 
-    def served(self, subject: Subject) -> None:
-        """A target has run a request."""
-        self._shedding.served(subject, boot_time())
+    def key_served(self, service: str, key: int) -> None:
+        """The owner of a key has run a request."""
+        self._shedding.served(service, key, boot_time())
 
     def has_other(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has a target that was not tried."""
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -12,7 +12,7 @@
     NextStep,
     RequestTimes,
 )
-from pearward_coordination.overload.shedding import BACK_AFTER_S, Subject
+from pearward_coordination.overload.key_shedding import BACK_AFTER_S
 from pearward_coordination.retry import AttemptTally
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.streams import SHORT_BODY
@@ -90,8 +90,6 @@
         self._last_reason: Reason | None = None
         self._idle_asked: IdleOdds | None = None
         """Told whether the target that was asked first had a place without a queue."""
-        self._asked = False
-        """Whether it was decided to send it on."""
         self._answering = False
         self._caller_paused = False
         self._unconsumed = 0
@@ -195,18 +193,14 @@
             self._connect(placement)
 
     def _is_shed(self) -> bool:
-        """Refuse a first attempt where targets have turned most like it away lately."""
-        if self._asked or not self._ingress.sheds(self._subject):
-            self._asked = True
+        """Refuse a first attempt whose key the owner has turned away too often lately."""
+        if self._key is None or self._tally.number:
             return False
-        self._give_up(Outcome.NOT_RUN, Reason.OVERLOADED, BACK_AFTER_S, detail="shed early")
+        if not self._ingress.sheds(self._service, self._key):
+            return False
+        self._give_up(Outcome.NOT_RUN, Reason.OVERLOADED, BACK_AFTER_S, detail="key is shed")
         return True
 
-    @property
-    def _subject(self) -> Subject:
-        """What the request is counted with when it is decided whether to shed others."""
-        return self._service, self._route.name if self._key is None else self._key
-
     @property
     def _long(self) -> bool:
         """Whether the answer is long: the link of the target's instance counts as well."""
@@ -373,7 +367,8 @@
             self._refused(head)
             return
         self._note_arrival()
-        self._ingress.served(self._subject)
+        if self._key is not None:
+            self._ingress.key_served(self._service, self._key)
         if self._try_again_after(head):
             return
         self._ingress.carried(
@@ -433,6 +428,8 @@
         self._ingress.learned(self._service, head.version, self._placement)
         if reason is Reason.DRAINING:
             self._ingress.directory.refused(self._placement.target)
+        if reason is Reason.OVERLOADED and self._key is not None:
+            self._ingress.key_refused(self._service, self._key)
         self._failed(head.outcome, reason, head.retry_after_ms / MS_PER_S, head.detail)
 
     def _try_again_after(self, head: ResponseHead) -> bool:
@@ -472,8 +469,6 @@
             left_ms=round((self._deadline - boot_time()) * MS_PER_S),
         )  # fmt: skip
         if not again:
-            if reason is Reason.OVERLOADED:
-                self._ingress.turned_away(self._subject)
             late = reason is Reason.DEADLINE
             status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
             self._give_up(outcome, reason, retry_after_s, status)
@@ -512,8 +507,8 @@
         if self._done:
             return
         unknown = self._attempt is not None
-        if unknown:
-            self._ingress.turned_away(self._subject)
+        if unknown and self._key is not None:
+            self._ingress.key_refused(self._service, self._key)
         self._cancel_attempt()
         outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
         self._give_up(outcome, reason, RETRY_AFTER_S, GATEWAY_TIMEOUT)
