--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -23,15 +24,13 @@
 from pearward_coordination.load_watch import LoadWatch
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
-from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
-from pearward_protocol.etcd import KeyValue
-from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap
 from pearward_state.members import Member, TargetState
 from pearward_transport.clock import boot_time, unix_time
-from pearward_transport.errors import CasConflict, PlatformError, PlatformUnavailable
-from pearward_transport.store import Expectation, FleetStore, Put
+from pearward_transport.errors import CasConflict, PlatformError
+from pearward_transport.store import FleetStore
 
+from .key_map_entry import KeyMapEntry
 from .key_maps import KeyMaps
 from .log import DecisionLog
 from .settings import MeshSettings
@@ -75,6 +74,7 @@
     """What is known of one keyed service."""
 
     name: str
+    entry: KeyMapEntry
     reports: dict[str, tuple[KeyReport, float]] = field(default_factory=dict)
     ended: set[str] = field(default_factory=set)
     confirmed_at: dict[str, float] = field(default_factory=dict)
@@ -87,8 +87,6 @@
     unreadable_since: float | None = None
     """Since when the map's entry could not be read while no map was known; None if it can."""
     working: bool = False
-    revision: int = 0
-    """Revision of the map's entry in the store; 0 while it is not known."""
 
 
 class KeyPlanner:
@@ -161,7 +159,8 @@
     def _service(self, name: str) -> _Service:
         service = self._services.get(name)
         if service is None:
-            service = self._services[name] = _Service(name)
+            entry = KeyMapEntry(name, self._store, self._maps, self._log, self._spread)
+            service = self._services[name] = _Service(name, entry)
         return service
 
     # -- the duty -----------------------------------------------------------------
@@ -182,7 +181,7 @@
         if mine and self._on_duty_since is None:
             self._on_duty_since = now
             for service in self._services.values():
-                service.revision = 0
+                service.entry.forget()
                 service.owners_since = None
             self._log.decided("planner_duty_begun", members=len(self._directory.registered))
         elif not mine and self._on_duty_since is not None:
@@ -213,7 +212,7 @@
     async def _plan(self, name: str, service: _Service) -> None:
         now = boot_time()
         try:
-            key_map = await self._current(name, service)
+            key_map = await service.entry.read(partial(self._made_anew, service))
             if key_map is None:
                 await self._write_first(name, service, now)
                 return
@@ -227,61 +226,19 @@
             if planned.version == key_map.version and planned.witnesses != key_map.witnesses:
                 planned = replace(planned, version=key_map.version + 1)
             if planned.version != key_map.version:
-                await self._write(planned, service, why)
+                await service.entry.write(planned, why)
         except CasConflict as error:
-            service.revision = 0
+            service.entry.forget()
             self._log.decided("key_map_write_lost", service=name, error=str(error))
         except PlatformError as error:
-            service.revision = 0
+            service.entry.forget()
             self._log.decided("planning_delayed", service=name, error=str(error))
 
-    async def _current(self, name: str, service: _Service) -> KeyMap | None:
-        """Return the map as the store has it; read once, then known by its revision."""
-        known = self._maps.of(name)
-        if service.revision and known is not None:
-            return known
-        item = await self._store.get(key_map_key(name))
-        if item is None:
-            return None
-        try:
-            key_map = decode_key_map(item.value)
-        except InvalidRecord as error:
-            return await self._restored(known, item, service, error)
-        if key_map.service != name:
-            other = InvalidRecord(f"the map of {key_map.service!r}")
-            return await self._restored(known, item, service, other)
-        service.unreadable_since = None
-        self._maps.adopt(key_map)
-        service.revision = item.revision
-        self._spread(key_map)
-        return key_map
-
-    async def _restored(
-        self, known: KeyMap | None, item: KeyValue, service: _Service, error: InvalidRecord
-    ) -> KeyMap:
-        """Write the known map over an entry that another writer spoiled.
-
-        Without one nothing can be planned: a daemon that knows it tells it, as every report's
-        answer and every renewal names the version.
-        """
-        self._log.decided(
-            "key_map_unreadable", failure=True, key=item.key, error=str(error),
-            known=known.version if known is not None else 0,
-        )  # fmt: skip
-        if known is None:
-            restored = self._made_anew(item, service, error)
-        else:
-            restored = replace(known, version=known.version + 1)
-        service.revision = item.revision
-        await self._write(restored, service, "restored")
-        return restored
-
-    def _made_anew(self, item: KeyValue, service: _Service, error: InvalidRecord) -> KeyMap:
+    def _made_anew(self, service: _Service, fence: int) -> KeyMap | None:
         """Return a first map once it is sure that nobody holds keys by a former one.
 
         Whoever holds keys has a lease, and all who renew it know the former map and tell its
-        version. Each version and each fence cost a write of the store, so that its revision
-        is above all of them. Raises PlatformUnavailable until then.
+        version: every owner has to report that it knows none, for a lease and a hold.
         """
         now = boot_time()
         if service.unreadable_since is None:
@@ -294,9 +251,9 @@
             for owner in owners
         )
         if not owners or not heard or now - service.unreadable_since < quiet_s:
-            raise PlatformUnavailable(f"{item.key} cannot be read, and no map is known") from error
+            return None
+        service.unreadable_since = None
         first = first_map(service.name, owners)
-        fence = item.revision + 1
         ranges = tuple(replace(r, fence=fence) for r in first.ranges)
         return replace(first, version=fence, fence=fence, ranges=ranges)
 
@@ -309,7 +266,7 @@
             service.owners_since = now
         if now - service.owners_since >= SETTLE_S:
             planned = self._with_witnesses(first_map(name, owners), service, now)
-            await self._write(planned, service, "first")
+            await service.entry.write(planned, "first")
 
     # -- owners ------------------------------------------------------------------------
 
@@ -498,18 +455,3 @@
             if now - since > self._settings.holds.lease.lease_s * SETTLED_LEASES:
                 settled.add(target)
         return frozenset(settled)
-
-    # -- writing ------------------------------------------------------------------------
-
-    async def _write(self, planned: KeyMap, service: _Service, why: str) -> None:
-        """Write a map by compare-and-swap, act on it and tell the others."""
-        key = key_map_key(planned.service)
-        service.revision = await self._store.commit(
-            [Expectation(key, service.revision)], [Put(key, encode_key_map(planned))]
-        )
-        self._log.decided(
-            "key_map_written", service=planned.service, version=planned.version, why=why,
-            ranges=len(planned.ranges), targets=len(planned.targets),
-        )  # fmt: skip
-        self._maps.adopt(planned)
-        self._spread(planned)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/own_entry.py
@@ -0,0 +1,134 @@
+"""This daemon's own entry in the platform's store: written, watched, and written again.
+
+The entry lives as long as the daemon's lease. It is written when the daemon or its target
+changes, and again where it went or where another writer changed it.
+"""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pearward_protocol.entries import encode_holder, encode_member, holder_key, member_key
+from pearward_protocol.etcd import KeyValue
+from pearward_state.members import Holder, Member
+from pearward_transport.errors import PlatformError
+from pearward_transport.store import FleetStore, LeaseGone, Put
+
+from .log import DecisionLog
+
+__all__ = ["OwnEntry"]
+
+
+class OwnEntry:
+    """The member's entry of one daemon, and the holder's entries of its targets."""
+
+    def __init__(
+        self,
+        instance: str,
+        store: FleetStore,
+        log: DecisionLog,
+        run: Callable[[Coroutine[Any, Any, None]], None],
+        on_failed: Callable[[PlatformError], None],
+    ) -> None:
+        self._key = member_key(instance)
+        self._store = store
+        self._log = log
+        self._run = run
+        self._on_failed = on_failed
+        self._lease = 0
+        self._member: Member | None = None
+        self._keyed = False
+        self._written: Member | None = None
+        self._written_at = 0
+        """Revision of the store at the last write."""
+        self._holder_written = ""
+        """Target whose holder's entry was written."""
+        self._writing = False
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def key(self) -> str:
+        """Key of the entry."""
+        return self._key
+
+    @property
+    def is_written(self) -> bool:
+        """Whether the entry was written, and is not known to have gone since."""
+        return self._written is not None
+
+    # -- writing -----------------------------------------------------------------
+
+    def publish(self, member: Member | None, keyed: bool) -> None:
+        """Write *member*; None keeps what is there. A target with keys gets a holder's entry."""
+        self._member = member
+        self._keyed = keyed
+        self._write_soon()
+
+    def _write_soon(self) -> None:
+        if self._lease and not self._writing:
+            self._run(self.write())
+
+    async def under_lease(self, lease: int) -> None:
+        """Write the entry under a new lease."""
+        self._lease = lease
+        await self.write()
+
+    def lease_gone(self) -> None:
+        """The lease is over, and the entry with it."""
+        self._lease = 0
+        self._written = None
+
+    async def write(self) -> None:
+        """Write until the entries are as they should be, if they are not."""
+        if self._writing:
+            return
+        self._writing = True
+        try:
+            while self._member is not None and self._member != self._written and self._lease:
+                await self._write_once(self._member, self._lease)
+        except LeaseGone:
+            # The renewal finds out as well, and begins a new lease.
+            self._log.decided("entry_refused", failure=True, lease=self._lease)
+        except PlatformError as error:
+            self._on_failed(error)
+        finally:
+            self._writing = False
+
+    async def _write_once(self, member: Member, lease: int) -> None:
+        puts = [Put(member_key(member.instance), encode_member(member), lease)]
+        if self._keyed and self._holder_written != member.target:
+            entry = Holder(member.target, member.instance)
+            puts.append(Put(holder_key(member.target), encode_holder(entry)))
+        self._written_at = await self._store.commit([], puts)
+        self._written = member
+        if len(puts) > 1:
+            self._holder_written = member.target
+        self._log.decided(
+            "entry_written", target=member.target, state=member.state.value, lease=lease
+        )
+
+    # -- what the store shows ------------------------------------------------------
+
+    def gone(self) -> None:
+        """The store has no entry though the lease may live: write it again."""
+        if self._written is None:
+            return
+        self._log.decided("entry_gone", failure=True, lease=self._lease)
+        self._written = None
+        self._write_soon()
+
+    def seen(self, item: KeyValue) -> bool:
+        """Write the entry again where another writer changed it; return whether one did.
+
+        What came before the last own write says nothing.
+        """
+        written = self._written
+        if written is None or self._writing or item.revision <= self._written_at:
+            return False
+        if item.value == encode_member(written):
+            return False
+        self._log.decided(
+            "entry_unreadable", failure=True, key=item.key, error="not what this daemon wrote"
+        )
+        self.gone()
+        return True
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -17,28 +17,19 @@
     decode_holder,
     decode_key_map,
     decode_member,
-    encode_holder,
-    encode_member,
-    holder_key,
     member_key,
 )
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap
-from pearward_state.members import Holder, Member
+from pearward_state.members import Member
 from pearward_transport.clock import boot_time, sleep
 from pearward_transport.errors import PlatformError
-from pearward_transport.store import (
-    CONFIGURATION,
-    Changes,
-    FleetStore,
-    HistoryGone,
-    LeaseGone,
-    Put,
-)
+from pearward_transport.store import CONFIGURATION, Changes, FleetStore, HistoryGone
 
 from .log import DecisionLog
 from .member_feed import MemberFeed
+from .own_entry import OwnEntry
 from .settings import MeshSettings
 
 __all__ = ["SessionListener", "StoreSession"]
@@ -105,18 +96,11 @@
         self._log = log
         self._listener = listener
         self._feed = feed
+        self._own = OwnEntry(settings.instance, store, log, self._run, self._failed)
         self._lease = 0
-        self._member: Member | None = None
-        self._written: Member | None = None
-        self._written_at = 0
-        """Revision of the store at the last own write."""
-        self._keyed = False
-        self._holder_written = ""
-        """Target whose holder's entry was written."""
         self._available = True
         self._stopped = False
         self._round = 0
-        self._writing = False
 
     # -- properties -------------------------------------------------------------
 
@@ -133,7 +117,7 @@
     @property
     def registered(self) -> bool:
         """Whether this daemon's entry surely stands in the store."""
-        return self._available and bool(self._lease) and self._written is not None
+        return self._available and bool(self._lease) and self._own.is_written
 
     # -- life --------------------------------------------------------------------
 
@@ -152,10 +136,7 @@
 
     def publish(self, member: Member | None, keyed: bool) -> None:
         """Write *member* as this daemon's entry; None keeps what is there."""
-        self._member = member
-        self._keyed = keyed
-        if self._lease and not self._writing:
-            self._run(self._write_entries())
+        self._own.publish(member, keyed)
 
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a loop; what it did not expect is logged and never swallowed."""
@@ -169,6 +150,7 @@
         if not self._lease:
             return
         lease, self._lease = self._lease, 0
+        self._own.lease_gone()
         try:
             await self._store.revoke(lease)
         except PlatformError as error:
@@ -201,73 +183,20 @@
         if not await self._store.keep_alive(lease):
             self._log.decided("lease_lost", failure=True, lease=lease)
             self._lease = 0
-            self._written = None
+            self._own.lease_gone()
             return
-        if self._member != self._written and not self._writing:
-            await self._write_entries()
+        await self._own.write()
 
     async def _begin_lease(self) -> None:
         self._lease = await self._store.grant_lease(self._settings.store.lease_ttl_s)
         self._log.decided("lease_begun", lease=self._lease)
-        await self._write_entries()
+        await self._own.under_lease(self._lease)
 
     # -- entries ------------------------------------------------------------------------
 
-    async def _write_entries(self) -> None:
-        """Write this daemon's entries until they are as they should be."""
-        if self._writing:
-            return
-        self._writing = True
-        try:
-            while self._member is not None and self._member != self._written and self._lease:
-                await self._write_once(self._member, self._lease)
-        except LeaseGone:
-            # The renewal finds out as well, and begins a new lease.
-            self._log.decided("entry_refused", failure=True, lease=self._lease)
-        except PlatformError as error:
-            self._failed(error)
-        finally:
-            self._writing = False
-
-    async def _write_once(self, member: Member, lease: int) -> None:
-        puts = [Put(member_key(member.instance), encode_member(member), lease)]
-        if self._keyed and self._holder_written != member.target:
-            entry = Holder(member.target, member.instance)
-            puts.append(Put(holder_key(member.target), encode_holder(entry)))
-        self._written_at = await self._store.commit([], puts)
-        self._written = member
-        if len(puts) > 1:
-            self._holder_written = member.target
-        self._log.decided(
-            "entry_written", target=member.target, state=member.state.value, lease=lease
-        )
-
-    @property
-    def _own_key(self) -> str:
-        return member_key(self._settings.instance)
-
     def _own_entry_gone(self) -> None:
-        """The store has no entry of this daemon though its lease may live: write it again."""
-        if self._written is None or self._stopped:
-            return
-        self._log.decided("entry_gone", failure=True, lease=self._lease)
-        self._written = None
-        if self._lease and not self._writing:
-            self._run(self._write_entries())
-
-    def _check_own_entry(self, item: KeyValue) -> bool:
-        """Write the own entry again where another writer changed it; return whether it did.
-
-        What came before the last own write says nothing.
-        """
-        written = self._written
-        if written is None or self._writing or item.revision <= self._written_at:
-            return False
-        if item.value == encode_member(written):
-            return False
-        self._unreadable(item.key, "not what this daemon wrote")
-        self._own_entry_gone()
-        return True
+        if not self._stopped:
+            self._own.gone()
 
     def _note_former_targets(self, items: Iterable[KeyValue]) -> None:
         """Find the targets that an earlier life of this daemon granted keys to."""
@@ -341,11 +270,11 @@
             snapshot = await self._store.scan("")
             members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
             self._listener.members_read(self._decoded_members(members))
-            own = next((item for item in members if item.key == self._own_key), None)
+            own = next((item for item in members if item.key == self._own.key), None)
             if own is None:
                 self._own_entry_gone()
             else:
-                self._check_own_entry(own)
+                self._own.seen(own)
             maps = [i for i in snapshot.items if i.key.startswith(KEY_MAPS)]
             self._listener.key_maps_read(self._decoded(maps, decode_key_map))
             self._note_former_targets(snapshot.items)
@@ -355,11 +284,11 @@
         def changed(event: WatchEvent) -> None:
             if event.value is None:
                 self._listener.member_gone(event.key.removeprefix(MEMBERS))
-                if event.key == self._own_key:
+                if event.key == self._own.key:
                     self._own_entry_gone()
                 return
             item = KeyValue(event.key, event.value, event.revision)
-            if item.key == self._own_key and self._check_own_entry(item):
+            if item.key == self._own.key and self._own.seen(item):
                 return
             for member in self._decoded_members([item]):
                 self._listener.member_written(member)
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -11,7 +11,6 @@
 from pearward_coordination.key_load import KeyCounter
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
-from pearward_coordination.overload.key_gap import KeyGap
 from pearward_protocol.heads import RequestHead
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import TargetState, target_id
@@ -27,6 +26,7 @@
 from .dialect import AnswerFacts, BeatAnswer, Dialect, GrantPort, TargetBeat, TargetLeave
 from .grant_delivery import GrantDelivery
 from .log import DecisionLog
+from .parked_requests import ParkedRequests
 from .settings import GrantWay, MeshSettings
 from .target_request import TargetRequest
 from .target_slots import TargetSlots
@@ -40,8 +40,6 @@
 """Seconds between looks for the end of a target that leaves, or whose port was closed."""
 DRAIN_SHARE = 0.6
 """Part of the drain time in which a leaving target still gets requests that are on their way."""
-PARKED_LIMIT = 512
-"""Requests that wait for the target's keys, at most; further ones are refused."""
 MOVED_RETRY_S = 0.05
 """Seconds after which the owner of a key is asked again."""
 KEYED_DRAIN_SHARE = 0.6
@@ -105,7 +103,7 @@
         self._counter = KeyCounter()
         self._link = link
         self._open: set[TargetRequest] = set()
-        self._parked: dict[TargetRequest, None] = {}
+        self._parked = ParkedRequests()
         self._delivery = self._delivery_of(settings.grant_way, grants)
         self._beats = BeatClock()
         self._info: TargetInfo | None = None
@@ -118,7 +116,6 @@
         self._refusing = False
         self._listener: TargetSideListener | None = None
         self._reported_ended: list[str] = []
-        self._gap = KeyGap()
         self._slowness = 1.0
         self._unreadable: set[str] = set()
         """Ids whose heartbeats could not be read, told once each."""
@@ -126,10 +123,10 @@
     def _delivery_of(self, way: GrantWay, grants: GrantPort) -> GrantDelivery:
         if way is GrantWay.CALL:
             return CallDelivery(
-                self._reactor, self._keeper, grants, self._log, self._admit_parked,
+                self._reactor, self._keeper, grants, self._log, self._parked.admit_all,
                 self._keys_let_go, self._map_wanted, self._other_target_there,
             )  # fmt: skip
-        return BeatAnswers(self._reactor, self._keeper, self._log, self._admit_parked)
+        return BeatAnswers(self._reactor, self._keeper, self._log, self._parked.admit_all)
 
     # -- properties -------------------------------------------------------------
 
@@ -302,16 +299,16 @@
         if keeper.must_let_go(now) or keeper.ready_to_begin(now) or self._stopping:
             self._delivery.give()
         self._note_pending(now)
-        self._admit_parked()
+        self._parked.admit_all()
 
     def _note_pending(self, now: float) -> None:
         """Ask for keys that others still have; log how long they were waited for."""
         pending = self._keeper.pending(now)
         if pending:
-            self._gap.begun(now)
+            self._parked.gap.begun(now)
             if self._listener is not None:
                 self._listener.keys_wanted()
-        elif (waited_s := self._gap.ended(now)) is not None:
+        elif (waited_s := self._parked.gap.ended(now)) is not None:
             self._log.decided(
                 "keys_released_by_others", target=self._keeper.target, map=self.map_version,
                 waited_s=round(waited_s, 3), parked=len(self._parked),
@@ -447,28 +444,17 @@
 
     def park(self, request: TargetRequest, deadline_left_s: float) -> float:
         """Let a request wait for its key; return for how many seconds, 0 where it may not."""
-        if len(self._parked) >= PARKED_LIMIT:
-            return 0.0
-        runs_s = self._slots.load().service_s
-        patience_s = self._gap.patience_s(deadline_left_s, runs_s, boot_time())
-        if patience_s > 0.0:
-            self._parked[request] = None
-        return patience_s
+        return self._parked.park(
+            request, deadline_left_s, self._slots.load().service_s, boot_time()
+        )
 
     def key_back_after_s(self) -> float:
         """Return the seconds after which a request whose key is on its way may come again."""
-        return self._gap.left_s(boot_time())
+        return self._parked.gap.left_s(boot_time())
 
     def unpark(self, request: TargetRequest) -> None:
         """A request no longer waits for its key."""
-        self._parked.pop(request, None)
-
-    def _admit_parked(self) -> None:
-        if not self._parked:
-            return
-        parked, self._parked = list(self._parked), {}
-        for request in parked:
-            request.admit()
+        self._parked.unpark(request)
 
     def back_after_s(self) -> float:
         """Return the seconds after which a request that is barred here may come again."""
