A request under which three targets have crashed is sent to no target any more

Cause: whatever came in was judged by its id alone. A request that crashes its target came again under new ids and at other daemons, and nothing that was learned of one id held for the next: each target that began to run it ended. Ruled out: our own repeats (each id arrived once in the incident), the crowd at a hand-over (targets of the other services get one too and live).

Change: the daemon beside a target that ends without notice holds the end against what the target was running, by a digest of what is asked for; it tells the daemons beside the service's other targets and writes it to the store, below the members that everybody follows (two calls a crash, no further watch). After three ends a request is refused where it comes in and beside each target, for ten minutes; after two it runs at a target only while no other suspect does; what a target has run to an end is cleared.

--- a/features/foreign.feature
+++ b/features/foreign.feature
@@ -15,6 +15,7 @@
       | key map change |
       | configuration  |
       | drain          |
+      | crash          |
       | answer's load  |
       | store's item   |
       | control        |
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -38,6 +38,9 @@
       | grants   | "letter"              | grants           |
       | grants   | ""                    | grants           |
       | overload | {"without": ["none"]} | overload.without |
+      | quarantine | {"lasts_s": 601}        | quarantine.lasts_s       |
+      | quarantine | {"refused_after": -1}   | quarantine.refused_after |
+      | quarantine | {"refused_after": "no"} | quarantine.refused_after |
 
   Scenario: Settings that do not say how keys are given keep to heartbeats
     Given settings of a daemon on a users' platform with grants set to null
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -20,10 +20,12 @@
 from pearward_platform.store import _item
 from pearward_protocol.control import decode_control, encode_control
 from pearward_protocol.entries import (
+    decode_crash,
     decode_holder,
     decode_key_map,
     decode_key_map_change,
     decode_member,
+    encode_crash,
     encode_holder,
     encode_key_map,
     encode_key_map_change,
@@ -43,6 +45,7 @@
     encode_request,
     encode_response,
 )
+from pearward_state.crashes import CrashRecord
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap, KeyRange, Predecessor, TargetWitnesses, changed_by
 from pearward_state.members import Holder, Member, TargetState
@@ -108,6 +111,7 @@
     ),
     "configuration": (orjson.dumps(DOCUMENT), read_document, InvalidRecord),
     "drain": (b"{}", check_drain, InvalidRecord),
+    "crash": (encode_crash(CrashRecord("i-1", 12.5, ("ab", "cd"))), decode_crash, InvalidRecord),
     "answer's load": (b"3,1,8,150", _answer_load, InvalidRecord),
     "store's item": (orjson.dumps(ITEM["value"]), lambda d: _item(ITEM | {"value": d}), KeyError),
     "greeting": (encode_hello(Hello("life-1", "10.0.0.1:7600")), decode_hello, FrameError),
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -88,7 +88,11 @@
     try:
         MeshSettings.from_config(context.settings)
     except InvalidField as error:
-        value = context.value["without"][0] if isinstance(context.value, dict) else context.value
+        value = context.value
+        if isinstance(value, dict):
+            (value,) = value.values()
+        if isinstance(value, list):
+            (value,) = value
         assert path in str(error) and repr(value) in str(error), error
     else:
         raise AssertionError("they were taken")
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -25,6 +25,7 @@
     "Released",
     "Renew",
     "RenewReply",
+    "TargetCrashed",
     "TellChanges",
     "VersionedKey",
 ]
@@ -255,6 +256,19 @@
     """Failure domains that are drained as of that revision."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCrashed:
+    """Tells the daemons beside a service's targets what one of these was running as it crashed.
+
+    The store tells everybody; this comes sooner, and also while the store is away.
+    """
+
+    target: str
+    """Id of the target's incarnation."""
+    contents: tuple[str, ...]
+    """Digests of what the requests asked for."""
+
+
 ControlMessage = (
     Renew
     | RenewReply
@@ -273,4 +287,5 @@
     | AskChanges
     | TellChanges
     | PushChange
+    | TargetCrashed
 )
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -86,8 +86,8 @@
         self._metrics = LateMetrics(settings.instance)
         self._ingress = MeshIngress(
             reactor, settings, dialect, self._core.directory, self._core.key_maps, self._side,
-            self._pool, self._log, self._metrics, rng, self._core.want_map,
-            self._core.want_map_of_planner,
+            self._pool, self._log, self._metrics, rng, self._core.crashes.quarantine,
+            self._core.want_map, self._core.want_map_of_planner,
         )  # fmt: skip
         self._callers = CallerFactory(
             self._ingress, reactor, HttpLimits(HEADER_BYTES, HEADER_COUNT, IDLE_S)
@@ -282,6 +282,10 @@
             "pearward.configuration.version", "Configuration in force",
             lambda: self._core.table.version if self._core.table is not None else 0,
         )  # fmt: skip
+        gauge(
+            "pearward.quarantined", "Requests that are refused as targets crashed under them",
+            lambda: self._core.crashes.quarantine.refused(boot_time()),
+        )  # fmt: skip
         gauge("pearward.planner", "Plans the keys", lambda: float(self._core.planner.on_duty))
         gauge(
             "pearward.watcher", "Follows the members in the store",
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -25,11 +25,13 @@
     ReleaseReply,
     Renew,
     RenewReply,
+    TargetCrashed,
     TellChanges,
 )
 from pearward_coordination.overload.policy import Mechanism
 from pearward_protocol.entries import key_map_key
 from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_state.crashes import CrashRecord
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap, Predecessor
 from pearward_state.members import Member, TargetState
@@ -38,6 +40,8 @@
 from pearward_transport.http_client import ServerClient
 from pearward_transport.store import FleetStore
 
+from .crash_control import CrashControl
+from .crash_guard import CrashGuard
 from .dialect import Dialect, GrantPort
 from .drain_control import DrainControl
 from .key_maps import KeyMaps
@@ -92,7 +96,9 @@
             few_looks=settings.overload.uses(Mechanism.FEW_LOOKS),
         )  # fmt: skip
         self._maps = KeyMaps(log)
-        self._side = TargetSide(reactor, settings, dialect, log, client, link, grants)
+        self._crashes = CrashControl(settings, self._directory, log, send, self._keep_crash)
+        guard = CrashGuard(self._crashes.quarantine, log, self._crashes.crashed_here)
+        self._side = TargetSide(reactor, settings, dialect, log, client, link, grants, guard)
         self._planner = KeyPlanner(settings, store, self._directory, self._maps, log, self._spread)
         self._witnesses = Witnesses(settings.holds, self._maps)
         self._lease = TargetLease(
@@ -149,6 +155,11 @@
         """The drained failure domains."""
         return self._drains
 
+    @property
+    def crashes(self) -> CrashControl:
+        """The crashes of targets, and what follows from them."""
+        return self._crashes
+
     @property
     def table(self) -> RoutingTable | None:
         """The configuration in force; None before one was read."""
@@ -283,6 +294,14 @@
         self._log.decided("member_entry_gone", instance=instance)
         self._directory.entry_gone(instance, boot_time())
 
+    def crashes_read(self, records: list[CrashRecord]) -> None:
+        """Take crashes of targets that the store has."""
+        self._crashes.recorded(records)
+
+    def _keep_crash(self, record: CrashRecord) -> None:
+        """Have the store keep a crash of the target beside this daemon."""
+        self._session.record_crash(record)
+
     def key_maps_read(self, key_maps: list[KeyMap]) -> None:
         """Take the key maps that the store has."""
         for key_map in key_maps:
@@ -451,6 +470,8 @@
             case Pull():
                 for key in message.keys:
                     self._send_map(key.rpartition("/")[2], sender, message.held)
+            case TargetCrashed():
+                self._crashes.told(message)
             case AskChanges():
                 self._feed.asked(sender, message)
             case TellChanges():
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_entries.py
@@ -0,0 +1,63 @@
+"""Entries of crashes in the platform's store, so that a quarantine outlasts all daemons."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pearward_protocol.entries import crash_key, encode_crash
+from pearward_state.crashes import CrashRecord
+from pearward_transport.clock import boot_time, sleep
+from pearward_transport.errors import PlatformError
+from pearward_transport.store import FleetStore, Put
+
+from .log import DecisionLog
+
+__all__ = ["CrashEntries"]
+
+FIRST_RETRY_S = 0.2
+LAST_RETRY_S = 5.0
+"""Pauses after a failed call double up to this: nothing waits for the entry but daemons that
+start, and after a crash of many targets many daemons write one."""
+GIVEN_UP_S = 120.0
+"""Seconds after which an entry is not written any more: the store has been away for so long that
+every daemon beside the service's targets has heard of the crash from this one, or has gone."""
+
+
+class CrashEntries:
+    """Writes what targets were running when they crashed; each entry goes by itself."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        store: FleetStore,
+        log: DecisionLog,
+        lasts_s: float,
+        run: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._log = log
+        self._lasts_s = lasts_s
+        self._run = run
+
+    def write(self, record: CrashRecord) -> None:
+        """Write a crash's entry as soon as the store takes it."""
+        self._run(self._write(record))
+
+    async def _write(self, record: CrashRecord) -> None:
+        began = boot_time()
+        retry_s = FIRST_RETRY_S
+        while boot_time() - began < GIVEN_UP_S:
+            try:
+                # The entry and its lease are two calls; a lease without an entry just runs out.
+                lease = await self._store.grant_lease(self._lasts_s)
+                await self._store.commit(
+                    [], [Put(crash_key(record.target), encode_crash(record), lease)]
+                )
+                self._log.decided("crash_recorded", target=record.target, lease=lease)
+                return
+            except PlatformError as error:
+                self._log.decided(
+                    "crash_not_recorded", failure=True, target=record.target, error=str(error)
+                )
+            await sleep(self._reactor, retry_s)
+            retry_s = min(LAST_RETRY_S, retry_s * 2)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
@@ -0,0 +1,136 @@
+"""Which requests the target beside this daemon may run, by what crashed targets lately.
+
+Stands between a request that has a slot and the target: requests in quarantine go no further.
+It also finds out what the target was running when it crashed, and says so.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from pearward_coordination.broken_exchanges import BrokenExchange, BrokenExchanges
+from pearward_coordination.quarantine import Quarantine, Standing
+from pearward_state.crashes import CrashRecord
+from pearward_state.outcome import Outcome, Reason
+
+from .log import DecisionLog
+
+__all__ = ["Barred", "CrashGuard", "GuardedRequest"]
+
+
+class GuardedRequest(Protocol):
+    """A request for the target beside this daemon."""
+
+    @property
+    def content(self) -> str:
+        """What it asks for, the same for every id under which it comes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """Why a request may not run, and when its caller may come back."""
+
+    detail: str
+    back_after_s: float
+
+
+class CrashGuard:
+    """The crashes of one daemon's targets, and the requests that are kept from them."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        log: DecisionLog,
+        on_crash: Callable[[CrashRecord], None],
+    ) -> None:
+        self._quarantine = quarantine
+        self._log = log
+        self._on_crash = on_crash
+        self._broken = BrokenExchanges()
+        self._ran: set[str] = set()
+        """Contents, once held against a request, that the present target has run to an end."""
+        self._alone: GuardedRequest | None = None
+        """The one suspected request that the target runs."""
+
+    @property
+    def doubts_target(self) -> bool:
+        """Whether the target broke exchanges off and has not shown since that it lives."""
+        return len(self._broken) > 0
+
+    # -- requests -----------------------------------------------------------------
+
+    def barred(self, request: GuardedRequest, usual_s: float, now: float) -> Barred | None:
+        """Return why a request may not be sent to the target now; None where it may.
+
+        A suspected one is taken for running from then on. *usual_s* is the time in s that the
+        target's requests take.
+        """
+        if not self._quarantine:
+            return None
+        content = request.content
+        match self._quarantine.standing(content, now):
+            case Standing.FREE:
+                return None
+            case Standing.REFUSED:
+                return Barred(f"content {content}", self._quarantine.left_s(content, now))
+            case Standing.ALONE:
+                if self._alone is not None and self._alone is not request:
+                    return Barred("another suspected request runs", usual_s)
+                self._alone = request
+                return None
+
+    def ended(
+        self,
+        request: GuardedRequest,
+        request_id: str,
+        outcome: Outcome,
+        reason: Reason | None,
+        now: float,
+    ) -> str:
+        """Take the end of a request; return its content where the target broke it off."""
+        if self._alone is request:
+            self._alone = None
+        if outcome is Outcome.SERVED:
+            self._broken.answered(now)
+            self._note_ran(request)
+            return ""
+        if reason is not Reason.SERVER_FAILED:
+            return ""
+        content = request.content
+        self._broken.broke(BrokenExchange(request_id, content, now))
+        return content
+
+    def _note_ran(self, request: GuardedRequest) -> None:
+        """Clear a request that the target has run to an end."""
+        if not self._quarantine:
+            return
+        content = request.content
+        if self._quarantine.knows(content):
+            self._quarantine.ran(content)
+            self._ran.add(content)
+
+    # -- the target -----------------------------------------------------------------
+
+    def target_listens(self, now: float) -> None:
+        """A connection to the target could be made: it lives."""
+        self._broken.answered(now)
+
+    def target_began(self) -> None:
+        """Another incarnation of the target is beside this daemon."""
+        self._ran.clear()
+
+    def target_left(self, now: float) -> None:
+        """The target ended after it had said so: what broke off does not tell anything."""
+        self._broken.take(now)
+
+    def target_crashed(self, target: str, shown_by: str, now: float, unix_now: float) -> None:
+        """The target ended without notice: hold it against what it was running."""
+        broken = self._broken.take(now)
+        self._log.decided(
+            "target_crashed", failure=True, target=target, shown_by=shown_by,
+            requests=[exchange.request_id for exchange in broken],
+            contents=[exchange.content for exchange in broken],
+        )  # fmt: skip
+        contents = tuple(dict.fromkeys(b.content for b in broken if b.content not in self._ran))
+        if contents:
+            self._on_crash(CrashRecord(target, unix_now, contents))
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -10,6 +10,7 @@
 from pearward_coordination.overload.key_shedding import KeyShedding
 from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.overload.returns import UsualDeadline
+from pearward_coordination.quarantine import Quarantine
 from pearward_coordination.retry_window import RetryWindow
 from pearward_coordination.selection import (
     Exchange,
@@ -112,6 +113,7 @@
         log: DecisionLog,
         metrics: RequestMetrics,
         rng: Random,
+        quarantine: Quarantine,
         want_map: Callable[[str, str], None],
         want_map_of_planner: Callable[[str], None],
     ) -> None:
@@ -138,6 +140,7 @@
         self._stopping = False
         self._refusing_s = 0.0
         self.directory = directory
+        self.quarantine = quarantine
         self.side = side
         self.log = log
 
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 from twisted.python.failure import Failure
@@ -12,6 +13,7 @@
     NextStep,
     RequestTimes,
 )
+from pearward_coordination.content import content_digest
 from pearward_coordination.overload.key_shedding import BACK_AFTER_S
 from pearward_coordination.retry import AttemptTally
 from pearward_protocol.heads import RequestHead, ResponseHead
@@ -175,7 +177,7 @@
     def _next_attempt(self) -> None:
         """Send the request to the owner of its key, or to the best target."""
         self._wait = None
-        if self._done or self._is_shed():
+        if self._done or self._is_quarantined() or self._is_shed():
             return
         placement = self._ingress.place(
             self._service, self._route, self._key, self._plan.excluded,
@@ -194,6 +196,17 @@
         else:
             self._connect(placement)
 
+    def _is_quarantined(self) -> bool:
+        """Refuse a request under which too many targets crashed, whatever its id."""
+        quarantine = self._ingress.quarantine
+        if not quarantine:
+            return False
+        left_s = quarantine.left_s(self._content, boot_time())
+        if left_s > 0.0:
+            detail = f"content {self._content}"
+            self._give_up(Outcome.NOT_RUN, Reason.QUARANTINED, left_s, detail=detail)
+        return left_s > 0.0
+
     def _is_shed(self) -> bool:
         """Refuse a first attempt whose key the owner has turned away too often lately."""
         if self._key is None or self._admitted:
@@ -204,6 +217,24 @@
         self._give_up(Outcome.NOT_RUN, Reason.OVERLOADED, BACK_AFTER_S, detail="key is shed")
         return True
 
+    @cached_property
+    def _content(self) -> str:
+        """What is asked for, as the daemon beside the target names it as well."""
+        return content_digest(
+            self._service, self._request.method, self._request.uri, self._key_text,
+            self._known_length, b"".join(self._body),
+        )  # fmt: skip
+
+    @property
+    def _key_text(self) -> bytes:
+        """The key as it travels; empty where the request has none."""
+        return b"" if self._key is None else b"%d" % self._key
+
+    @property
+    def _known_length(self) -> int:
+        """Bytes of the body; -1 where they are not known yet."""
+        return self._body_size if self._body_ended else self._body_length
+
     @property
     def _long(self) -> bool:
         """Whether the answer is long: the link of the target's instance counts as well."""
@@ -260,10 +291,9 @@
 
     def _head(self, placement: Placement) -> RequestHead:
         now = boot_time()
-        key = b"" if self._key is None else b"%d" % self._key
         return RequestHead(
             service=self._service,
-            key=key,
+            key=self._key_text,
             request_id=self._intent.request_id,
             method=self._request.method,
             path=self._request.uri,
@@ -276,7 +306,7 @@
             version=placement.map_version,
             task_id="",
             position=self._key or 0,
-            body_length=self._body_length if not self._body_ended else self._body_size,
+            body_length=self._known_length,
             target=placement.target,
             rank=self._route.rank,
             objective_ms=max(0, int((self._plan.times.objective - now) * MS_PER_S)),
@@ -370,6 +400,8 @@
             self._refused(head)
             return
         self._note_arrival()
+        if self._ingress.quarantine:
+            self._ingress.quarantine.ran(self._content)
         if self._key is not None:
             self._ingress.key_served(self._service, self._key)
         if self._try_again_after(head):
--- a/packages/daemon/src/pearward_daemon/mesh/settings.py
+++ b/packages/daemon/src/pearward_daemon/mesh/settings.py
@@ -10,6 +10,7 @@
 from pearward_coordination.grants import HOLD_S, LEASE_S, RENEW_S, GrantTiming
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.overload.policy import Mechanism, OverloadPolicy
+from pearward_coordination.quarantine import LONGEST_S, REFUSED_AFTER, QuarantineRule
 from pearward_coordination.retry_window import RetryRule
 from pearward_state.errors import InvalidField
 from pearward_state.fields import FieldReader
@@ -93,6 +94,8 @@
     retries: RetryRule
     overload: OverloadPolicy
     """Mechanisms against overload that are on."""
+    quarantine: QuarantineRule
+    """When a request is refused because targets crashed while they ran it."""
     drain_s: float
     """Seconds after its leave is acknowledged in which a target may get new requests."""
     stop_s: float
@@ -148,6 +151,7 @@
             silent_s=limits.number("silent_ms", SILENT_S * 1000, low=500) / 1000,
             retries=_retries(root.section("retries")),
             overload=_overload(root.section("overload")),
+            quarantine=_quarantine(root.section("quarantine")),
             drain_s=limits.number("drain_ms", 2000, low=100) / 1000,
             stop_s=limits.number("stop_s", 6, low=1),
             domain_drain_s=limits.number("domain_drain_ms", DOMAIN_DRAIN_S * 1000, low=500) / 1000,
@@ -219,6 +223,15 @@
     return OverloadPolicy(frozenset(off))
 
 
+def _quarantine(reader: FieldReader) -> QuarantineRule:
+    rule = QuarantineRule(
+        refused_after=reader.integer("refused_after", REFUSED_AFTER, low=0, high=100),
+        lasts_s=reader.number("lasts_s", LONGEST_S, low=10.0, high=LONGEST_S),
+    )
+    reader.finish()
+    return rule
+
+
 def _retries(reader: FieldReader) -> RetryRule:
     rule = RetryRule(
         ratio=reader.number("ratio", 0.2, high=10),
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -6,20 +6,24 @@
 """
 
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from twisted.internet.defer import Deferred, succeed
 
 from pearward_protocol.entries import (
+    CRASHES,
     HOLDERS,
     KEY_MAPS,
     MEMBERS,
+    crash_key,
+    decode_crash,
     decode_holder,
     decode_key_map,
     decode_member,
     member_key,
 )
 from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_state.crashes import CrashRecord
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap
 from pearward_state.members import Member
@@ -27,6 +31,7 @@
 from pearward_transport.errors import PlatformError
 from pearward_transport.store import CONFIGURATION, Changes, FleetStore, HistoryGone
 
+from .crash_entries import CrashEntries
 from .log import DecisionLog
 from .member_feed import MemberFeed
 from .own_entry import OwnEntry
@@ -44,6 +49,9 @@
 """Pauses after a failed call double up to this: what lapsed is to be back within 2 s."""
 
 
+_T = TypeVar("_T")
+
+
 class SessionListener(Protocol):
     """What is told of the store."""
 
@@ -68,6 +76,9 @@
     def member_gone(self, instance: str) -> None:
         """A member's entry went."""
 
+    def crashes_read(self, records: list[CrashRecord]) -> None:
+        """Crashes of targets were read, or one has just been recorded."""
+
     def key_maps_read(self, key_maps: list[KeyMap]) -> None:
         """The key maps of all services were read."""
 
@@ -96,6 +107,7 @@
         self._log = log
         self._listener = listener
         self._feed = feed
+        self._crashes = CrashEntries(reactor, store, log, settings.quarantine.lasts_s, self._run)
         self._own = OwnEntry(settings.instance, store, log, self._run, self._failed)
         self._lease = 0
         self._available = True
@@ -139,6 +151,10 @@
         """Write *member* as this daemon's entry; None keeps what is there."""
         self._own.publish(member, keyed)
 
+    def record_crash(self, record: CrashRecord) -> None:
+        """Write what a target was running when it crashed, so that it outlasts this daemon."""
+        self._crashes.write(record)
+
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a loop; what it did not expect is logged and never swallowed."""
         Deferred.fromCoroutine(work).addErrback(
@@ -216,14 +232,22 @@
         return result
 
     def _decoded_members(self, items: Iterable[KeyValue]) -> list[Member]:
-        """Decode members' entries; one under another instance's key is nobody's."""
-        result: list[Member] = []
+        return self._decoded_own(items, decode_member, lambda member: member_key(member.instance))
+
+    def _decoded_crashes(self, items: Iterable[KeyValue]) -> list[CrashRecord]:
+        return self._decoded_own(items, decode_crash, lambda record: crash_key(record.target))
+
+    def _decoded_own(
+        self, items: Iterable[KeyValue], decode: Callable[[bytes], _T], key_of: Callable[[_T], str]
+    ) -> list[_T]:
+        """Decode entries that tell whose they are; one under another one's key is nobody's."""
+        result: list[_T] = []
         for item in items:
-            for member in self._decoded([item], decode_member):
-                if member_key(member.instance) == item.key:
-                    result.append(member)
+            for decoded in self._decoded([item], decode):
+                if key_of(decoded) == item.key:
+                    result.append(decoded)
                 else:
-                    self._unreadable(item.key, f"the entry of {member.instance}")
+                    self._unreadable(item.key, f"the entry of {key_of(decoded)}")
         return result
 
     def _unreadable(self, key: str, error: str) -> None:
@@ -265,7 +289,10 @@
         async def read() -> int:
             # One call for everything: the store takes so many calls, however much each brings.
             snapshot = await self._store.scan("")
-            members = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
+            followed = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
+            crashes = [i for i in followed if i.key.startswith(CRASHES)]
+            self._listener.crashes_read(self._decoded_crashes(crashes))
+            members = [i for i in followed if not i.key.startswith(CRASHES)]
             self._listener.members_read(self._decoded_members(members))
             own = next((item for item in members if item.key == self._own.key), None)
             if own is None:
@@ -279,6 +306,9 @@
             return snapshot.revision
 
         def changed(event: WatchEvent) -> None:
+            if event.key.startswith(CRASHES):
+                self._crash_changed(event)
+                return
             if event.value is None:
                 self._listener.member_gone(event.key.removeprefix(MEMBERS))
                 if event.key == self._own.key:
@@ -294,6 +324,12 @@
             number, read, self._feed.changes, changed, self._gather_members_s, persists=True
         )
 
+    def _crash_changed(self, event: WatchEvent) -> None:
+        """Take a crash that was recorded; one whose entry went is remembered for its time."""
+        if event.value is not None:
+            item = KeyValue(event.key, event.value, event.revision)
+            self._listener.crashes_read(self._decoded_crashes([item]))
+
     def _gather_members_s(self) -> float:
         """Return how long a watcher lets changes add up; the others are told what it knows."""
         return GATHER_S if self._feed.is_watcher else 0.0
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -179,7 +179,7 @@
             self._ticket = None
             self.admit()
             return
-        if self._refused_as_cold():
+        if self._refused_as_cold() or self._refused_by_crashes():
             return
         connection = self._side.client.take()
         if connection is not None:
@@ -194,6 +194,15 @@
             self._refuse(Reason.OVERLOADED, detail="target is cold", retry_after_s=room_in_s)
         return room_in_s > 0.0
 
+    def _refused_by_crashes(self) -> bool:
+        """Refuse the request if targets crashed while they ran what it asks for."""
+        barred = self._side.barred_by_crashes(self)
+        if barred is not None:
+            self._refuse(
+                Reason.QUARANTINED, detail=barred.detail, retry_after_s=barred.back_after_s
+            )
+        return barred is not None
+
     def too_late(self) -> None:
         """The request waited so long that it could not be answered any more."""
         self._ticket = None
@@ -209,7 +218,7 @@
             connection.abort()
             self._refuse(barred, retry_after_s=self._side.back_after_s(barred))
             return
-        if self._refused_as_cold():
+        if self._refused_as_cold() or self._refused_by_crashes():
             connection.abort()
             return
         left_ms = int((self._deadline - boot_time()) * MS_PER_S)
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -6,7 +6,6 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from pearward_coordination.broken_exchanges import BrokenExchange, BrokenExchanges
 from pearward_coordination.grants import GrantKeeper, ReleasedRow
 from pearward_coordination.incarnations import BeatClock, BeatSign
 from pearward_coordination.key_load import KeyCounter
@@ -25,6 +24,7 @@
 from ..exchange import ReplySink
 from .beat_answers import BeatAnswers
 from .call_delivery import CallDelivery
+from .crash_guard import Barred, CrashGuard
 from .dialect import AnswerFacts, BeatAnswer, Dialect, GrantPort, TargetBeat, TargetLeave
 from .grant_delivery import GrantDelivery
 from .log import DecisionLog
@@ -91,6 +91,7 @@
         client: ServerClient,
         link: LinkQueue,
         grants: GrantPort,
+        guard: CrashGuard,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -103,7 +104,7 @@
         self._link = link
         self._open: set[TargetRequest] = set()
         self._parked = ParkedRequests()
-        self._broken = BrokenExchanges()
+        self._guard = guard
         self._delivery = self._delivery_of(settings.grant_way, grants)
         self._beats = BeatClock()
         self._info: TargetInfo | None = None
@@ -243,8 +244,9 @@
 
     def _target_began(self, beat: TargetBeat) -> None:
         former = self._keeper.target
-        if former and self._leaving_since is None:
-            self._note_crash(former, "its next life beats")
+        if former:
+            self._note_end(former, "its next life beats")
+        self._guard.target_began()
         same_id = bool(former) and target_id(former) == target_id(beat.target)
         if same_id and self._beats.is_supposed(target_id(beat.target)):
             self._keeper.target_supposed(beat.target, boot_time())
@@ -460,6 +462,10 @@
             return self._parked.gap.left_s(boot_time())
         return BACK_S if self._refusing else MOVED_RETRY_S
 
+    def barred_by_crashes(self, request: TargetRequest) -> Barred | None:
+        """Return why the target may not run a request, as crashes are held against it."""
+        return self._guard.barred(request, self._slots.load().service_s, boot_time())
+
     def headers(self, head: RequestHead, left_ms: int) -> bytes:
         """Return the header lines for the target."""
         target = self._info.target if self._info is not None else head.target
@@ -491,13 +497,9 @@
         """A request was answered or given up."""
         self._open.discard(request)
         head = request.head
+        content = self._guard.ended(request, _text(head.request_id), outcome, reason, boot_time())
         if outcome is Outcome.SERVED:
-            self._broken.answered(boot_time())
             return
-        content = ""
-        if reason is Reason.SERVER_FAILED:
-            content = request.content
-            self._broken.broke(BrokenExchange(_text(head.request_id), content, boot_time()))
         self._log.decided(
             "not_served_here", failure=True, id=_text(head.request_id),
             outcome=outcome.value, reason=reason.value if reason else "", detail=detail,
@@ -531,14 +533,14 @@
             self._publish_state()
         leaving = self._leaving_since
         overdue = leaving is not None and now > leaving + self._settings.drain_s
-        doubted = overdue or self._refused_at is not None or len(self._broken)
+        doubted = overdue or self._refused_at is not None or self._guard.doubts_target
         if doubted and not self._client.open_connections:
             self._client.connect().addCallbacks(self._connected, self._connect_failed)
 
     def _connected(self, connection: ServerConnection) -> None:
         """Something listens at the target's port: a target that broke exchanges off lives on."""
         connection.close()
-        self._broken.answered(boot_time())
+        self._guard.target_listens(boot_time())
 
     def _connect_failed(self, failure: Any) -> None:
         """A second refusal, with no connection left, shows that the process has ended."""
@@ -551,19 +553,16 @@
         elif now - self._refused_at >= END_CHECK_S / 2 and not self._client.open_connections:
             self._target_ended()
 
-    def _note_crash(self, target: str, shown_by: str) -> None:
-        """Tell which requests a target was running when it ended without notice."""
-        broken = self._broken.take(boot_time())
-        self._log.decided(
-            "target_crashed", failure=True, target=target, shown_by=shown_by,
-            requests=[exchange.request_id for exchange in broken],
-            contents=[exchange.content for exchange in broken],
-        )  # fmt: skip
+    def _note_end(self, target: str, shown_by: str) -> None:
+        """Tell a crash from an end that the target had told of."""
+        if self._leaving_since is None:
+            self._guard.target_crashed(target, shown_by, boot_time(), unix_time())
+        else:
+            self._guard.target_left(boot_time())
 
     def _target_ended(self) -> None:
         target = self._keeper.target
-        if self._leaving_since is None:
-            self._note_crash(target, "its port refuses")
+        self._note_end(target, "its port refuses")
         self._log.decided("target_ended", target=target, shown_by="its port refuses")
         self._refused_at = None
         self._leaving_since = None
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -29,6 +29,7 @@
     ReleaseReply,
     Renew,
     RenewReply,
+    TargetCrashed,
     TellChanges,
     VersionedKey,
 )
@@ -57,6 +58,7 @@
     AskChanges,
     TellChanges,
     PushChange,
+    TargetCrashed,
 )
 _ROWS: dict[str, type[Any]] = {
     "entries": VersionedKey,
@@ -66,7 +68,7 @@
     "changes": EntryChange,
 }
 """Lists of rows, by their name in the schema, and what a row is."""
-_TEXTS = frozenset({"silent", "keys", "ended", "drained"})
+_TEXTS = frozenset({"silent", "keys", "ended", "drained", "contents"})
 """Lists of texts, by their name in the schema."""
 
 
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -1,7 +1,8 @@
 """Entries of pearward in the platform's store: keys, and values as JSON.
 
 ``members/<instance>`` tells who takes part, ``holders/<target>`` on which instance a
-target that owns keys runs, ``keymaps/<service>`` who owns which keys. The platform's
+target that owns keys runs, ``keymaps/<service>`` who owns which keys,
+``members/crashes/<target>`` what a target was running when it crashed. The platform's
 adapter may put a prefix of its own before them.
 """
 
@@ -11,6 +12,7 @@
 
 import orjson
 
+from pearward_state.crashes import CrashRecord
 from pearward_state.errors import InvalidField, InvalidRecord
 from pearward_state.fields import FieldReader
 from pearward_state.keymap import (
@@ -25,13 +27,17 @@
 from pearward_state.members import Holder, Member, TargetState
 
 __all__ = [
+    "CRASHES",
     "HOLDERS",
     "KEY_MAPS",
     "MEMBERS",
+    "crash_key",
+    "decode_crash",
     "decode_holder",
     "decode_key_map",
     "decode_key_map_change",
     "decode_member",
+    "encode_crash",
     "encode_holder",
     "encode_key_map",
     "encode_key_map_change",
@@ -44,6 +50,8 @@
 ]
 
 MEMBERS = "members/"
+CRASHES = MEMBERS + "crashes/"
+"""Below the members: whoever follows those hears of crashes too, without a call of its own."""
 HOLDERS = "holders/"
 KEY_MAPS = "keymaps/"
 
@@ -63,6 +71,11 @@
     return MEMBERS + instance
 
 
+def crash_key(target: str) -> str:
+    """Return the key of the entry that tells what a target was running when it crashed."""
+    return CRASHES + target
+
+
 def holder_key(target: str) -> str:
     """Return the key of the entry that names a target's instance."""
     return HOLDERS + target
@@ -145,6 +158,24 @@
     return _decoded(value, lambda reader: Holder(reader.text("target"), reader.text("instance")))
 
 
+def encode_crash(record: CrashRecord) -> bytes:
+    """Return the entry of a target's crash."""
+    return orjson.dumps(
+        {"target": record.target, "at": record.at, "contents": list(record.contents)}
+    )
+
+
+def decode_crash(value: bytes) -> CrashRecord:
+    """Read the entry of a target's crash; raises InvalidRecord."""
+
+    def read(reader: FieldReader) -> CrashRecord:
+        return CrashRecord(
+            reader.text("target"), reader.number("at", 0.0), tuple(reader.texts("contents"))
+        )
+
+    return _decoded(value, read)
+
+
 def encode_key_map(key_map: KeyMap) -> bytes:
     """Return a key map's entry; targets are written once and named by number."""
     targets, ranges = _rows(key_map.ranges)
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -194,5 +194,9 @@
       drainsRevision @77 :UInt64;
       drained @78 :List(Text);
     }
+    targetCrashed :group {
+      target @79 :Text;
+      contents @80 :List(Text);
+    }
   }
 }
--- a/packages/state/src/pearward_state/outcome.py
+++ b/packages/state/src/pearward_state/outcome.py
@@ -43,6 +43,8 @@
     """The target said that it did not run the request."""
     TARGET_FAILED = "target-failed"
     """The target answered with a failure of its own."""
+    QUARANTINED = "quarantined"
+    """Targets crashed while they ran this request under other ids."""
     SPOILT = "spoilt-answer"
     """What came from the target is no whole answer to this request."""
 
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -21,11 +21,14 @@
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import ControlMessage, PeerId, Pull
 from pearward_coordination.overload.policy import OverloadPolicy
+from pearward_coordination.quarantine import QuarantineRule
 from pearward_coordination.retry_window import RetryRule
 from pearward_daemon.mesh import (
     beat_answers,
     call_delivery,
     core,
+    crash_control,
+    crash_entries,
     drain_control,
     key_planner,
     member_feed,
@@ -435,6 +438,7 @@
         silent_s=2.2,
         retries=RetryRule(0.2, 50, 10.0),
         overload=OverloadPolicy(),
+        quarantine=QuarantineRule(),
         drain_s=2.0,
         stop_s=6.0,
         domain_drain_s=5.0,
@@ -462,10 +466,10 @@
 
     with ExitStack() as stack:
         for module in (
-            beat_answers, call_delivery, core, drain_control, key_planner, member_feed,
-            store_session, target_lease, target_side, target_slots,
+            beat_answers, call_delivery, core, crash_control, crash_entries, drain_control,
+            key_planner, member_feed, store_session, target_lease, target_side, target_slots,
         ):  # fmt: skip
             stack.enter_context(mock.patch.object(module, "boot_time", now))
-        for module in (key_planner, target_side):
+        for module in (crash_control, key_planner, target_side):
             stack.enter_context(mock.patch.object(module, "unix_time", now))
         yield
