The same crash under another service, behind a caller that left, at a target that leaves

The same cause elsewhere: what names a request must not change while it comes again. Host and key come from the forwarded headers, as the adapter reads them. A request whose caller left within 1 s before the first break counts as running: targets that go on with it would have crashed unseen. A target that said it leaves and ends before its drain time is over has crashed as well.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -5,6 +5,13 @@
     When a "safe" request crashes its target of the pooled service while another one runs there
     Then the daemon beside that target tells both as running when it ended
 
+  Scenario: A request stays refused where operators move its route to another service
+    Given a route "/moved/" to the pooled service
+    When a request on it has crashed three targets and its route is moved to the keyed service
+    And it comes twice more at every daemon
+    Then no target has received it since
+    And each of its callers was refused and told when to come back
+
   # A request came again and again, each time under a new id and often at another daemon. Every
   # daemon took it for a request like any other, and each target that began to run it ended: eight
   # of one service within 15 s, its keys were refused for as long. The line that settled it,
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -74,6 +74,16 @@
     When the target ends after it said that it leaves
     Then nothing is held against them
 
+  Scenario: What a caller gave up just before a crash may have caused it
+    Given the daemon beside a target that broke 3 requests off
+    And a request whose caller had left 0.05 s before, and one whose caller had left 3 s before
+    When the target ends without notice
+    Then its end is held against 4 requests, the first of these two among them
+
+  Scenario: A caller that leaves is no sign that the target has crashed
+    Given the daemon beside a target, one of whose callers has left
+    Then the target's end is not looked for
+
   Scenario: A target that goes on answering has not crashed
     Given the daemon beside a target that broke 3 requests off
     When it answers another one 1 s later and then ends without notice
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -5,10 +5,10 @@
 import time
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 
 from pearward_devtools.cluster import wait_until
-from pearward_devtools.mesh.cluster import MeshCluster, MeshNode
+from pearward_devtools.mesh.cluster import HOST, MeshCluster, MeshNode
 
 SERVICES = {"pooled": "sheets", "keyed": "roster"}
 KEY = "20000"
@@ -73,10 +73,18 @@
     ended = _ended(context, service)
     for node in ended:
         _cluster(context).start_target(node)
+    wait_until(lambda: all(_listens(context, n) for n in ended), "targets to listen", WAIT_S)
     wait_until(lambda: _serves(context, service), f"{service} to be served", WAIT_S)
     return len(ended)
 
 
+def _listens(context: Any, node: MeshNode) -> bool:
+    try:
+        return bool(_cluster(context).state(node))
+    except OSError:
+        return False
+
+
 def _serves(context: Any, service: str) -> bool:
     return all(
         _send(context, node, f"/{service}/safe/good", "safe").status == 200
@@ -120,10 +128,52 @@
     assert len(set(context.crash["contents"])) == len(running) + 1, context.crash
 
 
+@given('a route "{prefix}" to the pooled service')
+def add_route(context: Any, prefix: str) -> None:
+    context.prefix = prefix
+    _route_to(context, SERVICES["pooled"])
+
+
+def _route_to(context: Any, service: str) -> None:
+    """Have a route lead to a service, and wait until it does at all daemons."""
+    cluster = _cluster(context)
+    cluster.configure(
+        moving={
+            "host": HOST, "pathPrefix": context.prefix, "kind": "safe", "timeoutMs": 3000,
+            "targetLatencyMs": 1500, "priority": 1, "maxAttempts": 2, "service": service,
+        }
+    )  # fmt: skip
+
+    def leads_there() -> bool:
+        context.probes = [
+            _send(context, node, f"{context.prefix}good", "safe").status for node in cluster.nodes
+        ]
+        ran = {run["target"] for run in _arrivals(context, f"{context.prefix}good")[-3:]}
+        living = {cluster.state(node)["id"] for node in _nodes(context, service)}
+        return set(context.probes) == {200} and ran <= living
+
+    wait_until(leads_there, f"the route to lead to {service}", WAIT_S)
+
+
+@when("a request on it has crashed three targets and its route is moved to the keyed service")
+def crash_and_move(context: Any) -> None:
+    context.kind, context.service = "safe", SERVICES["pooled"]
+    context.path = f"{context.prefix}bad?spoil=crash&work_ms={WORK_MS}"
+    _crash_three(context)
+    context.service = SERVICES["keyed"]
+    _route_to(context, context.service)
+
+
 @when('a "{kind}" request to the {what} service has crashed three targets and 3 s have passed')
 def crash_three(context: Any, kind: str, what: str) -> None:
-    service = context.service = SERVICES[what]
-    context.kind, context.path = kind, _path(service, kind)
+    context.service = SERVICES[what]
+    context.kind, context.path = kind, _path(context.service, kind)
+    _crash_three(context)
+
+
+def _crash_three(context: Any) -> None:
+    """Send the request until three targets have ended, then wait."""
+    service, kind = context.service, context.kind
     ends = 0
     while ends < ENDS:
         node = _cluster(context).nodes[ends]
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -332,7 +332,41 @@
     for number in range(count):
         request = _Request(f"r{number}")
         context.guard.ended(request, "id", Outcome.UNKNOWN, Reason.SERVER_FAILED, context.now)
-    assert context.guard.doubts_target
+    assert context.guard.doubts_target == bool(count)
+
+
+def _leave(context: Any, content: str, at: float) -> None:
+    context.guard.ended(_Request(content), "id", Outcome.UNKNOWN, Reason.CANCELLED, at)
+
+
+@given("a request whose caller had left {soon:g} s before, and one whose caller had left {long:g} "
+       "s before")  # fmt: skip
+def left_before(context: Any, soon: float, long: float) -> None:
+    _leave(context, "soon", context.now - soon)
+    _leave(context, "long", context.now - long)
+
+
+@when("the target ends without notice")
+def ends(context: Any) -> None:
+    context.guard.target_crashed("i-1", "it", context.now, UNIX + context.now)
+
+
+@then("its end is held against {count:d} requests, the first of these two among them")
+def held_against(context: Any, count: int) -> None:
+    (record,) = context.told
+    assert set(record.contents) == {"r0", "r1", "r2", "soon"}, record
+    assert len(record.contents) == count
+
+
+@given("the daemon beside a target, one of whose callers has left")
+def one_left(context: Any) -> None:
+    broke_off(context, 0)
+    _leave(context, "left", context.now)
+
+
+@then("the target's end is not looked for")
+def not_looked_for(context: Any) -> None:
+    assert not context.guard.doubts_target
 
 
 @when("the target ends after it said that it leaves")
--- a/packages/coordination/src/pearward_coordination/broken_exchanges.py
+++ b/packages/coordination/src/pearward_coordination/broken_exchanges.py
@@ -2,7 +2,8 @@
 
 A target that crashes closes all of its connections at one moment; that it has ended, and not
 only broken some of them, is known a little later, when its port refuses or its next life
-beats. What broke off until then is kept here. No I/O and no clock.
+beats. What broke off until then is kept here; so is what callers cut short just before, as a
+target may have been working on it still. No I/O and no clock.
 """
 
 from dataclasses import dataclass
@@ -15,6 +16,9 @@
 KEPT_S = 10.0
 """Seconds for which a break is kept where nothing else is heard of the target: one that crashed
 is back after some seconds."""
+CUT_BEFORE_S = 1.0
+"""Seconds before the first break in which what callers cut short counts as running: targets give
+such work up when they notice, some not before its end."""
 MOST_KEPT = 256
 """Breaks that are kept, at most: more than any target has slots."""
 
@@ -28,6 +32,8 @@
     """What it asked for, see content_digest()."""
     at: float
     """When the connection broke, in s of the steady clock."""
+    by_target: bool
+    """Whether the target broke it; if not, the caller left or its time was over."""
 
 
 class BrokenExchanges:
@@ -36,8 +42,10 @@
     def __init__(self) -> None:
         self._broken: list[BrokenExchange] = []
 
-    def __len__(self) -> int:
-        return len(self._broken)
+    @property
+    def by_target(self) -> bool:
+        """Whether the target has broken any off."""
+        return any(exchange.by_target for exchange in self._broken)
 
     def broke(self, exchange: BrokenExchange) -> None:
         """Note an exchange that the target did not end with a whole answer."""
@@ -52,4 +60,6 @@
     def take(self, now: float) -> tuple[BrokenExchange, ...]:
         """Return, and forget, what broke when the target ended."""
         broken, self._broken = self._broken, []
-        return tuple(b for b in broken if now - b.at < KEPT_S)
+        first = min((b.at for b in broken if b.by_target), default=now)
+        since = max(now - KEPT_S, first - CUT_BEFORE_S)
+        return tuple(b for b in broken if b.at >= since)
--- a/packages/coordination/src/pearward_coordination/content.py
+++ b/packages/coordination/src/pearward_coordination/content.py
@@ -1,8 +1,8 @@
 """What a request asks for, under one name whatever id it carries and wherever it comes in.
 
-Callers send one request again with a new id, to any daemon. What stays is the service, the
-method, the path with its query, the key and the body; what names the caller, the time that
-is left and the connection does not count.
+Callers send one request again with a new id, to any daemon, and operators may have moved its
+route to another service by then. What stays is the method, the host, the path with its query, the
+key and the body; what tells of the caller, its time and its connection does not count.
 """
 
 from hashlib import blake2b
@@ -16,17 +16,16 @@
 only its length is known when it is decided where it goes."""
 
 
-def content_digest(
-    service: str, method: bytes, path: bytes, key: bytes, body_length: int, body: bytes
-) -> str:
+def content_digest(method: bytes, path: bytes, named: bytes, body_length: int, body: bytes) -> str:
     """Return 16 hexadecimal digits that name what a request asks for.
 
-    *body_length* is -1 where the sender did not know it. Takes 2 us, and 8 us with a body of
+    *named* is what its headers add to the path, the host and the key; *body_length* is -1 where
+    the sender did not know it. Takes 2 us, and 8 us with a body of
     4 kB (timeit).
     """
     counted = body if 0 <= body_length <= COUNTED_BODY else b""
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (service.encode(), method, path, key, b"%d" % body_length):
+    for part in (method, path, named, b"%d" % body_length):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     digest.update(counted)
--- a/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
@@ -18,6 +18,10 @@
 __all__ = ["Barred", "CrashGuard", "GuardedRequest"]
 
 
+_LEFT_OFF = frozenset({Reason.SERVER_FAILED, Reason.CANCELLED, Reason.DEADLINE})
+"""Ends of requests that the target may have been working on until then."""
+
+
 class GuardedRequest(Protocol):
     """A request for the target beside this daemon."""
 
@@ -55,7 +59,7 @@
     @property
     def doubts_target(self) -> bool:
         """Whether the target broke exchanges off and has not shown since that it lives."""
-        return len(self._broken) > 0
+        return self._broken.by_target
 
     # -- requests -----------------------------------------------------------------
 
@@ -87,17 +91,18 @@
         reason: Reason | None,
         now: float,
     ) -> str:
-        """Take the end of a request; return its content where the target broke it off."""
+        """Take the end of a request; return its content where it was at the target till then."""
         if self._alone is request:
             self._alone = None
         if outcome is Outcome.SERVED:
             self._broken.answered(now)
             self._note_ran(request)
             return ""
-        if reason is not Reason.SERVER_FAILED:
+        if outcome is not Outcome.UNKNOWN or reason not in _LEFT_OFF:
             return ""
         content = request.content
-        self._broken.broke(BrokenExchange(request_id, content, now))
+        by_target = reason is Reason.SERVER_FAILED
+        self._broken.broke(BrokenExchange(request_id, content, now, by_target))
         return content
 
     def _note_ran(self, request: GuardedRequest) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -163,6 +163,9 @@
     def forwarded(self, headers: list[tuple[bytes, list[bytes]]], request_id: bytes) -> bytes:
         """Return the header lines that are passed on to the target."""
 
+    def named(self, forwarded: bytes) -> bytes:
+        """Return what forwarded header lines add to the path, to say what a request asks for."""
+
     def target_headers(
         self, forwarded: bytes, target: str, caller_service: str, left_ms: int
     ) -> bytes:
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -403,6 +403,10 @@
         """Return the header lines that are passed on to the target."""
         return self._dialect.forwarded(list(request.requestHeaders.getAllRawHeaders()), request_id)
 
+    def named(self, headers: bytes) -> bytes:
+        """Return what a request's header lines add to its path, to say what it asks for."""
+        return self._dialect.named(headers)
+
     def answer_headers(self, headers: bytes) -> bytes:
         """Return the header lines of an answer that go back to the caller."""
         return self._dialect.answer_headers(headers)
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -220,15 +220,11 @@
     @cached_property
     def _content(self) -> str:
         """What is asked for, as the daemon beside the target names it as well."""
+        named = self._ingress.named(self._forwarded)
+        body = b"".join(self._body)
         return content_digest(
-            self._service, self._request.method, self._request.uri, self._key_text,
-            self._known_length, b"".join(self._body),
-        )  # fmt: skip
-
-    @property
-    def _key_text(self) -> bytes:
-        """The key as it travels; empty where the request has none."""
-        return b"" if self._key is None else b"%d" % self._key
+            self._request.method, self._request.uri, named, self._known_length, body
+        )
 
     @property
     def _known_length(self) -> int:
@@ -293,7 +289,7 @@
         now = boot_time()
         return RequestHead(
             service=self._service,
-            key=self._key_text,
+            key=b"" if self._key is None else b"%d" % self._key,
             request_id=self._intent.request_id,
             method=self._request.method,
             path=self._request.uri,
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -82,10 +82,9 @@
     def content(self) -> str:
         """What it asks for, the same for every id under which it comes."""
         head = self._head
+        named = self._side.named(head.headers)
         body = self._whole_body or b"".join(self._body)
-        return content_digest(
-            head.service, head.method, head.path, head.key, head.body_length, body
-        )
+        return content_digest(head.method, head.path, named, head.body_length, body)
 
     @property
     def needs_link(self) -> bool:
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -471,6 +471,10 @@
         target = self._info.target if self._info is not None else head.target
         return self._dialect.target_headers(head.headers, target, head.caller_service, left_ms)
 
+    def named(self, headers: bytes) -> bytes:
+        """Return what a request's header lines add to its path, to say what it asks for."""
+        return self._dialect.named(headers)
+
     def facts(self, headers: bytes) -> AnswerFacts:
         """Read the headers of a target's answer."""
         facts = self._dialect.answer_facts(headers)
@@ -554,11 +558,16 @@
             self._target_ended()
 
     def _note_end(self, target: str, shown_by: str) -> None:
-        """Tell a crash from an end that the target had told of."""
-        if self._leaving_since is None:
-            self._guard.target_crashed(target, shown_by, boot_time(), unix_time())
+        """Tell a crash from an end that the target had told of.
+
+        Who leaves serves until its drain time is over: it has crashed if it ends before.
+        """
+        now = boot_time()
+        leaving = self._leaving_since
+        if leaving is None or now < leaving + self._settings.drain_s:
+            self._guard.target_crashed(target, shown_by, now, unix_time())
         else:
-            self._guard.target_left(boot_time())
+            self._guard.target_left(now)
 
     def _target_ended(self) -> None:
         target = self._keeper.target
