--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -17,7 +17,6 @@
 from pearward_coordination.overload.key_shedding import BACK_AFTER_S
 from pearward_coordination.retry import AttemptTally
 from pearward_protocol.heads import RequestHead, ResponseHead
-from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_state.routes import RequestKind, Route
 from pearward_transport.caller_request import CallerRequest
@@ -27,6 +26,7 @@
 
 from ..attempts import LocalAttempt, RemoteAttempt
 from .dialect import CallerIntent
+from .request_body import RequestBody
 
 if TYPE_CHECKING:
     from pearward_coordination.selection import IdleOdds
@@ -36,8 +36,6 @@
 __all__ = ["RoutedRequest"]
 
 MS_PER_S = 1000
-REPLAYABLE = 65_536
-"""A request body up to this length is kept, so that it can be sent again."""
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 CONNECT_WAIT_S = 0.25
 """Seconds for a connection to a daemon in the same region; another one is tried after it."""
@@ -65,7 +63,6 @@
         self._request = request
         self._route = route
         self._intent = intent
-        self._body_length = -1 if body_length is None else body_length
         self._began = boot_time()
         limit_ms = route.timeout_ms
         if intent.deadline_ms is not None:
@@ -74,9 +71,7 @@
         self._service = ingress.service_for(route)
         self._keyed = intent.key is not None and ingress.is_keyed(self._service)
         self._forwarded = b""
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._body_ended = body_length == 0
+        self._body = RequestBody(body_length)
         self._attempt: LocalAttempt | RemoteAttempt | None = None
         self._placement: Placement | None = None
         self._tally = AttemptTally()
@@ -126,7 +121,7 @@
         self._forwarded = self._ingress.forwarded(self._request, self._intent.request_id)
         left_s = max(0.0, self._deadline - boot_time() - ANSWER_OUT_S)
         self._timer = self._ingress.call_later(left_s, self._deadline_passed)
-        if self._body_ended or self._body_length > REPLAYABLE:
+        if not self._body.is_waited_for:
             self._next_attempt()
 
     def body_received(self, data: bytes) -> None:
@@ -137,9 +132,8 @@
             if self._attempt is not None and not self._attempt.send_data(data):
                 self._request.pause_body()
             return
-        self._body.append(data)
-        self._body_size += len(data)
-        if self._body_size > REPLAYABLE and self._attempt is None and self._wait is None:
+        self._body.received(data)
+        if not self._body.is_waited_for and self._attempt is None and self._wait is None:
             # Too long to keep: from here on it can be sent only once.
             self._next_attempt()
 
@@ -147,7 +141,7 @@
         """The request's body is whole."""
         if self._done:
             return
-        self._body_ended = True
+        self._body.end()
         if self._plan.sent_on:
             if self._attempt is not None:
                 self._attempt.send_data(b"", ended=True)
@@ -221,16 +215,11 @@
     def _content(self) -> str:
         """What is asked for, as the daemon beside the target names it as well."""
         named = self._ingress.named(self._forwarded)
-        body = b"".join(self._body)
+        body = self._body
         return content_digest(
-            self._request.method, self._request.uri, named, self._known_length, body
+            self._request.method, self._request.uri, named, body.length, body.kept
         )
 
-    @property
-    def _known_length(self) -> int:
-        """Bytes of the body; -1 where they are not known yet."""
-        return self._body_size if self._body_ended else self._body_length
-
     @property
     def _long(self) -> bool:
         """Whether the answer is long: the link of the target's instance counts as well."""
@@ -302,7 +291,7 @@
             version=placement.map_version,
             task_id="",
             position=self._key or 0,
-            body_length=self._known_length,
+            body_length=self._body.length,
             target=placement.target,
             rank=self._route.rank,
             objective_ms=max(0, int((self._plan.times.objective - now) * MS_PER_S)),
@@ -334,16 +323,18 @@
     def _open_local(self, placement: Placement) -> None:
         self._note_attempt(placement)
         attempt = self._attempt = LocalAttempt(self, self._ingress.window)
-        body, ended, rest = self._first_part()
-        attempt.open(self._ingress.side, self._head(placement), ended=ended, body=body)
-        self._send_rest(attempt, rest)
+        first = self._body.first_part()
+        attempt.open(
+            self._ingress.side, self._head(placement), ended=first.ended, body=first.with_head
+        )
+        self._send_rest(attempt, first.rest)
 
     def _open_remote(self, connection: PeerConnection, placement: Placement) -> None:
         self._note_attempt(placement)
         attempt = self._attempt = RemoteAttempt(connection, self)
-        body, ended, rest = self._first_part()
-        attempt.open(self._head(placement), ended=ended, body=body)
-        self._send_rest(attempt, rest)
+        first = self._body.first_part()
+        attempt.open(self._head(placement), ended=first.ended, body=first.with_head)
+        self._send_rest(attempt, first.rest)
 
     def _note_attempt(self, placement: Placement) -> None:
         self._tally.begun()
@@ -354,22 +345,15 @@
             left_ms=round((self._deadline - boot_time()) * MS_PER_S),
         )  # fmt: skip
 
-    def _first_part(self) -> tuple[bytes, bool, bytes]:
-        """Return what goes with the head, whether that is all, and what follows."""
-        data = b"".join(self._body)
-        if self._body_ended and len(data) <= SHORT_BODY:
-            return data, True, b""
-        return b"", False, data
-
     def _send_rest(self, attempt: LocalAttempt | RemoteAttempt, rest: bytes) -> None:
         """Send what did not travel with the head; what is still to come is passed on."""
         if self._done or self._attempt is not attempt:
             return
-        if not self._body_ended:
+        if not self._body.ended:
             self._plan.sent_on = True
-            self._body = []
+            self._body.passed_on()
         if rest:
-            attempt.send_data(rest, ended=self._body_ended)
+            attempt.send_data(rest, ended=self._body.ended)
 
     def _cancel_attempt(self) -> None:
         self._idle_asked = None
@@ -403,7 +387,7 @@
         if self._try_again_after(head):
             return
         self._ingress.carried(
-            self._route, self._body_size + len(head.headers) + max(0, head.body_length)
+            self._route, self._body.size + len(head.headers) + max(0, head.body_length)
         )
         headers = self._ingress.answer_headers(head.headers)
         if ended:
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -19,7 +19,6 @@
 from pearward_transport.clock import boot_time, unix_time
 from pearward_transport.errors import ServerUnreachable
 from pearward_transport.http_client import ServerClient
-from pearward_transport.server_connection import ServerConnection
 
 from ..exchange import ReplySink
 from .beat_answers import BeatAnswers
@@ -30,6 +29,7 @@
 from .log import DecisionLog
 from .parked_requests import ParkedRequests
 from .settings import GrantWay, MeshSettings
+from .target_end import END_CHECK_S, TargetEnd
 from .target_request import TargetRequest
 from .target_slots import TargetSlots
 
@@ -38,8 +38,6 @@
 LATE_S = 4.0
 """Seconds without a heartbeat after which a target counts as leaving: they may be late by
 seconds, and a target that is gone is found out sooner by its connections."""
-END_CHECK_S = 0.25
-"""Seconds between looks for the end of a target that leaves, or whose port was closed."""
 DRAIN_SHARE = 0.6
 """Part of the drain time in which a leaving target still gets requests that are on their way."""
 MOVED_RETRY_S = 0.05
@@ -105,6 +103,7 @@
         self._open: set[TargetRequest] = set()
         self._parked = ParkedRequests()
         self._guard = guard
+        self._end = TargetEnd(client, self._target_listens, self._target_ended)
         self._delivery = self._delivery_of(settings.grant_way, grants)
         self._beats = BeatClock()
         self._info: TargetInfo | None = None
@@ -112,7 +111,6 @@
         self._drained_since: float | None = None
         self._leaving_since: float | None = None
         self._silent = False
-        self._refused_at: float | None = None
         self._stopping = False
         self._refusing = False
         self._listener: TargetSideListener | None = None
@@ -203,7 +201,7 @@
             return succeed(BeatAnswer())
         self._beats.heard(now)
         self._silent = False
-        self._refused_at = None
+        self._end.shown_alive()
         if beat.target != self._keeper.target:
             self._target_began(beat)
         self._keeper.heartbeat(now, beat.held, beat.released)
@@ -516,10 +514,9 @@
 
     def unreachable(self, error: ServerUnreachable) -> None:
         """No connection to the target could be made."""
-        if error.refused and self._refused_at is None:
-            self._refused_at = boot_time()
+        if error.refused and self._end.refused():
             # What listens there next has just started.
-            self._slots.cold.doubt(self._refused_at)
+            self._slots.cold.doubt(boot_time())
 
     def _watch_target(self) -> None:
         """Look whether a target has ended that leaves, refused a connection or broke one."""
@@ -537,26 +534,12 @@
             self._publish_state()
         leaving = self._leaving_since
         overdue = leaving is not None and now > leaving + self._settings.drain_s
-        doubted = overdue or self._refused_at is not None or self._guard.doubts_target
-        if doubted and not self._client.open_connections:
-            self._client.connect().addCallbacks(self._connected, self._connect_failed)
+        self._end.look(doubted=overdue or self._guard.doubts_target)
 
-    def _connected(self, connection: ServerConnection) -> None:
+    def _target_listens(self) -> None:
         """Something listens at the target's port: a target that broke exchanges off lives on."""
-        connection.close()
         self._guard.target_listens(boot_time())
 
-    def _connect_failed(self, failure: Any) -> None:
-        """A second refusal, with no connection left, shows that the process has ended."""
-        failure.trap(ServerUnreachable)
-        now = boot_time()
-        if not failure.value.refused or self._info is None:
-            return
-        if self._refused_at is None:
-            self._refused_at = now
-        elif now - self._refused_at >= END_CHECK_S / 2 and not self._client.open_connections:
-            self._target_ended()
-
     def _note_end(self, target: str, shown_by: str) -> None:
         """Tell a crash from an end that the target had told of.
 
@@ -570,10 +553,11 @@
             self._guard.target_left(now)
 
     def _target_ended(self) -> None:
+        if self._info is None:
+            return
         target = self._keeper.target
         self._note_end(target, "its port refuses")
         self._log.decided("target_ended", target=target, shown_by="its port refuses")
-        self._refused_at = None
         self._leaving_since = None
         self._keeper.target_ended()
         self._reported_ended.append(target)
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -33,6 +33,7 @@
     key_planner,
     member_feed,
     store_session,
+    target_end,
     target_lease,
     target_side,
     target_slots,
@@ -467,7 +468,8 @@
     with ExitStack() as stack:
         for module in (
             beat_answers, call_delivery, core, crash_control, crash_entries, drain_control,
-            key_planner, member_feed, store_session, target_lease, target_side, target_slots,
+            key_planner, member_feed, store_session, target_end, target_lease, target_side,
+            target_slots,
         ):  # fmt: skip
             stack.enter_context(mock.patch.object(module, "boot_time", now))
         for module in (crash_control, key_planner, target_side):
