Connections to a target age by a clock that counts a suspension

An instance may be suspended for seconds: the reactor's clock stands still then, the target's goes on and closes idle connections, so a connection of 5 s could be used after 7.

--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 from twisted.python.failure import Failure
@@ -78,7 +79,7 @@
         """What is asked for."""
         return self._head
 
-    @property
+    @cached_property
     def content(self) -> str:
         """What it asks for, the same for every id under which it comes."""
         head = self._head
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
+from .clock import boot_time
 from .errors import ServerBroke, ServerUnreachable
 from .server_connection import ServerConnection
 
@@ -82,8 +83,11 @@
         return self._idle_limit_s
 
     def now(self) -> float:
-        """Return the time in s of the reactor's clock."""
-        return float(self._reactor.seconds())
+        """Return the time in s by which idle connections age.
+
+        The server closes them by its own clock, which goes on while this instance is suspended.
+        """
+        return boot_time()
 
     @property
     def open_connections(self) -> int:
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -105,7 +105,7 @@
         """Seconds for which an idle connection is kept if the server names no time."""
 
     def now(self) -> float:
-        """Return the time in s of the reactor's clock."""
+        """Return the time in s by which idle connections age."""
 
     def opened(self) -> None:
         """A connection was made."""
