--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,10 @@
     When seed 12 is played for 12 s with keys by calls
     Then no promise is broken and requests were served
 
+  Scenario: A short soak with requests that crash their targets
+    When seed 13 is played for 14 s with requests that crash their targets
+    Then no promise is broken and requests were served
+
   Scenario: A seed always plays the same faults
     Then seed 5 plans the same faults twice, and seed 6 others
 
@@ -27,6 +31,7 @@
       | a request after a leave was acknowledged | r1      |
       | a request that ran and was not answered  | r1      |
       | an answer that broke off                 | r1      |
+      | a request that goes on crashing targets  | /sheets/safe/bad |
 
   Scenario: A daemon that was killed may leave a request without an answer
     Given a soak of two requests without a broken promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,6 +28,11 @@
     context.broken, context.served = play(seed, seconds, by_call=True)
 
 
+@when("seed {seed:d} is played for {seconds:d} s with requests that crash their targets")
+def play_crashes(context: Any, seed: int, seconds: int) -> None:
+    context.broken, context.served = play(seed, seconds, crashes=True)
+
+
 @then("no promise is broken and requests were served")
 def held(context: Any) -> None:
     assert not context.broken, context.broken[:5]
@@ -84,6 +89,9 @@
             answers[0] = replace(answers[0], status=0, begun=False, whole=False)
         case "an answer that broke off":
             answers[0] = replace(answers[0], status=0, whole=False)
+        case "a request that goes on crashing targets":
+            bad = Run("r3", "t3", "sheets", "/sheets/safe/bad?spoil=crash", "", 0, 10.0)
+            runs += [replace(bad, at=10.0 + second) for second in range(9)]
         case _:
             raise AssertionError(fault)
 
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -19,7 +19,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -27,6 +27,7 @@
 from ..cluster import wait_until
 from .cluster import CALLERS, HOST, MeshCluster, MeshNode
 from .soak_checks import Answer, Disturbance, Leave, Restart, Run, broken_promises
+from .target import CRASHED
 
 __all__ = ["SoakFault", "plan", "play"]
 
@@ -46,6 +47,15 @@
 TARGET_FAULTS = ("target-kill", "target-pause", "target-drain")
 CALL_FAULTS = ("target-late", "target-late")
 """Faults of targets that take their keys by calls, drawn as often as two others."""
+CRASH_FAULTS = ("request-crash",) * 4
+"""Requests that crash the targets that run them, drawn as often as four others."""
+CRASH_EVERY_S = 0.15
+"""Seconds between two of the same content, at daemons in turn."""
+CRASH_WORK_MS = 30
+CRASH_LASTS = 4.0
+"""How many times as long as another fault such a request comes: three targets have to end first."""
+BACK_S = 1.0
+"""Seconds after which a target that a request crashed is started again."""
 LATE_GRANTS = [[0.5], [2.5], [0.0, 2.0], [1.0, 4.0], [3.0], [0.2]] * 2
 """Seconds after which grants that go unanswered are taken, once or more."""
 LINK_FAULTS = ("link-cut", "link-stall", "link-delay")
@@ -65,12 +75,16 @@
     """The second instance of a link, or the one that the store turns away."""
 
 
-def plan(seed: int, seconds: float, nodes: int, *, by_call: bool = False) -> list[SoakFault]:
+def plan(
+    seed: int, seconds: float, nodes: int, *, by_call: bool = False, crashes: bool = False
+) -> list[SoakFault]:
     """Return the faults of a seed, in the order of their times."""
     rng = random.Random(seed)
     kinds: tuple[str, ...] = (*DAEMON_FAULTS, *TARGET_FAULTS, *LINK_FAULTS, *STORE_FAULTS)
     if by_call:
         kinds += CALL_FAULTS
+    if crashes:
+        kinds += CRASH_FAULTS
     last = max(CALM_S, seconds - CALM_S - LONGEST_FAULT_S)
     faults = [
         SoakFault(
@@ -81,7 +95,10 @@
         )
         for _ in range(max(1, int(seconds * FAULTS_PER_S)))
     ]
-    return sorted(faults, key=lambda f: f.at_s)
+    longer = [
+        replace(f, for_s=f.for_s * CRASH_LASTS) if f.kind in CRASH_FAULTS else f for f in faults
+    ]
+    return sorted(longer, key=lambda f: f.at_s)
 
 
 class _Callers:
@@ -158,6 +175,8 @@
         self._store: dict[str, object] = {}
         self.kills: list[Restart] = []
         self.disturbances: list[Disturbance] = []
+        self._crashed_at: dict[int, float] = {}
+        """When the end of a crashed target's process was seen."""
         self.overdue: list[str] = []
         """Daemons that did not end in time after SIGTERM."""
 
@@ -176,6 +195,8 @@
                 return self._target(what, node)
             case "link":
                 return self._link(what, node, other)
+            case "request":
+                return self._crashing_request(fault)
             case _:
                 return self._store_fault(what, other, whole=fault.node % 2 == 0)
 
@@ -236,6 +257,41 @@
             process.wait()
         return replaced
 
+    def _crashing_request(self, fault: SoakFault) -> Callable[[], None]:
+        """Send one content again and again, under new ids, that crashes whoever runs it."""
+        ending = threading.Event()
+        node = self._cluster.nodes[fault.node]
+        thread = threading.Thread(target=self._crash, args=(node.service, fault, ending))
+        thread.start()
+
+        def ended() -> None:
+            ending.set()
+            thread.join()
+
+        return ended
+
+    def _crash(self, service: str, fault: SoakFault, ending: threading.Event) -> None:
+        path = f"/{service}/safe/bad-{fault.at_s:.6f}?spoil=crash&work_ms={CRASH_WORK_MS}"
+        key = str(fault.other * 65_536 // KEYS)
+        for number in itertools.count():
+            node = self._cluster.nodes[number % len(self._cluster.nodes)]
+            headers = {"Request-Id": f"{fault.at_s}-{number}", "Shard-Key": key}
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                self._cluster.call(node, path, headers=headers, timeout_s=1.0)
+            if ending.wait(CRASH_EVERY_S):
+                return
+
+    def start_crashed(self) -> None:
+        """Start targets again that a request has crashed a while ago."""
+        now = time.monotonic()
+        for node in self._cluster.nodes:
+            process = node.target
+            if process is None or process.poll() != CRASHED:
+                continue
+            if now - self._crashed_at.setdefault(process.pid, now) >= BACK_S:
+                self.disturbances.append(Disturbance(self._crashed_at[process.pid], now))
+                self._cluster.start_target(node)
+
     def _link(self, what: str, node: MeshNode, other: MeshNode) -> Callable[[], None]:
         row: dict[str, object] = {"from": node.ip, "to": other.ip, "kind": what, "seconds": 0.2}
         self._links.append(row)
@@ -272,7 +328,12 @@
 
 
 def play(
-    seed: int, seconds: float, keep: Path | None = None, *, by_call: bool = False
+    seed: int,
+    seconds: float,
+    keep: Path | None = None,
+    *,
+    by_call: bool = False,
+    crashes: bool = False,
 ) -> tuple[list[str], int]:
     """Play one seed; return a line for each broken promise, and how many requests were served."""
     grants = "call" if by_call else "heartbeat"
@@ -282,9 +343,11 @@
     try:
         cluster.start()
         callers.start()
-        planned = plan(seed, seconds, len(cluster.nodes), by_call=by_call)
+        planned = plan(seed, seconds, len(cluster.nodes), by_call=by_call, crashes=crashes)
         _play_faults(planned, faults, seconds)
         callers.stop()
+        time.sleep(BACK_S)
+        faults.start_crashed()
         broken += _recovered(cluster)
         runs, leaves = _told(cluster)
         broken += broken_promises(callers.answers, runs, leaves, faults.kills, faults.disturbances)
@@ -308,11 +371,18 @@
     while due:
         due.sort()
         at_s, number, act = due.pop(0)
-        time.sleep(max(0.0, began + at_s - time.monotonic()))
+        _sleep_until(began + at_s, faults)
         end = act()
         if end is not None:
             due.append((at_s + lasting[number], next(numbers), end))  # type: ignore[arg-type]
-    time.sleep(max(0.0, began + seconds - time.monotonic()))
+    _sleep_until(began + seconds, faults)
+
+
+def _sleep_until(when: float, faults: _Faults) -> None:
+    """Wait, and start meanwhile what requests have crashed."""
+    while (left_s := when - time.monotonic()) > 0:
+        time.sleep(min(left_s, 0.2))
+        faults.start_crashed()
 
 
 def _recovered(cluster: MeshCluster) -> list[str]:
@@ -351,11 +421,14 @@
 @click.option("--seconds", default=30.0, show_default=True, help="Length of each.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep the logs of failures here.")
 @click.option("--by-call", is_flag=True, help="Targets take their keys by calls.")
-def main(seed: int, seeds: int, seconds: float, keep: Path | None, by_call: bool) -> None:
+@click.option("--crashes", is_flag=True, help="Some requests crash the targets that run them.")
+def main(
+    seed: int, seeds: int, seconds: float, keep: Path | None, by_call: bool, crashes: bool
+) -> None:
     """Play seeds and tell which broke a promise."""
     failed = 0
     for number in range(seed, seed + seeds):
-        broken, served = play(number, seconds, keep, by_call=by_call)
+        broken, served = play(number, seconds, keep, by_call=by_call, crashes=crashes)
         failed += bool(broken)
         click.echo(f"seed {number}: {'BROKEN' if broken else 'held'}, {served} served")
         for line in broken[:10]:
--- a/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
@@ -17,6 +17,14 @@
 NOTICED_S = 5.0
 """Seconds after a disturbance in which it may still show: a link that was silent is given
 up two seconds after it is needed, and what it held back comes later."""
+CRASHES = "spoil=crash"
+"""In the path of a request that crashes the target that runs it."""
+ENDS = 3
+"""Targets that may end under one request, and more only of those that got it meanwhile."""
+LEARNED_S = 3.0
+"""Seconds after the last of these ends in which it may still reach targets."""
+FURTHER = 3
+"""Targets that it may reach after that."""
 DRAIN_SLACK_S = 0.3
 """Time that a request may spend between the daemon and the target on a crowded machine."""
 
@@ -96,6 +104,7 @@
         *_two_owners(runs),
         *_wrong_service(runs),
         *_after_leave(runs, leaves),
+        *_crashed_on(runs),
         *_cut(answers, runs, kills),
         *_broken_off(answers, disturbances),
     ]
@@ -164,6 +173,21 @@
     ]
 
 
+def _crashed_on(runs: Sequence[Run]) -> list[str]:
+    """What crashes its targets reaches no more of them, once enough have ended."""
+    by_path: dict[str, list[float]] = defaultdict(list)
+    for run in runs:
+        if CRASHES in run.path:
+            by_path[run.path].append(run.at)
+    broken: list[str] = []
+    for path, times in by_path.items():
+        times.sort()
+        late = [at for at in times[ENDS:] if at > times[ENDS - 1] + LEARNED_S]
+        if len(late) > FURTHER:
+            broken.append(f"{path}: reached {len(late)} targets more after {ENDS} had ended")
+    return broken
+
+
 def _cut(answers: Sequence[Answer], runs: Sequence[Run], kills: Sequence[Restart]) -> list[str]:
     """A request that ran is answered, unless the asked daemon was killed meanwhile."""
     ran = {run.id for run in runs}
