--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -91,7 +91,7 @@
             answers[0] = replace(answers[0], status=0, whole=False)
         case "a request that goes on crashing targets":
             bad = Run("r3", "t3", "sheets", "/sheets/safe/bad?spoil=crash", "", 0, 10.0)
-            runs += [replace(bad, at=10.0 + second) for second in range(9)]
+            runs += [replace(bad, at=10.0 + second) for second in range(10)]
         case _:
             raise AssertionError(fault)
 
