--- a/packages/coordination/src/pearward_coordination/content.py
+++ b/packages/coordination/src/pearward_coordination/content.py
@@ -20,8 +20,7 @@
     """Return 16 hexadecimal digits that name what a request asks for.
 
     *named* is what its headers add to the path, the host and the key; *body_length* is -1 where
-    the sender did not know it. Takes 2 us, and 8 us with a body of
-    4 kB (timeit).
+    the sender did not know it. Takes 2 us, and 8 us with a body of 4 kB (timeit).
     """
     counted = body if 0 <= body_length <= COUNTED_BODY else b""
     digest = blake2b(digest_size=DIGEST_BYTES)
--- a/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
@@ -52,7 +52,7 @@
         self._on_crash = on_crash
         self._broken = BrokenExchanges()
         self._ran: set[str] = set()
-        """Contents, once held against a request, that the present target has run to an end."""
+        """Contents that crashes were held against until the present target ran them to an end."""
         self._alone: GuardedRequest | None = None
         """The one suspected request that the target runs."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/request_body.py
+++ b/packages/daemon/src/pearward_daemon/mesh/request_body.py
@@ -12,13 +12,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstPart:
-    """What goes to a target's daemon at first."""
+    """What goes to the daemon beside the target as an attempt begins."""
 
     with_head: bytes
     ended: bool
     """Whether that is all."""
     rest: bytes
-    """What follows the head at once."""
+    """What follows the head at once, in a chunk of its own."""
 
 
 class RequestBody:
@@ -74,7 +74,7 @@
         self._chunks = []
 
     def first_part(self) -> FirstPart:
-        """Return what goes with the head, whether that is all, and what follows."""
+        """Return what an attempt begins with: a short body goes with the head."""
         kept = self.kept
         if self._ended and len(kept) <= SHORT_BODY:
             return FirstPart(kept, True, b"")
