Reading the change once more: one length of a kept body, one call that clears a request

The length up to which a body is kept and the one up to which it counts were two constants that had to agree (65,536 bytes); they are one. Quarantine.ran() tells whether it cleared anything, in place of a look before it.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -92,20 +92,18 @@
     )
 
 
-@when('a "{kind}" request crashes its target of the pooled service while another one runs there')
+@when('an "{kind}" request crashes its target of the pooled service while another one runs there')
 def crash_beside_another(context: Any, kind: str) -> None:
     service = SERVICES["pooled"]
     node = _nodes(context, service)[0]
-    others = [f"/{service}/unsafe/other-{n}?work_ms=1500" for n in range(4)]
-    threads = [
-        threading.Thread(target=_send, args=(context, node, path, "unsafe")) for path in others
-    ]
+    others = [f"/{service}/{kind}/other-{n}?work_ms=1500" for n in range(4)]
+    threads = [threading.Thread(target=_send, args=(context, node, path, kind)) for path in others]
     for thread in threads:
         thread.start()
     time.sleep(0.3)
     known = len(_lines(context, "target_crashed"))
-    context.path = f"/{service}/unsafe/sight?spoil=crash&work_ms={WORK_MS}"
-    _send(context, node, context.path, "unsafe")
+    context.path = f"/{service}/{kind}/sight?spoil=crash&work_ms={WORK_MS}"
+    _send(context, node, context.path, kind)
     for thread in threads:
         thread.join()
     wait_until(lambda: len(_lines(context, "target_crashed")) > known, "the end to be told", WAIT_S)
--- /dev/null
+++ b/features/steps/quarantine_fleet_steps.py
@@ -0,0 +1,47 @@
+"""Steps of a fleet in virtual time whose daemons tell each other of crashes."""
+
+from typing import Any
+
+from behave import then, when
+
+from pearward_coordination.quarantine import LONGEST_S
+from pearward_state.crashes import CrashRecord
+
+BAD = "bad"
+"""Content of the request that crashes its targets."""
+
+
+@when("{count:d} targets are said to have crashed under a request, by different daemons")
+def said(context: Any, count: int) -> None:
+    world = context.world
+    for number in range(count):
+        record = CrashRecord(f"i-crashed-{number}", world.now, (BAD, f"beside-{number}"))
+        world.nodes[number].daemon.core.crashes.crashed_here(record)
+
+
+@then("all daemons refuse it after {seconds:g} s")
+def all_refuse(context: Any, seconds: float) -> None:
+    world = context.world
+    world.run(seconds)
+    now = world.now
+    for node in world.nodes:
+        quarantine = node.daemon.core.crashes.quarantine
+        assert quarantine.left_s(BAD, now) > LONGEST_S - 60.0, (node.number, len(quarantine))
+        assert not quarantine.left_s("beside-1", now)
+
+
+@when("all daemons are started again at once")
+def all_again(context: Any) -> None:
+    for node in context.world.nodes:
+        context.world.start_daemon(node)
+
+
+@when("the store is away")
+def store_away(context: Any) -> None:
+    context.world.store_down = True
+
+
+@when("the store is back and {seconds:g} s have passed")
+def store_back(context: Any, seconds: float) -> None:
+    context.world.store_down = False
+    context.world.run(seconds)
--- a/packages/coordination/src/pearward_coordination/quarantine.py
+++ b/packages/coordination/src/pearward_coordination/quarantine.py
@@ -105,13 +105,9 @@
             if standing is not Standing.REFUSED and self.standing(content, now) is Standing.REFUSED
         )
 
-    def knows(self, content: str) -> bool:
-        """Return whether any crash is held against a content."""
-        return content in self._suspects
-
-    def ran(self, content: str) -> None:
-        """A target has run a request to an end: it is not what crashes them."""
-        self._suspects.pop(content, None)
+    def ran(self, content: str) -> bool:
+        """Clear a request that a target has run to an end; return whether that was needed."""
+        return self._suspects.pop(content, None) is not None
 
     def standing(self, content: str, now: float) -> Standing:
         """Return what may be done with a request."""
--- a/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_guard.py
@@ -107,12 +107,8 @@
 
     def _note_ran(self, request: GuardedRequest) -> None:
         """Clear a request that the target has run to an end."""
-        if not self._quarantine:
-            return
-        content = request.content
-        if self._quarantine.knows(content):
-            self._quarantine.ran(content)
-            self._ran.add(content)
+        if self._quarantine and self._quarantine.ran(request.content):
+            self._ran.add(request.content)
 
     # -- the target -----------------------------------------------------------------
 
--- a/packages/daemon/src/pearward_daemon/mesh/request_body.py
+++ b/packages/daemon/src/pearward_daemon/mesh/request_body.py
@@ -2,12 +2,14 @@
 
 from dataclasses import dataclass
 
+from pearward_coordination.content import COUNTED_BODY
 from pearward_protocol.streams import SHORT_BODY
 
 __all__ = ["FirstPart", "RequestBody"]
 
-REPLAYABLE = 65_536
-"""A request body up to this length is kept, so that it can be sent again."""
+REPLAYABLE = COUNTED_BODY
+"""A request body up to this length is kept, so that it can be sent again; all of it is here when
+its content is worked out."""
 
 
 @dataclass(frozen=True, slots=True)
