--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -15,7 +15,7 @@
 from .lease import LeaseTiming, majority
 from .messages import Heartbeat, HeartbeatReply, PeerId
 
-__all__ = ["Coordinator"]
+__all__ = ["CellBelief", "Coordinator"]
 
 REPORT_AGE_BEATS = 4.0
 """Heartbeat intervals after which a report no longer counts."""
@@ -38,6 +38,19 @@
     heard_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class CellBelief:
+    """Which daemons a coordinator held to be there, lost or gone when it last planned."""
+
+    reporting: tuple[str, ...] = ()
+    """Incarnations whose last heartbeat still counts."""
+    missed: tuple[str, ...] = ()
+    """Members that a majority of their witnesses reports as silent, for however short a time."""
+    lost: tuple[str, ...] = ()
+    ended: tuple[str, ...] = ()
+    draining: tuple[str, ...] = ()
+
+
 class Coordinator:
     """Collects heartbeats and evidence, and plans the next record."""
 
@@ -58,6 +71,12 @@
         self._next_review = now
         self._planned: tuple[int, CellView | None] = _NOTHING_PLANNED
         """Record version and view that called for no change, so as not to plan them again."""
+        self._belief = CellBelief()
+
+    @property
+    def belief(self) -> CellBelief:
+        """What the last plan was made from."""
+        return self._belief
 
     @property
     def reports(self) -> dict[str, Heartbeat]:
@@ -144,6 +163,13 @@
             settled={name: r.heartbeat.settled for name, r in fresh.items()},
             adopted={name: r.heartbeat.adopted for name, r in fresh.items()},
         )
+        self._belief = CellBelief(
+            reporting=tuple(sorted(fresh)),
+            missed=tuple(sorted(self._lost_since)),
+            lost=tuple(sorted(view.lost)),
+            ended=tuple(sorted(view.ended)),
+            draining=tuple(sorted(view.draining)),
+        )
         if (record.version, view) == self._planned:
             return None
         planned = next_record(record, view, write_id)
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -221,6 +221,7 @@
             "server_healthy": control.server_healthy,
             "record_version": ownership.adopted,
             "released": ownership.released,
+            "awaited_releases": ownership.awaited_releases(),
             "shards": ownership.shard_count,
             "serving": ownership.serving_count if control.lease_held else 0,
             "running": self._owner.running,
