A coordinator that was replaced for a while never looks at the record again: the test, which fails

Two daemons had taken the role 0.22 s apart (628.40 and 628.62); the later one had read version 49 and froze; the other one wrote 50 to 52 without it; back again, the later one was the coordinator by the platform's word and believed 49 from then on (lines cell-belief), while its own daemon acted on 52.

The test plays that order on a store in memory: 2 of 2 scenarios fail.

--- /dev/null
+++ b/features/coordinator_role.feature
@@ -0,0 +1,23 @@
+Feature: The coordinator's role is held by one who plans from the record in force
+
+  A daemon took the role, read the record and was frozen. Another one had taken the role 0.2 s
+  before and still held itself for the coordinator: it took the frozen one for lost and wrote
+  three versions without it. Back again, the frozen one was the coordinator by the platform's
+  word, but planned from the version that it had read: there it was a member, everybody
+  reported, nothing was to be changed, so it wrote nothing, and only after a write of its own
+  did it read again. It stayed outside the cell for as long as nothing else happened. The log
+  shows it: "cell-belief" of version 49 at the one, "record" up to version 52 at the other, and
+  a status that is at record_version 52 with "no ownership lease".
+
+  Scenario: A coordinator that was replaced for a while plans from what was written meanwhile
+    Given a coordinator of a cell of 4 daemons that has read the record
+    When another coordinator writes that the first daemon is no member any more
+    And that record reaches this coordinator's daemon from a peer
+    And every daemon reports
+    Then the first daemon is a member again
+
+  Scenario: A coordinator learns from a member's report that there is a newer record
+    Given a coordinator of a cell of 4 daemons that has read the record
+    When another coordinator writes that the first daemon is no member any more
+    And every daemon reports, the others that they act on that record
+    Then the first daemon is a member again
--- /dev/null
+++ b/features/steps/coordinator_role_steps.py
@@ -0,0 +1,131 @@
+"""Steps of the coordinator's role, on a store in memory and without sockets."""
+
+from dataclasses import replace
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from pearward_coordination.lease import LeaseTiming
+from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
+from pearward_daemon.coordinating import CellWriter
+from pearward_devtools.memory_store import MemoryStore
+from pearward_state.records import CellRecord, Member
+from pearward_state.shards import ShardMap
+from pearward_state.table import Kind, ServerRow, ServiceRow, ServiceTable
+
+SERVICE = "premview"
+KEY = f"cell/{SERVICE}"
+
+
+class _Daemon:
+    """What a coordinator asks of the daemon that it runs in."""
+
+    def __init__(self) -> None:
+        self.known: CellRecord | None = None
+
+    @property
+    def record(self) -> CellRecord | None:
+        return self.known
+
+    def record_written(self, record: CellRecord, value: bytes) -> None:
+        if self.known is None or record.version > self.known.version:
+            self.known = record
+
+    def table_read(self, service: str, value: bytes) -> None:
+        """Nothing is routed here."""
+
+    def reply(self, peer: PeerId, reply: HeartbeatReply) -> None:
+        """Nobody waits for it."""
+
+
+def _member(number: int, count: int) -> Member:
+    name = f"i{number}"
+    witnesses = tuple(f"i{n}" for n in range(count) if n != number)[:3]
+    return Member(
+        name, f"at-{name}", f"s-{name}", f"d{number}", f"10.0.0.{number}:1", "",
+        witnesses=witnesses,
+    )  # fmt: skip
+
+
+def _record(count: int) -> CellRecord:
+    shards = ShardMap.even(count)
+    for index in range(count):
+        shards.owners[index] = index
+        shards.epochs[index] = 1
+    members = tuple(_member(number, count) for number in range(count))
+    return CellRecord(SERVICE, SERVICE, 1, "w1", members, shards)
+
+
+def _table(count: int) -> ServiceTable:
+    servers = {f"s-i{number}": ServerRow(f"s-i{number}") for number in range(count)}
+    return ServiceTable(ServiceRow(SERVICE, Kind.KEYED, shards_per_server=1), servers, version=1)
+
+
+@given("a coordinator of a cell of {count:d} daemons that has read the record")
+def coordinator(context: Any, count: int) -> None:
+    context.store = MemoryStore()
+    context.first_record = _record(count)
+    context.store.put(KEY, context.first_record.to_bytes())
+    context.store.put(f"table/{SERVICE}", _table(count).to_bytes())
+    context.daemon = _Daemon()
+    context.me = PeerId("i0", "10.0.0.0:1")
+    role = f'{{"incarnation": "{context.me.incarnation}", "address": "{context.me.address}"}}'
+    context.store.put(f"coordinator/{SERVICE}", role.encode())
+    context.writer = CellWriter(
+        Clock(), context.store, context.daemon, context.me, SERVICE, SERVICE, LeaseTiming(),
+        1, lambda successor: None,
+    )  # fmt: skip
+    context.writer.start()
+    context.writer.tick()
+    assert context.daemon.known == context.first_record
+
+
+@when("another coordinator writes that the first daemon is no member any more")
+def replaced_meanwhile(context: Any) -> None:
+    record = context.first_record
+    owners = [(owner - 1) % (len(record.members) - 1) for owner in record.shards.owners]
+    shards = ShardMap(
+        record.shards.starts, type(record.shards.owners)("H", owners), record.shards.epochs
+    )
+    members = tuple(replace(m, witnesses=("i1", "i2", "i3")) for m in record.members[1:])
+    context.without_first = record.next_version("other:1", members=members, shards=shards)
+    context.store.put(KEY, context.without_first.to_bytes())
+
+
+@when("that record reaches this coordinator's daemon from a peer")
+def reaches(context: Any) -> None:
+    context.daemon.record_written(context.without_first, context.without_first.to_bytes())
+
+
+def _report(context: Any, number: int, adopted: int) -> None:
+    member = _member(number, len(context.first_record.members))
+    heartbeat = Heartbeat(
+        SERVICE, member.instance, member.server, member.failure_domain, member.caller,
+        adopted, adopted, adopted, 1, False, True, 0, (),
+    )  # fmt: skip
+    peer = PeerId(member.incarnation, member.peer)
+    context.writer.core.peer_seen(peer)
+    context.writer.on_heartbeat(peer, heartbeat)
+
+
+@when("every daemon reports")
+def all_report(context: Any) -> None:
+    for number in range(len(context.first_record.members)):
+        _report(context, number, context.first_record.version)
+
+
+@when("every daemon reports, the others that they act on that record")
+def all_report_newer(context: Any) -> None:
+    _report(context, 0, context.first_record.version)
+    for number in range(1, len(context.first_record.members)):
+        _report(context, number, context.without_first.version)
+
+
+@then("the first daemon is a member again")
+def member_again(context: Any) -> None:
+    for _ in range(3):
+        context.writer.tick()
+    record = CellRecord.from_bytes(context.store.value(KEY))
+    assert record.member("i0") is not None, [m.incarnation for m in record.members]
+    assert record.version > context.without_first.version
--- /dev/null
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -0,0 +1,90 @@
+"""The platform's key-value service in memory, for tests in virtual time."""
+
+from collections.abc import Callable
+
+from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_transport.errors import CasConflict, PlatformUnavailable
+
+__all__ = ["MemoryStore"]
+
+
+class _Unwatched:
+    """A watch that never reports anything."""
+
+    def stop(self) -> None:
+        """Nothing runs."""
+
+
+class MemoryStore:
+    """Keys with their revisions; every call is answered at once, or refused while it is away."""
+
+    def __init__(self) -> None:
+        self._pairs: dict[str, KeyValue] = {}
+        self._revision = 0
+        self._lease = 0
+        self.away = False
+        self.reads: list[str] = []
+        """Keys and prefixes that were asked for, in order."""
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a value, whatever stands there."""
+        self._revision += 1
+        self._pairs[key] = KeyValue(key, value, self._revision)
+
+    def value(self, key: str) -> bytes:
+        """Return a value that is there; raises KeyError."""
+        return self._pairs[key].value
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key's value, or None."""
+        self._check(key)
+        return self._pairs.get(key)
+
+    async def scan(self, prefix: str) -> list[KeyValue]:
+        """Return all key-values under *prefix*."""
+        self._check(prefix)
+        return [pair for key, pair in sorted(self._pairs.items()) if key.startswith(prefix)]
+
+    async def swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> None:
+        """Replace a value if its revision is the expected one; raises CasConflict."""
+        self._check(key)
+        present = self._pairs.get(key)
+        if (present.revision if present is not None else 0) != expected_revision:
+            raise CasConflict(f"{key}: revision is not {expected_revision} any more")
+        if value is None:
+            self._pairs.pop(key, None)
+        else:
+            self.put(key, value)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return a new lease."""
+        self._check("")
+        self._lease += 1
+        return self._lease
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; leases do not run out here."""
+        self._check("")
+        return True
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease."""
+        self._check("")
+
+    def watch(
+        self,
+        key: str,
+        on_events: Callable[[list[WatchEvent]], None],
+        on_lost: Callable[[], None],
+        *,
+        prefix: bool = False,
+    ) -> _Unwatched:
+        """Return a watch that stays silent: what is tested reads for itself."""
+        return _Unwatched()
+
+    def _check(self, key: str) -> None:
+        if self.away:
+            raise PlatformUnavailable("the store is away")
+        self.reads.append(key)
