A coordinator whose cell acts on a newer record reads that before it plans

Cause: the coordinator reads the record when it takes the role and after each write of its own, and at no other time.

Change: where its own daemon acts on a newer record, or a member reports that it does, the coordinator reads before it plans. Why it holds: whatever was written reaches members by the writer's push, and they report the version within a heartbeat (0.25 s); the plan is then made from it.

--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -72,6 +72,12 @@
         self._planned: tuple[int, CellView | None] = _NOTHING_PLANNED
         """Record version and view that called for no change, so as not to plan them again."""
         self._belief = CellBelief()
+        self._newest_adopted = 0
+
+    @property
+    def newest_adopted(self) -> int:
+        """Highest version of the record that a member has said it acts on; 0 before the first."""
+        return self._newest_adopted
 
     @property
     def belief(self) -> CellBelief:
@@ -93,6 +99,7 @@
         if known is None or known.heartbeat != replace(heartbeat, running=known.heartbeat.running):
             self._dirty = True
         self._reports[sender.incarnation] = _Report(sender, heartbeat, now)
+        self._newest_adopted = max(self._newest_adopted, heartbeat.adopted)
         return HeartbeatReply(self._cell, True, version)
 
     def peer_seen(self, peer: PeerId) -> None:
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -33,6 +33,8 @@
 KEEP_ALIVE_S = 5.0
 ROLE_CHECK_S = 2.0
 """Between looks at who holds the role, so that a holder that was replaced steps back."""
+READ_AGAIN_S = 0.3
+"""Between tries to read a record that the store did not give."""
 INSTANCE_POLL_S = 600.0
 TABLE_POLL_S = 15.0
 """The watch tells of changes at once; polling finds what a broken watch missed."""
@@ -164,7 +166,12 @@
             self._next_table = now + TABLE_POLL_S
             self._watch_table()
             spawn(self._read_table())
-        if not self._writing:
+        if self._writing:
+            return
+        if self._is_outdated():
+            self._writing = True
+            spawn(self._catch_up())
+        else:
             self._consider(now)
 
     # -- the record -----------------------------------------------------------
@@ -178,7 +185,7 @@
                 self._loaded = True
             except PlatformUnavailable as error:
                 eliot.log_message("pearward:platform", call="load", error=str(error))
-                await sleep(self._reactor, 0.3)
+                await sleep(self._reactor, READ_AGAIN_S)
 
     async def _read_record(self) -> None:
         pair = await self._platform.get(self.key)
@@ -194,6 +201,33 @@
         self._revision = pair.revision
         self._store.record_written(self._record, pair.value)
 
+    def _is_outdated(self) -> bool:
+        """Return whether the cell acts on a newer record than this coordinator plans from.
+
+        Another daemon may coordinate for a moment and write. A plan from the older version may
+        call for no change, so that no write would ever tell: one that was frozen as it took the
+        role stayed out of its cell for good (1 of 61 rounds of freezing daemons of a cell of
+        four).
+        """
+        if self._record is None:
+            return False
+        known = self._store.record
+        newest = max(known.version if known is not None else 0, self._core.newest_adopted)
+        return newest > self._record.version
+
+    async def _catch_up(self) -> None:
+        """Read the record anew, and wait a little where the newer one is not to be had."""
+        try:
+            await self._read_record()
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="catch up", error=str(error))
+        else:
+            version = self._record.version if self._record is not None else 0
+            eliot.log_message("pearward:record-read", cell=self._cell, version=version)
+        if self._is_outdated():
+            await sleep(self._reactor, READ_AGAIN_S)
+        self._writing = False
+
     def _consider(self, now: float) -> None:
         """Write a new record where what has been heard calls for one."""
         if self._record is None or self._table is None:
@@ -245,7 +279,7 @@
             await self._read_record()
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="read back", error=str(error))
-            await sleep(self._reactor, 0.3)
+            await sleep(self._reactor, READ_AGAIN_S)
             return
         record = self._record
         if record is None or record.write_id == planned.write_id:
