--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -34,8 +34,10 @@
 from pearward_transport.peer import PeerPool
 from pearward_transport.platform import KeyValueService
 
-from .coordinating import CellWriter, Seeker, spawn
+from .coordinating import CellWriter
+from .seeking import Seeker
 from .settings import Settings
+from .tasks import spawn
 
 __all__ = ["ControlPlane"]
 
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -1,19 +1,14 @@
-"""Finding the cell's coordinator, and being it: the part that talks to the platform.
+"""Being a cell's coordinator: the part that talks to the platform.
 
 The role is a key with a platform lease. Safety does not rest on it, since the record is
 replaced by compare-and-swap; it only keeps the number of writers and watchers at one.
 """
 
-import json
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
 from typing import Any, Protocol
 
 import eliot
-from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.python.failure import Failure
 
 from pearward_coordination.coordinator import CellBelief, Coordinator
 from pearward_coordination.lease import LeaseTiming
@@ -27,9 +22,11 @@
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import KeyValueService, Watch
 
-__all__ = ["CellWriter", "Seeker", "spawn"]
+from .seeking import role_holder
+from .tasks import spawn
+
+__all__ = ["CellWriter"]
 
-ROLE_TTL_S = 15
 KEEP_ALIVE_S = 5.0
 ROLE_CHECK_S = 2.0
 """Between looks at who holds the role, so that a holder that was replaced steps back."""
@@ -38,11 +35,6 @@
 INSTANCE_POLL_S = 600.0
 TABLE_POLL_S = 15.0
 """The watch tells of changes at once; polling finds what a broken watch missed."""
-COORDINATOR_SILENCE_S = 0.7
-RANK_DELAY_S = 0.12
-MAX_RANK = 8
-SEEK_BACKOFF_MIN_S = 0.1
-SEEK_BACKOFF_MAX_S = 4.0
 
 
 class CellStore(Protocol):
@@ -62,17 +54,6 @@
         """Answer a member's heartbeat."""
 
 
-def spawn(coroutine: Any) -> "Deferred[None]":
-    """Run a coroutine; an unexpected error is logged, never lost."""
-
-    def failed(failure: Failure) -> None:
-        eliot.log_message(
-            "pearward:bug", error=failure.getErrorMessage(), traceback=failure.getTraceback()
-        )
-
-    return ensureDeferred(coroutine).addErrback(failed)
-
-
 class CellWriter:
     """The coordinator's role while this daemon has it."""
 
@@ -293,7 +274,7 @@
             pair = await self._platform.get(f"coordinator/{self._cell}")
         except PlatformUnavailable:
             return
-        holder = _role_holder(pair)
+        holder = role_holder(pair)
         if holder is None or holder.incarnation != self._me.incarnation:
             self._lose(holder.address if holder is not None else "")
 
@@ -414,110 +395,3 @@
             for index, member in enumerate(record.members)
         ],
     )
-
-
-@dataclass(frozen=True, slots=True)
-class _Role:
-    """Who coordinates, as the platform's service has it."""
-
-    incarnation: str
-    address: str
-    revision: int
-
-
-def _role_holder(pair: KeyValue | None) -> _Role | None:
-    if pair is None:
-        return None
-    try:
-        raw = json.loads(pair.value)
-        return _Role(str(raw["incarnation"]), str(raw["address"]), pair.revision)
-    except (ValueError, KeyError, TypeError):
-        return _Role("", "", pair.revision)
-
-
-class Seeker:
-    """Finds the coordinator of a cell, and takes the role where it has no living holder."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        platform: KeyValueService,
-        me: PeerId,
-        cell: str,
-        rng: Random,
-        on_found: Callable[[str], None],
-        on_taken: Callable[[int], None],
-    ) -> None:
-        self._reactor = reactor
-        self._platform = platform
-        self._me = me
-        self._cell = cell
-        self._rng = rng
-        self._on_found = on_found
-        self._on_taken = on_taken
-        self._silent_holder = ""
-        self._found = ""
-        """Incarnation of the holder that heartbeats go to."""
-        self._answered = False
-        """Whether that one has answered: its silence then needs no second look."""
-        self._seeking = False
-        self._last_reply = float("-inf")
-        self._not_before = 0.0
-        self._backoff_s = SEEK_BACKOFF_MIN_S
-
-    def heard(self) -> None:
-        """The coordinator answered a heartbeat."""
-        self._last_reply = boot_time()
-        self._silent_holder = ""
-        self._answered = True
-        self._backoff_s = SEEK_BACKOFF_MIN_S
-
-    def tick(self, rank: int, handicap_s: float) -> None:
-        """Look for a coordinator if none has answered for a while.
-
-        *rank* orders the members, so that they do not all ask the platform at once;
-        *handicap_s* holds back a daemon that is cut off and would coordinate nobody.
-        """
-        now = boot_time()
-        if self._seeking or now < self._not_before:
-            return
-        delay = min(rank, MAX_RANK) * RANK_DELAY_S + handicap_s
-        if now - self._last_reply >= COORDINATOR_SILENCE_S + delay:
-            self._seeking = True
-            spawn(self._seek())
-
-    async def _seek(self) -> None:
-        try:
-            pair = await self._platform.get(f"coordinator/{self._cell}")
-            role = _role_holder(pair)
-            gone = self._found if self._answered else self._silent_holder
-            if role is not None and role.incarnation not in ("", gone):
-                # Give the named one a chance to answer before it is replaced.
-                self._silent_holder = self._found = role.incarnation
-                self._answered = False
-                self._last_reply = boot_time() - COORDINATOR_SILENCE_S + 0.4
-                self._on_found(role.address)
-                return
-            await self._take(role.revision if role is not None else 0)
-        except CasConflict:
-            # Somebody else was quicker: look at once who.
-            self._silent_holder, self._answered = "", False
-        except PlatformUnavailable as error:
-            eliot.log_message("pearward:platform", call="seek coordinator", error=str(error))
-            self._wait()
-        finally:
-            self._seeking = False
-
-    async def _take(self, revision: int) -> None:
-        lease = await self._platform.grant_lease(ROLE_TTL_S)
-        value = json.dumps({"incarnation": self._me.incarnation, "address": self._me.address})
-        await self._platform.swap(f"coordinator/{self._cell}", revision, value.encode(), lease)
-        eliot.log_message("pearward:coordinator-taken", cell=self._cell)
-        self._found = self._me.incarnation
-        self.heard()
-        self._on_taken(lease)
-
-    def _wait(self) -> None:
-        """Ask less and less often while the platform is down, and not all at the same time."""
-        self._not_before = boot_time() + self._backoff_s * (0.5 + self._rng.random())
-        self._backoff_s = min(SEEK_BACKOFF_MAX_S, self._backoff_s * 2)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/seeking.py
@@ -0,0 +1,133 @@
+"""Finding the coordinator of a cell, and taking the role where nobody holds it any more."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import eliot
+
+from pearward_coordination.messages import PeerId
+from pearward_protocol.etcd import KeyValue
+from pearward_transport.clock import boot_time
+from pearward_transport.errors import CasConflict, PlatformUnavailable
+from pearward_transport.platform import KeyValueService
+
+from .tasks import spawn
+
+__all__ = ["Role", "Seeker", "role_holder"]
+
+ROLE_TTL_S = 15
+COORDINATOR_SILENCE_S = 0.7
+RANK_DELAY_S = 0.12
+MAX_RANK = 8
+SEEK_BACKOFF_MIN_S = 0.1
+SEEK_BACKOFF_MAX_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """Who coordinates, as the platform's service has it."""
+
+    incarnation: str
+    address: str
+    revision: int
+
+
+def role_holder(pair: KeyValue | None) -> Role | None:
+    if pair is None:
+        return None
+    try:
+        raw = json.loads(pair.value)
+        return Role(str(raw["incarnation"]), str(raw["address"]), pair.revision)
+    except (ValueError, KeyError, TypeError):
+        return Role("", "", pair.revision)
+
+
+class Seeker:
+    """Finds the coordinator of a cell, and takes the role where it has no living holder."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        platform: KeyValueService,
+        me: PeerId,
+        cell: str,
+        rng: Random,
+        on_found: Callable[[str], None],
+        on_taken: Callable[[int], None],
+    ) -> None:
+        self._reactor = reactor
+        self._platform = platform
+        self._me = me
+        self._cell = cell
+        self._rng = rng
+        self._on_found = on_found
+        self._on_taken = on_taken
+        self._silent_holder = ""
+        self._found = ""
+        """Incarnation of the holder that heartbeats go to."""
+        self._answered = False
+        """Whether that one has answered: its silence then needs no second look."""
+        self._seeking = False
+        self._last_reply = float("-inf")
+        self._not_before = 0.0
+        self._backoff_s = SEEK_BACKOFF_MIN_S
+
+    def heard(self) -> None:
+        """The coordinator answered a heartbeat."""
+        self._last_reply = boot_time()
+        self._silent_holder = ""
+        self._answered = True
+        self._backoff_s = SEEK_BACKOFF_MIN_S
+
+    def tick(self, rank: int, handicap_s: float) -> None:
+        """Look for a coordinator if none has answered for a while.
+
+        *rank* orders the members, so that they do not all ask the platform at once;
+        *handicap_s* holds back a daemon that is cut off and would coordinate nobody.
+        """
+        now = boot_time()
+        if self._seeking or now < self._not_before:
+            return
+        delay = min(rank, MAX_RANK) * RANK_DELAY_S + handicap_s
+        if now - self._last_reply >= COORDINATOR_SILENCE_S + delay:
+            self._seeking = True
+            spawn(self._seek())
+
+    async def _seek(self) -> None:
+        try:
+            pair = await self._platform.get(f"coordinator/{self._cell}")
+            role = role_holder(pair)
+            gone = self._found if self._answered else self._silent_holder
+            if role is not None and role.incarnation not in ("", gone):
+                # Give the named one a chance to answer before it is replaced.
+                self._silent_holder = self._found = role.incarnation
+                self._answered = False
+                self._last_reply = boot_time() - COORDINATOR_SILENCE_S + 0.4
+                self._on_found(role.address)
+                return
+            await self._take(role.revision if role is not None else 0)
+        except CasConflict:
+            # Somebody else was quicker: look at once who.
+            self._silent_holder, self._answered = "", False
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform", call="seek coordinator", error=str(error))
+            self._wait()
+        finally:
+            self._seeking = False
+
+    async def _take(self, revision: int) -> None:
+        lease = await self._platform.grant_lease(ROLE_TTL_S)
+        value = json.dumps({"incarnation": self._me.incarnation, "address": self._me.address})
+        await self._platform.swap(f"coordinator/{self._cell}", revision, value.encode(), lease)
+        eliot.log_message("pearward:coordinator-taken", cell=self._cell)
+        self._found = self._me.incarnation
+        self.heard()
+        self._on_taken(lease)
+
+    def _wait(self) -> None:
+        """Ask less and less often while the platform is down, and not all at the same time."""
+        self._not_before = boot_time() + self._backoff_s * (0.5 + self._rng.random())
+        self._backoff_s = min(SEEK_BACKOFF_MAX_S, self._backoff_s * 2)
