A coordinator that hears nobody but itself takes nobody for lost

Callers saw: one daemon of three was cut off from the others, and no key of the service was served any more, not even those of the two sound ones (62 of 62 requests in 25 s).

Cause: in a cell of three each owner is one of its own three witnesses. A coordinator that is cut off counts its own word (silent) and the absence of the other one's report as two of three, takes both others for lost and gives itself all keys, which it can't serve: nobody renews its lease. In a cell of two the absence alone is enough.

Change: with no report but its own, and others named in the record, a coordinator takes nobody for lost. Why it holds: who is cut off can't be told from who is left over; what a lost member's witnesses would have to release, such a coordinator couldn't hear, so nothing that it wrote could be served. Evidence of an end (a successor's greeting, the platform's list, an operator's word) acts as before.

Before: features/coordinator_role.feature, cells of 2 and 3 failed; after: all passed.

--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -6,16 +6,19 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
+from pearward_coordination.coordinator import Coordinator
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_daemon.coordinating import CellWriter
 from pearward_devtools.memory_store import MemoryStore
 from pearward_state.records import CellRecord, Member
 from pearward_state.shards import ShardMap
-from pearward_state.table import Kind, ServerRow, ServiceRow, ServiceTable
+from pearward_state.table import Kind, Policy, ServerRow, ServiceRow, ServiceTable
 
 SERVICE = "premview"
 KEY = f"cell/{SERVICE}"
+STEP_S = 0.05
+"""Time between two looks of a coordinator, as in the daemon."""
 
 
 class _Daemon:
@@ -40,8 +43,10 @@
 
 
 def _member(number: int, count: int) -> Member:
+    """Return a member with the witnesses that a cell of that size gives it."""
     name = f"i{number}"
-    witnesses = tuple(f"i{n}" for n in range(count) if n != number)[:3]
+    others = [f"i{n}" for n in range(count) if n != number]
+    witnesses = {2: (name,), 3: (*others, name)}.get(count, tuple(others[:3]))
     return Member(
         name, f"at-{name}", f"s-{name}", f"d{number}", f"10.0.0.{number}:1", "",
         witnesses=witnesses,
@@ -59,7 +64,10 @@
 
 def _table(count: int) -> ServiceTable:
     servers = {f"s-i{number}": ServerRow(f"s-i{number}") for number in range(count)}
-    return ServiceTable(ServiceRow(SERVICE, Kind.KEYED, shards_per_server=1), servers, version=1)
+    row = ServiceRow(
+        SERVICE, Kind.KEYED, policy=Policy.QUICK, wait_return_s=0.0, shards_per_server=1
+    )
+    return ServiceTable(row, servers, version=1)
 
 
 @given("a coordinator of a cell of {count:d} daemons that has read the record")
@@ -98,15 +106,42 @@
     context.daemon.record_written(context.without_first, context.without_first.to_bytes())
 
 
-def _report(context: Any, number: int, adopted: int) -> None:
+def _heartbeat(context: Any, number: int, adopted: int, silent: tuple[str, ...] = ()) -> Heartbeat:
     member = _member(number, len(context.first_record.members))
-    heartbeat = Heartbeat(
+    return Heartbeat(
         SERVICE, member.instance, member.server, member.failure_domain, member.caller,
-        adopted, adopted, adopted, 1, False, True, 0, (),
+        adopted, adopted, adopted, 1, False, True, 0, silent,
     )  # fmt: skip
+
+
+def _report(context: Any, number: int, adopted: int) -> None:
+    member = _member(number, len(context.first_record.members))
     peer = PeerId(member.incarnation, member.peer)
     context.writer.core.peer_seen(peer)
-    context.writer.on_heartbeat(peer, heartbeat)
+    context.writer.on_heartbeat(peer, _heartbeat(context, number, adopted))
+
+
+@when("it alone reports for {seconds:g} seconds, and tells that it hears nobody")
+def alone(context: Any, seconds: float) -> None:
+    """Plan as the coordinator does; only the time is given, and nothing is waited for."""
+    core = Coordinator(SERVICE, LeaseTiming(), 0.0)
+    record = context.first_record
+    table = _table(len(record.members))
+    others = tuple(m.incarnation for m in record.members[1:])
+    now, planned = 0.0, None
+    while now < seconds and planned is None:
+        now += STEP_S
+        core.on_heartbeat(context.me, _heartbeat(context, 0, 1, others), record.version, now)
+        planned = core.plan(record, table, "w", now)
+    if planned is not None:
+        context.store.put(KEY, planned.to_bytes())
+
+
+@then("the record in the store is the one that it read")
+def unchanged(context: Any) -> None:
+    record = CellRecord.from_bytes(context.store.value(KEY))
+    states = [(m.incarnation, m.state.value) for m in record.members]
+    assert record == context.first_record, states
 
 
 @when("every daemon reports")
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -5,7 +5,7 @@
 nothing, since only witnesses' reports and evidence take shards away.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from pearward_state.records import CellRecord, Instance, MemberState
@@ -254,7 +254,14 @@
         fresh: dict[str, _Report],
         now: float,
     ) -> frozenset[str]:
-        """Return members that a majority of their witnesses has missed for long enough."""
+        """Return members that a majority of their witnesses has missed for long enough.
+
+        A coordinator that hears only itself is cut off, or is all that is left: it cannot tell
+        which, and none of the witnesses that could release a lost member would hear it.
+        """
+        if len(fresh) <= 1 and _others_named(record, fresh):
+            self._lost_since.clear()
+            return frozenset()
         wait = table.service.wait_return_s
         if table.service.policy is Policy.QUICK:
             wait = max(wait, QUICK_CONFIRM_S)
@@ -293,3 +300,10 @@
             if report.heartbeat.draining:
                 leaving.add(name)
         return frozenset(leaving)
+
+
+def _others_named(record: CellRecord, fresh: Mapping[str, object]) -> bool:
+    """Return whether a record names daemons that are to act and that do not report."""
+    return any(
+        m.state is not MemberState.RETIRED and m.incarnation not in fresh for m in record.members
+    )
