A daemon that hears none of its cell leaves the coordinator's role to its holder

Cause: a holder that does not answer is replaced, whoever does not hear it. A daemon that is cut off from its peers reaches the store, finds the holder silent and takes its place; a handicap of 0.5 or 5 s only made that rarer.

Change: a daemon that has heard none of the cell's others for 2 s, though the record names some, takes the role only where the store has no holder: the key of one that has ended goes with its lease of 15 s. What it costs: the only daemon left of a cell waits up to 15 s for the role instead of 6; it can take nothing over meanwhile, since nobody that could release it is heard. Contact is with daemons of the same cell now; any peer counted before.

Test: features/coordinator_role.feature, four cases in virtual time; the first fails on the code before.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -32,3 +32,15 @@
       | 2     |
       | 3     |
       | 4     |
+
+  Scenario Outline: A daemon that hears none of its cell leaves the role to its holder: <case>
+    Given a daemon that seeks the coordinator of its cell, and <holder>
+    When it gets no answer for 20 seconds while it <hears>
+    Then it <takes> the role
+
+    Examples:
+      | case                           | holder                     | hears           | takes         |
+      | cut off, the others go on      | another one holds the role | hears nobody    | does not take |
+      | the coordinator has ended      | another one holds the role | hears others    | takes         |
+      | all that is left, later        | nobody holds the role      | hears nobody    | takes         |
+      | started anew beside its server | it holds the role itself   | hears nobody    | takes         |
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -1,7 +1,9 @@
 """Steps of the coordinator's role, on a store in memory and without sockets."""
 
 from dataclasses import replace
+from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 from twisted.internet.task import Clock
@@ -10,6 +12,7 @@
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_daemon.coordinating import CellWriter
+from pearward_daemon.seeking import Seeker
 from pearward_devtools.memory_store import MemoryStore
 from pearward_state.records import CellRecord, Member
 from pearward_state.shards import ShardMap
@@ -164,3 +167,44 @@
     record = CellRecord.from_bytes(context.store.value(KEY))
     assert record.member("i0") is not None, [m.incarnation for m in record.members]
     assert record.version > context.without_first.version
+
+
+# -- seeking -----------------------------------------------------------------------
+
+
+ROLE_KEY = f"coordinator/{SERVICE}"
+HOLDERS = {
+    "another one holds the role": b'{"incarnation": "other", "address": "10.0.0.9:1"}',
+    "it holds the role itself": b'{"incarnation": "i0", "address": "10.0.0.0:1"}',
+}
+
+
+@given("a daemon that seeks the coordinator of its cell, and {holder}")
+def seeker(context: Any, holder: str) -> None:
+    context.store = MemoryStore()
+    if holder in HOLDERS:
+        context.store.put(ROLE_KEY, HOLDERS[holder])
+    context.taken = []
+    me = PeerId("i0", "10.0.0.0:1")
+    context.seeker = Seeker(
+        Clock(), context.store, me, SERVICE, Random(1), lambda address: None, context.taken.append
+    )
+
+
+@when("it gets no answer for {seconds:d} seconds while it {hears}")
+def no_answer(context: Any, seconds: int, hears: str) -> None:
+    for step in range(int(seconds / STEP_S)):
+        with patch("pearward_daemon.seeking.boot_time", return_value=1000.0 + step * STEP_S):
+            if not context.taken:
+                context.seeker.tick(0, 0.0, alone=hears == "hears nobody")
+
+
+@then("it takes the role")
+def takes(context: Any) -> None:
+    assert context.taken
+
+
+@then("it does not take the role")
+def does_not_take(context: Any) -> None:
+    assert not context.taken
+    assert context.store.value(ROLE_KEY) == HOLDERS["another one holds the role"]
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -24,7 +24,7 @@
 from pearward_coordination.routing import Router
 from pearward_coordination.spread import RecordSpread
 from pearward_state.errors import InvalidRecord
-from pearward_state.records import CellRecord
+from pearward_state.records import CellRecord, MemberState
 from pearward_state.shards import Shard
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time, sleep
@@ -52,9 +52,11 @@
 EVIDENCE_S = 0.25
 """Between looks at members whose address is another daemon's by now."""
 CONTACT_S = 2.0
-"""A peer that was heard this recently counts as contact."""
+"""A daemon that has heard none of its cell's others for this long counts as alone: twice the
+lease, so that what a moment's pause looks like has passed."""
 HANDICAP_NO_LEASE_S = 0.5
-HANDICAP_NO_CONTACT_S = 5.0
+HANDICAP_ALONE_S = 5.0
+"""Between looks at the role's key of a daemon that hears none of its cell: one read each."""
 
 
 class ControlPlane:
@@ -96,8 +98,9 @@
         self._pool: PeerPool | None = None
         self._listeners: dict[str, PeerId] = {}
         self._ended: set[str] = set()
-        self._heard_peer_at = 0.0
+        self._member_heard_at = boot_time()
         self._peers: tuple[str, ...] = ()
+        self._member_addresses: frozenset[str] = frozenset()
         self._bootstrap_peers: tuple[str, ...] = ()
         self._next_digest = 0.0
         self._next_evidence = 0.0
@@ -244,6 +247,7 @@
         since a connection that stays up greets only once.
         """
         self._listeners[peer.address] = peer
+        self._note_heard(peer)
         ended = expected - {peer.incarnation}
         self._ended |= ended
         if self._writer is not None:
@@ -252,8 +256,7 @@
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Act on a peer's message."""
-        if sender.incarnation != self._me.incarnation:
-            self._heard_peer_at = boot_time()
+        self._note_heard(sender)
         match message:
             case Heartbeat():
                 self._on_heartbeat(sender, message)
@@ -351,6 +354,7 @@
         self._router.set_record(record)
         self._update_peers()
         if record.cell == self._cell:
+            self._member_addresses = frozenset(member.peer for member in record.members)
             # What no record names any more needs no evidence.
             self._ended &= record.by_incarnation.keys()
             # This daemon holds its own port: whoever is named there has gone before it.
@@ -415,7 +419,8 @@
     def _tick(self) -> None:
         now = boot_time()
         self._act(self._agent.tick(now))
-        self._seeker.tick(self._rank(), self._handicap_s(now))
+        alone = self._is_alone(now)
+        self._seeker.tick(self._rank(), self._handicap_s(alone), alone=alone)
         if self._writer is not None:
             self._writer.tick()
             self._seek_evidence(now)
@@ -452,17 +457,28 @@
         index = record.by_incarnation.get(self._me.incarnation)
         return len(record.members) if index is None else index
 
-    def _handicap_s(self, now: float) -> float:
-        """Return how long this daemon holds back before it takes the coordinator's role.
+    def _note_heard(self, sender: PeerId) -> None:
+        """Note a sign of life of another daemon of the cell, by where its members listen."""
+        if sender.address != self._me.address and sender.address in self._member_addresses:
+            self._member_heard_at = boot_time()
 
-        One that hears no peer can reach the platform all the same; were it to take the
-        role again and again, the cell's living part would lose its coordinator each time.
-        """
+    def _is_alone(self, now: float) -> bool:
+        """Return whether the record names others that are to act, and none of them is heard."""
+        record = self._agent.record
+        if record is None or now - self._member_heard_at < CONTACT_S:
+            return False
+        return any(
+            m.state is not MemberState.RETIRED and m.peer != self._me.address
+            for m in record.members
+        )
+
+    def _handicap_s(self, alone: bool) -> float:
+        """Return how long this daemon holds back before it looks for the coordinator's role."""
+        if alone:
+            return HANDICAP_ALONE_S
         if self._agent.record is None or self.lease_held:
             return 0.0
-        if now - self._heard_peer_at < CONTACT_S:
-            return HANDICAP_NO_LEASE_S
-        return HANDICAP_NO_CONTACT_S
+        return HANDICAP_NO_LEASE_S
 
     def _notice_change(self) -> None:
         """Let waiting requests look again when what may be served has changed."""
