An owner that its peers do not hear gives its shards up through the store

Callers saw: an owner was cut off from its peers while two others of four were away, and when those were back 128 of 256 shards stayed unserved for as long as the cut lasted.

Cause: with two daemons left, the record makes each its own only witness. Cut off and given up, it is the only one that can release its shards; it reads the record in the store, gives them up, and tells peers that it cannot reach. The users' events show the same: 28 the last record, 128 of 256 served, three daemons with shards pending, the fourth taking the role every 11 s.

Change: a daemon that is alone reads the cell's record in the store (at 0.25 s, then less and less often, 15 s at most); an owner whose release has been awaited for 1.5 s though it was given writes the next version, without itself among those that are waited for; a coordinator reads the record each second while releases are awaited. Why it holds: the word is the one that heirs take by a message (no request runs on those shards, the server knows), and compare-and-swap orders it with the coordinator's writes. The state machine of ownership has the new moves.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -37,6 +37,7 @@
 from .coordinating import CellWriter
 from .seeking import Seeker
 from .settings import Settings
+from .store_fallback import StoreFallback
 from .tasks import spawn
 
 __all__ = ["ControlPlane"]
@@ -94,6 +95,7 @@
         self._seeker = Seeker(
             reactor, platform, me, self._cell, rng, self._coordinator_found, self._role_taken
         )
+        self._fallback = StoreFallback(platform, self, self._cell, me.incarnation, rng)
         self._writer: CellWriter | None = None
         self._pool: PeerPool | None = None
         self._listeners: dict[str, PeerId] = {}
@@ -421,6 +423,7 @@
         self._act(self._agent.tick(now))
         alone = self._is_alone(now)
         self._seeker.tick(self._rank(), self._handicap_s(alone), alone=alone)
+        self._fallback.tick(now, alone=alone)
         if self._writer is not None:
             self._writer.tick()
             self._seek_evidence(now)
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -32,6 +32,9 @@
 """Between looks at who holds the role, so that a holder that was replaced steps back."""
 READ_AGAIN_S = 0.3
 """Between tries to read a record that the store did not give."""
+AWAITED_READ_S = 1.0
+"""Between reads of a record that waits for releases: an owner that its peers do not hear writes
+its own there. Moves end in less, so that most are never read for."""
 INSTANCE_POLL_S = 600.0
 TABLE_POLL_S = 15.0
 """The watch tells of changes at once; polling finds what a broken watch missed."""
@@ -92,6 +95,7 @@
         self._next_role_check = 0.0
         self._next_poll = 0.0
         self._next_table = 0.0
+        self._next_awaited = 0.0
         self._polling = False
         self._logged_belief = CellBelief()
 
@@ -149,7 +153,7 @@
             spawn(self._read_table())
         if self._writing:
             return
-        if self._is_outdated():
+        if self._is_outdated() or self._waits_for_releases(now):
             self._writing = True
             spawn(self._catch_up())
         else:
@@ -196,15 +200,27 @@
         newest = max(known.version if known is not None else 0, self._core.newest_adopted)
         return newest > self._record.version
 
+    def _waits_for_releases(self, now: float) -> bool:
+        """Return whether releases have been awaited since the record was last read for them."""
+        if self._record is None or not self._record.shards.predecessors:
+            self._next_awaited = now + AWAITED_READ_S
+            return False
+        if now < self._next_awaited:
+            return False
+        self._next_awaited = now + AWAITED_READ_S
+        return True
+
     async def _catch_up(self) -> None:
         """Read the record anew, and wait a little where the newer one is not to be had."""
+        before = self._record.version if self._record is not None else 0
         try:
             await self._read_record()
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="catch up", error=str(error))
         else:
             version = self._record.version if self._record is not None else 0
-            eliot.log_message("pearward:record-read", cell=self._cell, version=version)
+            if version != before:
+                eliot.log_message("pearward:record-read", cell=self._cell, version=version)
         if self._is_outdated():
             await sleep(self._reactor, READ_AGAIN_S)
         self._writing = False
--- a/tests/fuzz/cell_world.py
+++ b/tests/fuzz/cell_world.py
@@ -20,6 +20,7 @@
     RenewReply,
 )
 from pearward_coordination.ownership import Permit, Verdict
+from pearward_coordination.release_record import without_release_of
 from pearward_state.keys import HASH_SPACE
 from pearward_state.records import CellRecord
 from pearward_state.table import ServiceTable
@@ -97,6 +98,8 @@
         self.cut: set[tuple[str, str]] = set()
         self.slow: set[tuple[str, str]] = set()
         """Links whose messages wait until they are delivered one by one, in any order."""
+        self.writes = 0
+        """Releases that owners have written themselves."""
         self._incarnations = 0
         self._same_identity = same_identity
         rows = {"service": {"kind": "keyed", "policy": "quick",
@@ -206,6 +209,17 @@
         role.record = self.platform.record
         self._spread(node, role.record)
 
+    def fall_back(self, node: Node) -> None:
+        """Let a daemon read the stored record itself, and write what it has given up there."""
+        record = self.platform.record
+        self._act(node, node.agent.adopt(record, record.to_bytes(), self.now(node)))
+        self.writes += 1
+        write_id = f"{node.incarnation}:release:{self.writes}"
+        released = node.agent.ownership.released
+        planned = without_release_of(record, node.incarnation, released, write_id)
+        if planned is not None and self.platform.swap(record.version, planned):
+            self._spread(node, planned)
+
     def _spread(self, node: Node, record: CellRecord) -> None:
         value = record.to_bytes()
         self._act(node, node.agent.adopt(record, value, self.now(node)))
--- a/tests/fuzz/ownership_machine.py
+++ b/tests/fuzz/ownership_machine.py
@@ -179,6 +179,28 @@
         if not node.dead and not node.paused:
             self.world.take_role(node)
 
+    @rule(number=NODES)
+    def fall_back(self, number: int) -> None:
+        """Let a daemon read the stored record, and write its own release where that is awaited."""
+        node = self._node(number)
+        if not node.dead and not node.paused:
+            self.world.fall_back(node)
+
+    @rule(number=NODES, frozen=st.integers(1, 4), steps=st.integers(1, 30))
+    def release_through_store(self, number: int, frozen: int, steps: int) -> None:
+        """Cut an owner off while others are frozen, and let it give up by the store alone."""
+        node = self._node(number)
+        others = [n for n in self.world.nodes if n is not node][-frozen:]
+        for other in others:
+            other.paused = True
+            self.pass_time(14)
+        self.isolate(number)
+        for other in others:
+            other.paused = False
+        self.pass_time(steps)
+        self.fall_back(number)
+        self.pass_time(steps)
+
     @rule(number=NODES)
     def lose_answer(self, number: int) -> None:
         """Let a coordinator's write take effect while its answer is lost."""
