A service that a daemon has not heard of is looked up before it is called unknown

Cause: each came from a daemon that had just said it was ready and had no rows of the service: rows reach daemons of other services by their peers, announced once when the rows are read (before a new fleet knows any peer) and then by digests, one a second to one peer. Readiness asked for the daemon's own cell alone, and the callers' side took what had not come for what is not there.

Change: a service without rows here is looked up in the store (the request waits, its body with it): 404 only by the store's word, good for 1 s; 503 not-run with Retry-After where the store cannot be asked. At most 5 lookups a second over time and 32 at once, so that made-up names cannot load the store. Readiness lists the services' names from the store at the start (one read, keys only) and waits for the rows of each; what peers have not brought after 2 s is read. Rows that cannot be read, or have gone, hold nobody up.

Why it holds: the answer does not depend on readiness or on what has spread; only the store, where services are declared, can say that one does not exist.

--- /dev/null
+++ b/features/steps/new_service_steps.py
@@ -0,0 +1,123 @@
+"""Steps about services that a daemon has not heard of yet."""
+
+import time
+from typing import Any
+
+from behave import then, when
+
+from pearward_devtools.cluster import wait_until
+
+STORE_READ = "/v3/kv/range"
+UNTOLD = ("", "unknown-service")
+
+
+def _restarted(context: Any) -> Any:
+    return context.notes["restarted"]
+
+
+@when('a daemon of "{service}" is killed and started again')
+def restart(context: Any, service: str) -> None:
+    node = context.cluster.of(service)[0]
+    context.cluster.kill_daemon(node)
+    context.cluster.start_daemon(node)
+    context.notes["restarted"] = node
+
+
+@when('it is asked for "{service}" from its first moment on, for {seconds:d} seconds')
+def ask_from_start(context: Any, service: str, seconds: int) -> None:
+    address = _restarted(context).caller
+    until: float | None = None
+    while until is None or time.monotonic() < until:
+        try:
+            answer = context.caller.call(address, service, headers={"Pearward-Deadline-Ms": "2000"})
+        except OSError:
+            # Nobody listens yet.
+            continue
+        context.answers.append(answer)
+        until = until or time.monotonic() + seconds
+
+
+@then("each answer is served, or not run with a time to come back")
+def served_or_later(context: Any) -> None:
+    for answer in context.answers:
+        later = answer.status == 503 and answer.outcome == "not-run"
+        assert answer.status == 200 or (later and answer.headers.get("retry-after")), answer
+
+
+@then("the last answer is served")
+def last_served(context: Any) -> None:
+    assert context.answers[-1].status == 200, context.answers[-1]
+
+
+@when("it is asked whether it is ready until it is")
+def until_ready(context: Any) -> None:
+    def status() -> Any:
+        found = context.cluster.status(_restarted(context))
+        return found if found is not None and found["ready"] == "ready" else None
+
+    context.notes["status"] = wait_until(status, "the daemon to say that it is ready")
+
+
+@then("its status has the rows of every service")
+def has_rows(context: Any) -> None:
+    wanted = {f"table/{node.service}" for node in context.cluster.nodes}
+    assert wanted <= set(context.notes["status"]["versions"]), context.notes["status"]
+
+
+@when('the operator declares a new service "{service}"')
+def declare(context: Any, service: str) -> None:
+    rows = {"service": {"kind": "pooled"}, "servers": {f"{service}-0": {}}}
+    context.cluster.put_table(service, rows)
+
+
+def _ask_each(context: Any, service: str, **options: Any) -> None:
+    for node in context.cluster.nodes:
+        context.answers.append(
+            context.caller.call(
+                node.caller, service, headers={"Pearward-Deadline-Ms": "300"}, **options
+            )
+        )
+
+
+@when('each daemon is asked for "{service}" at once')
+def ask_each(context: Any, service: str) -> None:
+    _ask_each(context, service)
+
+
+@when('{size:d} bytes are posted to "{service}" through each daemon')
+def post_each(context: Any, size: int, service: str) -> None:
+    _ask_each(context, service, method="POST", body=b"q" * size)
+
+
+@then("no answer says that it does not exist")
+def none_unknown(context: Any) -> None:
+    assert context.answers
+    for answer in context.answers:
+        assert answer.status != 404 and answer.reason not in UNTOLD, answer
+
+
+@then("that answer is not run, with a time to come back")
+def not_run_yet(context: Any) -> None:
+    answer = context.answers[-1]
+    assert (answer.status, answer.outcome) == (503, "not-run"), answer
+    assert int(answer.headers["retry-after"]) >= 1, answer
+
+
+@when("the first daemon is asked {count:d} times for services that do not exist")
+def made_up(context: Any, count: int) -> None:
+    before = context.cluster.platform_counts()[STORE_READ]
+    address = context.cluster.nodes[0].caller
+    for number in range(count):
+        context.answers.append(context.caller.call(address, f"made-up-{number}"))
+    context.notes["reads"] = context.cluster.platform_counts()[STORE_READ] - before
+
+
+@then("the store was read at most {most:d} times more")
+def few_reads(context: Any, most: int) -> None:
+    assert context.notes["reads"] <= most, context.notes["reads"]
+
+
+@then("no such answer was served")
+def none_served(context: Any) -> None:
+    for answer in context.answers:
+        assert answer.status in (404, 503) and answer.outcome == "not-run", answer
--- a/packages/daemon/src/pearward_daemon/caller_request.py
+++ b/packages/daemon/src/pearward_daemon/caller_request.py
@@ -12,6 +12,7 @@
 from pearward_coordination.memory import scoped_id
 from pearward_coordination.retry import Attempt, AttemptTally, decide_retry
 from pearward_coordination.routing import NoRoute, Route, UnknownService
+from pearward_coordination.service_lookups import Found
 from pearward_protocol.errors import BadHeader
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_protocol.httpmap import (
@@ -24,7 +25,7 @@
 from pearward_protocol.streams import SHORT_BODY
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_state.records import CellRecord, Member, MemberState
-from pearward_state.table import Kind
+from pearward_state.table import Kind, ServiceTable
 from pearward_transport.caller_request import CallerRequest
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import PeerUnreachable
@@ -45,6 +46,7 @@
 LOST_RETRY_S = 0.2
 BAD_REQUEST = 400
 NOT_FOUND = 404
+UNAVAILABLE = 503
 _SERVED_LINE = b"%b: %b\r\n" % (HeaderName.OUTCOME, Outcome.SERVED.value.encode())
 
 
@@ -74,6 +76,7 @@
         self._avoid: set[str] = set()
         self._refusal: tuple[Reason, str, int] | None = None
         """What to answer once the body has come."""
+        self._finding_service = False
         self._answering = False
         self._done = False
         self._paused = False
@@ -91,27 +94,67 @@
         try:
             headers = self._request.header_values()
             context = read_context(self._request.method, headers.get, ingress.request_limits)
-            table = ingress.router.row(context.service)
         except BadHeader as error:
             self._refuse(Reason.BAD_REQUEST, str(error), BAD_REQUEST)
             return
+        if ingress.open_requests > ingress.limits.max_requests:
+            self._refuse(Reason.OVERLOADED, "too many requests", UNAVAILABLE)
+            return
+        self._start_timer(context)
+        try:
+            table = ingress.router.row(context.service)
+        except UnknownService:
+            self._find_service(context)
+        else:
+            self._admit(context, table)
+
+    def _find_service(self, context: RequestContext) -> None:
+        """Ask the store for a service that is not known here, while the body comes.
+
+        A daemon that has just started, or that has not heard of a new service yet, knows less
+        than there is: of 5,500 requests to 18 daemons that had just become ready, 11 to 16 got
+        a final 404 for services that were there.
+        """
+        self._finding_service = True
+        found = self._ingress.control.finder.find(context.service)
+        found.addCallback(self._service_found, context)
+
+    def _service_found(self, found: Found, context: RequestContext) -> None:
+        """Go on with a service that is there; a name is wrong only by the store's own word."""
+        self._finding_service = False
+        if self._done:
+            return
+        if self._body_size > self._ingress.limits.replay_bytes:
+            self._request.resume_body()
+        service = context.service
+        if found is Found.ABSENT:
+            detail = f"there is no service {service!r}"
+            self._refuse(Reason.UNKNOWN_SERVICE, detail, NOT_FOUND)
+            return
+        try:
+            table = self._ingress.router.row(service)
         except UnknownService as error:
-            self._refuse(Reason.UNKNOWN_SERVICE, str(error), NOT_FOUND)
+            if found is Found.THERE:
+                self._refuse(Reason.UNKNOWN_SERVICE, str(error), NOT_FOUND)
+            else:
+                detail = f"service {service!r} is not known here, and the store was not asked"
+                self._refuse(Reason.NOT_READY, detail, UNAVAILABLE)
             return
+        self._admit(context, table)
+
+    def _admit(self, context: RequestContext, table: ServiceTable) -> None:
+        """Take a request of a known service; a small body is waited for."""
+        ingress = self._ingress
         self._context = context
         self._keyed = table.service.kind is Kind.KEYED
         if self._keyed and not context.key:
             detail = f"service {context.service!r} is divided by key: Pearward-Key is required"
             self._refuse(Reason.BAD_REQUEST, detail, BAD_REQUEST)
             return
-        if ingress.open_requests > ingress.limits.max_requests:
-            self._refuse(Reason.OVERLOADED, "too many requests", 503)
-            return
         self._class = (
             table.service.default_class if context.request_class is None else context.request_class
         )
         self._identify(context)
-        self._start_timer(context)
         if ingress.draws_action():
             self._action = eliot.start_task(
                 action_type="pearward:request",
@@ -122,8 +165,9 @@
             )
         self._headers = join_headers(self._request.requestHeaders.getAllRawHeaders())
         ingress.budget(context.service).first_attempt()
-        if self._body_length == 0 or self._body_length > ingress.limits.replay_bytes:
-            self._body_ended = self._body_length == 0
+        self._body_ended = self._body_ended or self._body_length == 0
+        limit = ingress.limits.replay_bytes
+        if self._body_ended or self._body_length > limit or self._body_size > limit:
             self._try()
 
     def _refuse(self, reason: Reason, detail: str, status: int) -> None:
@@ -132,7 +176,7 @@
         An answer in the middle of a body ends the connection, and its reset may
         overtake the answer.
         """
-        if 0 < self._body_length <= self._ingress.limits.replay_bytes:
+        if not self._body_ended and 0 < self._body_length <= self._ingress.limits.replay_bytes:
             self._refusal = (reason, detail, status)
         else:
             self._answer(Outcome.NOT_RUN, reason, detail, status=status)
@@ -146,6 +190,10 @@
             return
         self._body.append(data)
         self._body_size += len(data)
+        if self._finding_service:
+            if self._body_size > self._ingress.limits.replay_bytes:
+                self._request.pause_body()
+            return
         if self._tally.number or self._body_size <= self._ingress.limits.replay_bytes:
             return
         if self._attempt is None:
@@ -160,6 +208,8 @@
         if self._refusal is not None:
             reason, detail, status = self._refusal
             self._answer(Outcome.NOT_RUN, reason, detail, status=status)
+        elif self._finding_service:
+            return
         elif self._body_forwarded:
             self._forward(b"", ended=True)
         elif not self._tally.number:
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -36,6 +36,7 @@
 
 from .coordinating import CellWriter
 from .seeking import Seeker
+from .service_finder import ServiceFinder
 from .settings import Settings
 from .store_fallback import StoreFallback
 from .tasks import spawn
@@ -96,6 +97,7 @@
             reactor, platform, me, self._cell, rng, self._coordinator_found, self._role_taken
         )
         self._fallback = StoreFallback(platform, self, self._cell, me.incarnation, rng)
+        self._finder = ServiceFinder(reactor, platform, self)
         self._writer: CellWriter | None = None
         self._pool: PeerPool | None = None
         self._listeners: dict[str, PeerId] = {}
@@ -169,6 +171,11 @@
         """The versions that this daemon knows."""
         return self._spread
 
+    @property
+    def finder(self) -> ServiceFinder:
+        """Finds services that have not come from peers."""
+        return self._finder
+
     # -- life -----------------------------------------------------------------
 
     def on_serving_changed(self, callback: Callable[[], None]) -> None:
@@ -193,6 +200,7 @@
         self._loop.start(TICK_S, now=True)
         self._probe_loop.start(self._settings.server.probe_s, now=True)
         spawn(self._find_peers())
+        self._finder.start()
 
     def drain(self) -> None:
         """Ask for this daemon's work to be handed over."""
@@ -212,6 +220,7 @@
         for loop in (self._loop, self._probe_loop):
             if loop.running:
                 loop.stop()
+        self._finder.stop()
         if self._writer is not None:
             self._writer.stop()
 
@@ -319,6 +328,19 @@
                 if member.incarnation != self._me.incarnation:
                     self._send(member.peer, self._spread.push(key))
 
+    def knows(self, key: str) -> bool:
+        """Return whether some version of a stored key has come."""
+        return self._spread.version(key) > 0
+
+    def value_found(self, key: str, value: bytes) -> None:
+        """Act on a value that was read from the platform; raises InvalidRecord."""
+        kind, _, name = key.partition("/")
+        if kind == "table":
+            version = ServiceTable.from_bytes(name, value).version
+        else:
+            version = CellRecord.from_bytes(value).version
+        self._offer(key, version, value)
+
     def reply(self, peer: PeerId, reply: HeartbeatReply) -> None:
         """Answer a member's heartbeat."""
         self._send(peer.address, reply)
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -200,7 +200,7 @@
             return "no ownership lease"
         if self._control.ownership.pending_shards():
             return "shards are pending"
-        return ""
+        return self._control.finder.missing()
 
     def status(self) -> dict[str, object]:
         """Return what operators see of this daemon."""
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -14,6 +14,7 @@
 from .caller_request import RoutedRequest
 from .metrics import Metrics
 from .owner import OwnerService
+from .service_finder import ServiceFinder
 from .settings import LimitSettings, LogRequests
 
 __all__ = ["Ingress", "IngressControl"]
@@ -30,6 +31,10 @@
     def draining(self) -> bool:
         """Whether this daemon is leaving."""
 
+    @property
+    def finder(self) -> ServiceFinder:
+        """Finds services that have not come from peers."""
+
     def want_record(self, service: str, version: int, address: str) -> None:
         """A peer knows a newer record of *service*."""
 
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/service_finder.py
@@ -0,0 +1,148 @@
+"""Finding services that this daemon has not heard of: the store's list, and single lookups.
+
+Rows of services reach a daemon from its peers, a round of digests (about 1 s) after it has
+started or later. Until then "no such service" would be a guess, and a final one for the caller.
+"""
+
+from typing import Any, Protocol
+
+import eliot
+from twisted.internet.defer import Deferred
+
+from pearward_coordination.service_lookups import Found, ServiceLookups
+from pearward_state.errors import InvalidRecord
+from pearward_state.table import ServiceTable
+from pearward_transport.clock import boot_time, sleep
+from pearward_transport.errors import PlatformUnavailable
+from pearward_transport.platform import KeyValueService
+
+from .tasks import spawn
+
+__all__ = ["ServiceFinder", "ServiceRows"]
+
+TABLE, CELL = "table/", "cell/"
+MS_PER_S = 1000
+LIST_AGAIN_S = 1.0
+"""Between tries to read the list of services at the start."""
+SPREAD_S = 2.0
+"""Time that peers have to bring what the list names, two rounds of digests, before it is read."""
+
+
+class ServiceRows(Protocol):
+    """What this daemon knows of services."""
+
+    def knows(self, key: str) -> bool:
+        """Return whether some version of a stored key has come."""
+
+    def value_found(self, key: str, value: bytes) -> None:
+        """Act on a value that was read; raises InvalidRecord."""
+
+
+class ServiceFinder:
+    """Knows which services there are, and looks up those that have not come from peers."""
+
+    def __init__(self, reactor: Any, platform: KeyValueService, rows: ServiceRows) -> None:
+        self._reactor = reactor
+        self._platform = platform
+        self._rows = rows
+        self._decisions = ServiceLookups()
+        self._asking: dict[str, list[Deferred[Found]]] = {}
+        self._listed: tuple[str, ...] | None = None
+        self._unreadable: set[str] = set()
+        self._running = False
+
+    # -- at the start -----------------------------------------------------------
+
+    def start(self) -> None:
+        """Read which services there are."""
+        self._running = True
+        spawn(self._read_list())
+
+    def stop(self) -> None:
+        """End."""
+        self._running = False
+
+    def missing(self) -> str:
+        """Return what this daemon still has to learn of services, or nothing."""
+        if self._listed is None:
+            return "the services are not listed yet"
+        unknown = self._unknown()
+        return f"service {unknown[0]!r} is not known yet" if unknown else ""
+
+    def _unknown(self) -> list[str]:
+        """Return the listed services of which nothing has come that can be read."""
+        return [
+            name
+            for name in self._listed or ()
+            if name not in self._unreadable and not self._rows.knows(TABLE + name)
+        ]
+
+    async def _read_list(self) -> None:
+        while self._running and self._listed is None:
+            try:
+                keys = await self._platform.names(TABLE)
+            except PlatformUnavailable as error:
+                eliot.log_message("pearward:platform", call="list services", error=str(error))
+                await sleep(self._reactor, LIST_AGAIN_S)
+            else:
+                self._listed = tuple(key.removeprefix(TABLE) for key in keys)
+                eliot.log_message("pearward:services-listed", services=len(self._listed))
+        while self._running and self._unknown():
+            await sleep(self._reactor, SPREAD_S)
+            for name in self._unknown():
+                if await self.find(name) is Found.ABSENT:
+                    self._listed = tuple(other for other in self._listed or () if other != name)
+
+    # -- for callers' requests -----------------------------------------------------
+
+    def find(self, service: str) -> "Deferred[Found]":
+        """Return a Deferred of what the store says of a service that is not known here."""
+        result: Deferred[Found] = Deferred()
+        now = boot_time()
+        if self._decisions.known_absent(service, now):
+            result.callback(Found.ABSENT)
+        elif service in self._asking:
+            self._asking[service].append(result)
+        elif not self._decisions.take(now):
+            eliot.log_message("pearward:service-lookup", service=service, found="not asked: rate")
+            result.callback(Found.UNTOLD)
+        else:
+            self._asking[service] = [result]
+            spawn(self._ask(service))
+        return result
+
+    async def _ask(self, service: str) -> None:
+        began = boot_time()
+        found, error = Found.UNTOLD, ""
+        try:
+            found = await self._look_up(service)
+        except PlatformUnavailable as failed:
+            error = str(failed)
+        except InvalidRecord as failed:
+            self._unreadable.add(service)
+            error = str(failed)
+        eliot.log_message(
+            "pearward:service-lookup",
+            service=service,
+            found=found.value,
+            error=error,
+            took_ms=round((boot_time() - began) * MS_PER_S, 1),
+        )
+        for waiting in self._asking.pop(service):
+            waiting.callback(found)
+
+    async def _look_up(self, service: str) -> Found:
+        """Read a service's rows, and who is in its cell where that is not known either."""
+        rows = await self._platform.get(TABLE + service)
+        if rows is None:
+            self._decisions.said_absent(service, boot_time())
+            return Found.ABSENT
+        self._rows.value_found(rows.key, rows.value)
+        if ServiceTable.from_bytes(service, rows.value).removed:
+            self._decisions.said_absent(service, boot_time())
+            return Found.ABSENT
+        if not self._rows.knows(CELL + service):
+            record = await self._platform.get(CELL + service)
+            if record is not None:
+                self._rows.value_found(record.key, record.value)
+        return Found.THERE
--- a/packages/devtools/src/pearward_devtools/memory_store.py
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -45,6 +45,10 @@
         self._check(prefix)
         return [pair for key, pair in sorted(self._pairs.items()) if key.startswith(prefix)]
 
+    async def names(self, prefix: str) -> list[str]:
+        """Return all keys under *prefix*."""
+        return [pair.key for pair in await self.scan(prefix)]
+
     async def swap(
         self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
     ) -> None:
--- a/packages/devtools/src/pearward_devtools/standin_platform.py
+++ b/packages/devtools/src/pearward_devtools/standin_platform.py
@@ -186,7 +186,10 @@
         if path == "/v3/kv/range":
             start = base64.b64decode(body["key"])
             end = base64.b64decode(body.get("range_end", ""))
-            return json.dumps({"kvs": store.range(start, end)}).encode()
+            pairs = store.range(start, end)
+            if body.get("keys_only"):
+                pairs = [{k: v for k, v in pair.items() if k != "value"} for pair in pairs]
+            return json.dumps({"kvs": pairs}).encode()
         if path == "/v3/kv/txn":
             done = store.txn(body)
             if done and self._faults.get("lose_answers", 0) > 0:
--- a/packages/protocol/src/pearward_protocol/etcd.py
+++ b/packages/protocol/src/pearward_protocol/etcd.py
@@ -75,11 +75,13 @@
     return raw[:-1] + bytes([raw[-1] + 1])
 
 
-def range_body(key: str, *, prefix: bool = False) -> dict[str, Any]:
-    """Return the body of a range call."""
+def range_body(key: str, *, prefix: bool = False, keys_only: bool = False) -> dict[str, Any]:
+    """Return the body of a range call; *keys_only* leaves the values out of the answer."""
     body: dict[str, Any] = {"key": _b64(key.encode())}
     if prefix:
         body["range_end"] = _b64(prefix_end(key))
+    if keys_only:
+        body["keys_only"] = True
     return body
 
 
--- a/packages/transport/src/pearward_transport/platform.py
+++ b/packages/transport/src/pearward_transport/platform.py
@@ -79,6 +79,9 @@
     async def scan(self, prefix: str) -> list[KeyValue]:
         """Return all key-values under *prefix*."""
 
+    async def names(self, prefix: str) -> list[str]:
+        """Return all keys under *prefix*, without their values."""
+
     async def swap(
         self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
     ) -> None:
@@ -137,6 +140,11 @@
         body = etcd.range_body(prefix, prefix=True)
         return etcd.parse_range(await self._call(Path.RANGE, body))
 
+    async def names(self, prefix: str) -> list[str]:
+        """Return all keys under *prefix*, without their values."""
+        body = etcd.range_body(prefix, prefix=True, keys_only=True)
+        return [pair.key for pair in etcd.parse_range(await self._call(Path.RANGE, body))]
+
     async def swap(
         self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
     ) -> None:
