Former witnesses count until most of them know that they are none any more

What could happen: two daemons act on one key. No caller saw it; the state machine of ownership did.

Cause: a change of an owner's witnesses goes by a version in which both sets count, and that ended when the owner alone acted on it. An heir that acts on an older version asks the former set, whose majority may have heard of nothing: it releases an owner whose lease it no longer times. (Record 6 and its owner at 6, itself its only witness; the heir and the third daemon at 4, two of the three that count there.)

What it costs: the change waits for reports of most of the former set, which come within a heartbeat (0.25 s) and without which the owner could not renew its lease meanwhile either.

--- a/packages/coordination/src/pearward_coordination/assignment.py
+++ b/packages/coordination/src/pearward_coordination/assignment.py
@@ -13,6 +13,8 @@
 from pearward_state.shards import NO_OWNER, ShardMap
 from pearward_state.table import Kind, ServiceTable
 
+from .lease import majority
+
 __all__ = ["CellView", "Joiner", "choose_witnesses", "next_record"]
 
 WITNESSES_FEW_DOMAINS = 3
@@ -297,13 +299,13 @@
     def repair_witnesses(self) -> None:
         """Replace witness sets that are short or name members that are gone.
 
-        Both sets count until the owner confirms that it acts on the new one.
+        Both sets count until the owner and most of the former set act on that record.
         """
         members = [m for m in self._members.values() if m.state is not MemberState.RETIRED]
         present = {m.incarnation for m in members}
         for member in members:
             if member.former_witnesses:
-                if self._view.adopted.get(member.incarnation, 0) >= self._record.version:
+                if self._is_change_known(member):
                     self._members[member.incarnation] = replace(member, former_witnesses=())
                     self._changed = True
                 continue
@@ -314,6 +316,18 @@
                 )
                 self._changed = True
 
+    def _is_change_known(self, member: Member) -> bool:
+        """Return whether a member and a majority of its former witnesses act on this record.
+
+        An heir that acts on an older one asks the former set. Were that set dropped before most
+        of it knows, a majority that has heard of nothing could release an owner whose lease it no
+        longer times, and two would act on a key (five steps of the ownership machine).
+        """
+        version, adopted = self._record.version, self._view.adopted
+        former = member.former_witnesses
+        knowing = sum(adopted.get(name, 0) >= version for name in former)
+        return adopted.get(member.incarnation, 0) >= version and knowing >= majority(len(former))
+
     def _is_weaker(self, member: Member, wanted: tuple[str, ...]) -> bool:
         """Return whether *member*'s witnesses spread the risk less than *wanted* would."""
         if len(member.witnesses) < len(wanted):
