--- a/tests/fuzz/ownership_machine.py
+++ b/tests/fuzz/ownership_machine.py
@@ -186,10 +186,16 @@
         if not node.dead and not node.paused:
             self.world.fall_back(node)
 
-    @rule(number=NODES, frozen=st.integers(1, 4), steps=st.integers(1, 30))
-    def release_through_store(self, number: int, frozen: int, steps: int) -> None:
+    @rule(number=NODES, frozen=st.integers(1, 4), steps=st.integers(1, 30), leaving=st.booleans())
+    def release_through_store(self, number: int, frozen: int, steps: int, leaving: bool) -> None:
         """Cut an owner off while others are frozen, and let it give up by the store alone."""
         node = self._node(number)
+        if node.dead or node.paused:
+            return
+        if leaving:
+            # What it writes of its own witnesses reaches nobody any more.
+            self.drain_running(number, 0, 1)
+            self.coordinate(number)
         others = [n for n in self.world.nodes if n is not node][-frozen:]
         for other in others:
             other.paused = True
