Clusters of tests claim their loopback network

Cause: not the daemons. Networks were chosen by process id modulo 200; a cluster of three that was started by hand in that moment got the same one and wrote its own rows, three servers, to the first one's store. Evidence: the rows were at version 3, one more than the feature writes; the hand-started cluster failed at once, in the same seconds; and the same made to come: a cluster of three on the network of one of four, whose fourth daemon is then replaced, leaves it at "no ownership lease" after 12 s, with three servers in the rows. That no other run wrote there is not shown.

Change: a cluster holds a port of its network for as long as it lives, and takes the next network where that is held. Clusters of the users' platform use the same, theirs could meet them too.

--- a/packages/devtools/src/pearward_devtools/cluster.py
+++ b/packages/devtools/src/pearward_devtools/cluster.py
@@ -30,6 +30,8 @@
 from pearward_state.records import CellRecord
 from pearward_state.table import Change, ServiceTable
 
+from .networks import ClaimedNetwork
+
 __all__ = ["Cluster", "Node", "ServiceSpec", "wait_until"]
 
 CALLER_PORT, PEER_PORT, ADMIN_PORT, SERVER_PORT = 7400, 7401, 7402, 8000
@@ -120,7 +122,8 @@
         self._domains = domains
         self._proxied = proxied
         self._extra = settings or {}
-        self._net = f"127.{20 + os.getpid() % 200}"
+        self._network = ClaimedNetwork.claim()
+        self._net = self._network.prefix
         self._dir = tempfile.TemporaryDirectory(prefix="pearward-")
         self._platform: subprocess.Popen[bytes] | None = None
         self._proxy: subprocess.Popen[bytes] | None = None
@@ -188,6 +191,7 @@
             self._kill(node.server_process)
         self._kill(self._platform)
         self._kill(self._proxy)
+        self._network.release()
         self._dir.cleanup()
 
     def __enter__(self) -> "Cluster":
--- a/packages/devtools/src/pearward_devtools/mesh/cluster.py
+++ b/packages/devtools/src/pearward_devtools/mesh/cluster.py
@@ -19,6 +19,7 @@
 import yaml
 
 from ..cluster import wait_until
+from ..networks import ClaimedNetwork
 
 __all__ = ["MeshCluster", "MeshNode", "Reply"]
 
@@ -70,7 +71,8 @@
         proxied: bool = False,
         grants: str = "heartbeat",
     ) -> None:
-        self._network = f"127.{os.getpid() % 100 + 60}.{next(_NETWORKS)}"
+        self._claimed = ClaimedNetwork.claim()
+        self._network = f"{self._claimed.prefix}.{next(_NETWORKS)}"
         self._directory = tempfile.TemporaryDirectory()
         self._services = services
         self._keyed = keyed
@@ -120,6 +122,7 @@
                 _end(process)
         _end(self._store)
         _end(self._proxy)
+        self._claimed.release()
         self._directory.cleanup()
 
     def start_daemon(self, node: MeshNode) -> None:
