Former witnesses count until the owner has given up what was taken, and no longer

Change: the former set counts until the owner reports that it has given up all that was taken, and whoever the former witnesses are and whatever they know does not matter. An heir does not ask for newer records than the one that it acts on any more. Why it holds: an heir on an older record, released by the former set, can claim only what that record took from the owner; that has been given up by then. While a request still runs, both sets are needed, and a lease that the former set has let go is over. The rule that a former set counts is asked by its new condition.

--- a/features/witness_change.feature
+++ b/features/witness_change.feature
@@ -15,16 +15,14 @@
     When one other is frozen until the record gives it up, the first is cut off, and the other goes on
     Then for 3 seconds no key has two that can act on it
 
-  Scenario: A former set counts until most of it knows the newer one
+  Scenario: A former set counts until the owner has given up what was taken
     Given an owner whose witnesses are being changed from "a b c" to "a"
-    When the owner and "none" of "a b c" act on that record
+    When the owner reports that it has given up what an older record took
     Then the former witnesses count still
-    When the owner and "a" of "a b c" act on that record
-    Then the former witnesses count still
-    When the owner and "a b" of "a b c" act on that record
+    When the owner reports that it has given up what this record took
     Then the former witnesses count no more
 
-  Scenario: A release by a witness that knows a newer record is not counted by an older one
-    Given an heir that acts on version 4 of the record
-    When a witness answers "released" and knows version 5
-    Then the heir asks for that record and does not count the answer
+  Scenario: Former witnesses that have all ended hold nobody up
+    Given a cell of 3 daemons that serves every key
+    When both others end for good, as an operator says
+    Then within 3 seconds the first serves every key
--- a/packages/coordination/src/pearward_coordination/agent.py
+++ b/packages/coordination/src/pearward_coordination/agent.py
@@ -16,7 +16,6 @@
     ControlMessage,
     Heartbeat,
     PeerId,
-    Pull,
     Push,
     Released,
     ReleaseReply,
@@ -291,9 +290,6 @@
     def _on_release_reply(self, sender: PeerId, reply: ReleaseReply, now: float) -> list[Action]:
         if reply.known < reply.version:
             return self._push_record(sender.address)
-        if reply.known > self._ownership.adopted:
-            # The owner may have other witnesses by now: only the newer record tells.
-            return [Send(sender.address, Pull((f"cell/{self._cell}",)))]
         if reply.released and self._count_release(sender.incarnation, reply):
             return self.tick(now)
         return []
--- a/packages/coordination/src/pearward_coordination/assignment.py
+++ b/packages/coordination/src/pearward_coordination/assignment.py
@@ -13,8 +13,6 @@
 from pearward_state.shards import NO_OWNER, ShardMap
 from pearward_state.table import Kind, ServiceTable
 
-from .lease import majority
-
 __all__ = ["CellView", "Joiner", "choose_witnesses", "next_record"]
 
 WITNESSES_FEW_DOMAINS = 3
@@ -50,8 +48,8 @@
     draining: frozenset[str] = frozenset()
     settled: Mapping[str, int] = field(default_factory=dict)
     """By incarnation: version whose given shards are all being served."""
-    adopted: Mapping[str, int] = field(default_factory=dict)
-    """By incarnation: version that the member acts on."""
+    released: Mapping[str, int] = field(default_factory=dict)
+    """By incarnation: version whose taken shards the member has given up."""
 
 
 # -- witnesses ----------------------------------------------------------------
@@ -299,13 +297,13 @@
     def repair_witnesses(self) -> None:
         """Replace witness sets that are short or name members that are gone.
 
-        Both sets count until the owner and most of the former set act on that record.
+        Both sets count until the owner acts on that record and has given up what was taken.
         """
         members = [m for m in self._members.values() if m.state is not MemberState.RETIRED]
         present = {m.incarnation for m in members}
         for member in members:
             if member.former_witnesses:
-                if self._is_change_known(member):
+                if self._is_change_safe(member):
                     self._members[member.incarnation] = replace(member, former_witnesses=())
                     self._changed = True
                 continue
@@ -316,17 +314,16 @@
                 )
                 self._changed = True
 
-    def _is_change_known(self, member: Member) -> bool:
-        """Return whether a member and a majority of its former witnesses act on this record.
+    def _is_change_safe(self, member: Member) -> bool:
+        """Return whether a member may rely on its newer witness set alone.
 
-        An heir that acts on an older one asks the former set. Were that set dropped before most
-        of it knows, a majority that has heard of nothing could release an owner whose lease it no
-        longer times, and two would act on a key (five steps of the ownership machine).
+        An heir that acts on an older record asks the former set, of which nobody may have heard
+        of the newer one. It can claim only what that record took from the member; so the former
+        set counts until the member has given up all that was taken. Told by its adoption alone,
+        a member still ran a request on a shard that was released to an heir (five steps of the
+        ownership machine).
         """
-        version, adopted = self._record.version, self._view.adopted
-        former = member.former_witnesses
-        knowing = sum(adopted.get(name, 0) >= version for name in former)
-        return adopted.get(member.incarnation, 0) >= version and knowing >= majority(len(former))
+        return self._view.released.get(member.incarnation, 0) >= self._record.version
 
     def _is_weaker(self, member: Member, wanted: tuple[str, ...]) -> bool:
         """Return whether *member*'s witnesses spread the risk less than *wanted* would."""
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -168,7 +168,7 @@
             ended=ended,
             draining=self._draining(table, fresh, now),
             settled={name: r.heartbeat.settled for name, r in fresh.items()},
-            adopted={name: r.heartbeat.adopted for name, r in fresh.items()},
+            released={name: r.heartbeat.released for name, r in fresh.items()},
         )
         self._belief = CellBelief(
             reporting=tuple(sorted(fresh)),
