--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -44,3 +44,18 @@
       | the coordinator has ended      | another one holds the role | hears others    | takes         |
       | all that is left, later        | nobody holds the role      | hears nobody    | takes         |
       | started anew beside its server | it holds the role itself   | hears nobody    | takes         |
+
+  # A daemon that is asked by a heartbeat and does not coordinate says so. Such an answer may come
+  # late, from one that coordinated before; it used to end the heartbeats to the present
+  # coordinator, whose silence then, 0.7 s later, was reason to take the role from it.
+  Scenario: Who does not coordinate any more takes the coordinator from nobody
+    Given a daemon that follows the coordinator at "10.0.0.2:1"
+    When the daemon at "10.0.0.3:1" answers late that it does not coordinate
+    Then it follows "10.0.0.2:1"
+    When the daemon at "10.0.0.2:1" answers late that it does not coordinate
+    Then it follows nobody
+
+  Scenario: A daemon that takes the role anew lets go of what it did as coordinator before
+    Given a daemon that has taken the role
+    When it takes the role once more, and its earlier term ends late
+    Then it coordinates, and waits for no more of the store than one coordinator does
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -6,13 +6,17 @@
 from unittest.mock import patch
 
 from behave import given, then, when
+from settings_steps import VALID
 from twisted.internet.task import Clock
 
 from pearward_coordination.coordinator import Coordinator
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
+from pearward_coordination.routing import Router
+from pearward_daemon.control import ControlPlane
 from pearward_daemon.coordinating import CellWriter
 from pearward_daemon.seeking import Seeker
+from pearward_daemon.settings import Settings
 from pearward_devtools.memory_store import MemoryStore
 from pearward_state.records import CellRecord, Member
 from pearward_state.shards import ShardMap
@@ -208,3 +212,73 @@
 def does_not_take(context: Any) -> None:
     assert not context.taken
     assert context.store.value(ROLE_KEY) == HOLDERS["another one holds the role"]
+
+
+# -- a daemon's control plane --------------------------------------------------------
+
+
+def _control(context: Any) -> ControlPlane:
+    """Return a control plane that nobody runs: no loop, no connection."""
+    settings = Settings.from_mapping(VALID)
+    me = PeerId("i1", settings.peer_address)
+    context.store = MemoryStore()
+    rng = Random(1)
+    context.control = ControlPlane(
+        Clock(),
+        settings,
+        me,
+        context.store,
+        Router(rng),
+        None,
+        rng,  # type: ignore[arg-type]
+    )
+    return context.control
+
+
+@given('a daemon that follows the coordinator at "{address}"')
+def follows(context: Any, address: str) -> None:
+    _control(context).agent.set_coordinator(address)
+
+
+@when('the daemon at "{address}" answers late that it does not coordinate')
+def answers_late(context: Any, address: str) -> None:
+    reply = HeartbeatReply(VALID["server"]["service"], False, 0)
+    context.control.control_received(PeerId(f"at-{address}", address), reply)
+
+
+@then('it follows "{address}"')
+def still_follows(context: Any, address: str) -> None:
+    assert context.control.agent.coordinator == address, context.control.agent.coordinator
+
+
+@then("it follows nobody")
+def follows_nobody(context: Any) -> None:
+    assert context.control.agent.coordinator == "", context.control.agent.coordinator
+
+
+def _coordinates(context: Any, lease: int) -> CellWriter:
+    """Let the daemon take the role and begin to watch; return its term."""
+    context.control._role_taken(lease)
+    writer: CellWriter = context.control._writer
+    writer.tick()
+    return writer
+
+
+@given("a daemon that has taken the role")
+def has_role(context: Any) -> None:
+    _control(context)
+    context.earlier = _coordinates(context, 1)
+    context.waiting = len(context.store.watches)
+    assert context.waiting
+
+
+@when("it takes the role once more, and its earlier term ends late")
+def role_again(context: Any) -> None:
+    _coordinates(context, 2)
+    context.earlier._lose("")
+
+
+@then("it coordinates, and waits for no more of the store than one coordinator does")
+def one_term(context: Any) -> None:
+    assert context.control.coordinating
+    assert len(context.store.watches) == context.waiting, len(context.store.watches)
--- a/packages/devtools/src/pearward_devtools/memory_store.py
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -8,11 +8,16 @@
 __all__ = ["MemoryStore"]
 
 
-class _Unwatched:
+class _SilentWatch:
     """A watch that never reports anything."""
 
+    def __init__(self, store: "MemoryStore") -> None:
+        self._store = store
+        store.watches.add(self)
+
     def stop(self) -> None:
-        """Nothing runs."""
+        """End the watch."""
+        self._store.watches.discard(self)
 
 
 class MemoryStore:
@@ -25,6 +30,8 @@
         self.away = False
         self.reads: list[str] = []
         """Keys and prefixes that were asked for, in order."""
+        self.watches: set[_SilentWatch] = set()
+        """Those that wait."""
 
     def put(self, key: str, value: bytes) -> None:
         """Write a value, whatever stands there."""
@@ -84,9 +91,9 @@
         on_lost: Callable[[], None],
         *,
         prefix: bool = False,
-    ) -> _Unwatched:
+    ) -> _SilentWatch:
         """Return a watch that stays silent: what is tested reads for itself."""
-        return _Unwatched()
+        return _SilentWatch(self)
 
     def _check(self, key: str) -> None:
         if self.away:
