Only the coordinator that is followed can say that it does not coordinate

What callers can see: a sound coordinator is replaced, and for up to 1 s nobody acts on losses.

Cause: any daemon's answer to a heartbeat that says "not coordinating" ended the heartbeats to whoever coordinates now. Such an answer comes late from one that coordinated before. 0.7 s later the silence of the present coordinator, which was asked nothing any more, was reason to take the role from it at once.

Change: the answer counts only from the daemon that heartbeats go to.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -271,11 +271,14 @@
         match message:
             case Heartbeat():
                 self._on_heartbeat(sender, message)
-            case HeartbeatReply():
-                if message.coordinating and sender.address == self._agent.coordinator:
+            case HeartbeatReply() if sender.address == self._agent.coordinator:
+                if message.coordinating:
                     self._seeker.heard()
-                elif not message.coordinating:
+                else:
                     self._agent.set_coordinator("")
+            case HeartbeatReply():
+                # Late, from one that coordinated before: it says nothing of the present one.
+                pass
             case Push():
                 self._offer(message.key, message.version, message.value)
             case Digest():
