A coordinator's earlier term ends when it takes the role anew

What callers can see: a daemon holds the role in the store and does not coordinate, until its lease of 15 s there has run out or others miss it.

Cause: taking the role while having it made a second writer beside the first, which was not stopped: its two watches went on waiting at the store, and a late end of it (its lease gone, the role looked up) ended the second one.

Change: the first is stopped; a stopped one ends nothing.

The scenario as first committed failed for another reason as well (the store had no key of the role, so that both terms ended at once); it has the key now.

--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -1,5 +1,6 @@
 """Steps of the coordinator's role, on a store in memory and without sockets."""
 
+import json
 from dataclasses import replace
 from random import Random
 from typing import Any
@@ -266,7 +267,10 @@
 
 @given("a daemon that has taken the role")
 def has_role(context: Any) -> None:
-    _control(context)
+    control = _control(context)
+    role = {"incarnation": control.incarnation, "address": "127.9.0.1:7401"}
+    service = VALID["server"]["service"]
+    context.store.put(f"coordinator/{service}", json.dumps(role).encode())
     context.earlier = _coordinates(context, 1)
     context.waiting = len(context.store.watches)
     assert context.waiting
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -419,6 +419,10 @@
         self._agent.set_coordinator(address)
 
     def _role_taken(self, lease: int) -> None:
+        if self._writer is not None:
+            # Taken anew under another lease: what the earlier term still waits for must not
+            # end this one.
+            self._writer.stop()
         writer = CellWriter(
             self._reactor,
             self._platform,
