A daemon that no answer reaches asks the others to take over

Callers saw: links towards one daemon of four were cut, and its keys were unserved for as long as that lasted (20 of 118 requests in 12 s, later than 3 s after the cut).

Cause: an owner is taken for lost when its witnesses miss it. This one reaches them all, so none does; but no answer reaches it, so nobody renews its lease, and it serves nothing. Nothing it reported said so.

Change: a member that hears none of its cell for 2 s, has no lease and does not coordinate reports that it is leaving, as at a planned stop; it reads the record in the store, gives its shards up and says so, or writes it. It is an owner again when it hears others. Why it holds: its reports get through where it is not missed; where they don't, it is missed.

--- a/packages/coordination/src/pearward_coordination/agent.py
+++ b/packages/coordination/src/pearward_coordination/agent.py
@@ -78,6 +78,7 @@
         self._votes: dict[tuple[str, int], set[str]] = {}
         self._told_at = (0, 0)
         self._draining = False
+        self._unreachable = False
         self._healthy = True
 
     # -- properties ---------------------------------------------------------
@@ -136,6 +137,16 @@
         self._draining = True
         self._next_heartbeat = NEVER
 
+    def set_unreachable(self, unreachable: bool) -> None:
+        """Ask others to take over for as long as no answer reaches this daemon.
+
+        Its own messages may reach everybody: then nobody misses it, and nobody can renew its
+        lease either (20 of 118 requests unserved, as long as links towards one of four were cut).
+        """
+        if unreachable != self._unreachable:
+            self._unreachable = unreachable
+            self._next_heartbeat = NEVER
+
     def adopt(self, record: CellRecord, value: bytes, now: float) -> list[Action]:
         """Act on *record* (stored as *value*) if it is newer than the present one."""
         if record.version <= self._ownership.adopted:
@@ -221,7 +232,7 @@
             settled=ownership.settled if self._lease.held(now) else 0,
             released=ownership.released,
             table_version=self._table_version,
-            draining=self._draining,
+            draining=self._draining or self._unreachable,
             healthy=self._healthy,
             running=ownership.running,
             silent=self._witness.silent(record, now) if record is not None else (),
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -453,6 +453,7 @@
         alone = self._is_alone(now)
         self._seeker.tick(self._rank(), self._handicap_s(alone), alone=alone)
         self._fallback.tick(now, alone=alone)
+        self._agent.set_unreachable(alone and self._is_idle_member())
         if self._writer is not None:
             self._writer.tick()
             self._seek_evidence(now)
@@ -504,6 +505,15 @@
             for m in record.members
         )
 
+    def _is_idle_member(self) -> bool:
+        """Return whether the record counts on this daemon, and it has no lease to serve by.
+
+        While it coordinates it asks nobody: there it is the only one that is left.
+        """
+        record = self._agent.record
+        member = record.member(self.incarnation) if record is not None else None
+        return member is not None and not self.lease_held and not self.coordinating
+
     def _handicap_s(self, alone: bool) -> float:
         """Return how long this daemon holds back before it looks for the coordinator's role."""
         if alone:
