--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -1,6 +1,5 @@
 """The control plane of one daemon: the sans-I/O cores, run on real clocks and sockets."""
 
-import json
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -10,6 +9,7 @@
 
 from pearward_coordination.agent import Abort, Action, CellAgent, GrantServer, Send
 from pearward_coordination.assignment import Joiner
+from pearward_coordination.contact import CellContact
 from pearward_coordination.messages import (
     Announce,
     ControlMessage,
@@ -24,11 +24,10 @@
 from pearward_coordination.routing import Router
 from pearward_coordination.spread import RecordSpread
 from pearward_state.errors import InvalidRecord
-from pearward_state.records import CellRecord, MemberState
-from pearward_state.shards import Shard
+from pearward_state.records import CellRecord
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time, sleep
-from pearward_transport.errors import PlatformUnavailable, ServerBroke, ServerUnreachable
+from pearward_transport.errors import PlatformUnavailable
 from pearward_transport.http_client import ServerClient
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.peer import PeerPool
@@ -36,6 +35,7 @@
 
 from .coordinating import CellWriter
 from .seeking import Seeker
+from .server_watch import ServerWatch
 from .service_finder import ServiceFinder
 from .settings import Settings
 from .store_fallback import StoreFallback
@@ -45,20 +45,8 @@
 
 TICK_S = 0.05
 DIGEST_S = 1.0
-GRANT_TIMEOUT_S = 0.5
-GRANT_PATH = b"/.pearward/grants"
-HTTP_OK = 200
-UNHEALTHY_AFTER = 2
-"""Probes in a row without an answer that make the server unhealthy."""
-PROBE_TIMEOUT_S = 1.0
 EVIDENCE_S = 0.25
 """Between looks at members whose address is another daemon's by now."""
-CONTACT_S = 2.0
-"""A daemon that has heard none of its cell's others for this long counts as alone: twice the
-lease, so that what a moment's pause looks like has passed."""
-HANDICAP_NO_LEASE_S = 0.5
-HANDICAP_ALONE_S = 5.0
-"""Between looks at the role's key of a daemon that hears none of its cell: one read each."""
 
 
 class ControlPlane:
@@ -79,7 +67,6 @@
         self._me = me
         self._platform = platform
         self._router = router
-        self._client = client
         self._rng = rng
         self._service = settings.server.service
         self._cell = settings.server.service
@@ -102,18 +89,14 @@
         self._pool: PeerPool | None = None
         self._listeners: dict[str, PeerId] = {}
         self._ended: set[str] = set()
-        self._member_heard_at = boot_time()
+        self._contact = CellContact(me.address, boot_time())
         self._peers: tuple[str, ...] = ()
-        self._member_addresses: frozenset[str] = frozenset()
         self._bootstrap_peers: tuple[str, ...] = ()
         self._next_digest = 0.0
         self._next_evidence = 0.0
         self._state_key: tuple[object, ...] = ()
-        self._fenced = True
-        self._failed_probes = 0
-        self._probing = False
+        self._server = ServerWatch(settings.server, client, self._agent.set_health)
         self._loop = LoopingCall(self._tick)
-        self._probe_loop = LoopingCall(self._probe)
         self._on_serving_changed: list[Callable[[], None]] = []
         self._on_abort: list[Callable[[tuple[int, ...]], None]] = []
         self._on_table: list[Callable[[ServiceTable], None]] = []
@@ -159,7 +142,7 @@
     @property
     def server_healthy(self) -> bool:
         """Whether the server answers probes."""
-        return self._failed_probes < UNHEALTHY_AFTER
+        return self._server.healthy
 
     @property
     def record(self) -> CellRecord | None:
@@ -198,7 +181,7 @@
         """Begin."""
         self._pool = pool
         self._loop.start(TICK_S, now=True)
-        self._probe_loop.start(self._settings.server.probe_s, now=True)
+        self._server.start()
         spawn(self._find_peers())
         self._finder.start()
 
@@ -217,9 +200,9 @@
 
     def stop(self) -> None:
         """End."""
-        for loop in (self._loop, self._probe_loop):
-            if loop.running:
-                loop.stop()
+        if self._loop.running:
+            self._loop.stop()
+        self._server.stop()
         self._finder.stop()
         if self._writer is not None:
             self._writer.stop()
@@ -236,8 +219,7 @@
 
     def server_suspect(self) -> None:
         """The server did not answer a connection: probe it now."""
-        if self.server_healthy:
-            self._probe()
+        self._server.suspect()
 
     def want_record(self, service: str, version: int, address: str) -> None:
         """A peer knows a newer record of *service*: ask it for that."""
@@ -258,7 +240,7 @@
         since a connection that stays up greets only once.
         """
         self._listeners[peer.address] = peer
-        self._note_heard(peer)
+        self._contact.heard(peer.address, boot_time())
         ended = expected - {peer.incarnation}
         self._ended |= ended
         if self._writer is not None:
@@ -267,7 +249,7 @@
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Act on a peer's message."""
-        self._note_heard(sender)
+        self._contact.heard(sender.address, boot_time())
         match message:
             case Heartbeat():
                 self._on_heartbeat(sender, message)
@@ -373,7 +355,7 @@
         if table.service.name == self._service:
             self._agent.set_table_version(table.version)
             row = table.servers.get(self._settings.server.name)
-            self._fenced = row.fenced if row is not None else True
+            self._server.set_fenced(row.fenced if row is not None else True)
         for callback in self._on_table:
             callback(table)
 
@@ -381,7 +363,7 @@
         self._router.set_record(record)
         self._update_peers()
         if record.cell == self._cell:
-            self._member_addresses = frozenset(member.peer for member in record.members)
+            self._contact.adopt(record)
             # What no record names any more needs no evidence.
             self._ended &= record.by_incarnation.keys()
             # This daemon holds its own port: whoever is named there has gone before it.
@@ -450,8 +432,9 @@
     def _tick(self) -> None:
         now = boot_time()
         self._act(self._agent.tick(now))
-        alone = self._is_alone(now)
-        self._seeker.tick(self._rank(), self._handicap_s(alone), alone=alone)
+        alone = self._contact.is_alone(now)
+        handicap_s = self._contact.handicap_s(now, lease_held=self.lease_held)
+        self._seeker.tick(self._rank(), handicap_s, alone=alone)
         self._fallback.tick(now, alone=alone)
         self._agent.set_unreachable(alone and self._is_idle_member())
         if self._writer is not None:
@@ -490,21 +473,6 @@
         index = record.by_incarnation.get(self._me.incarnation)
         return len(record.members) if index is None else index
 
-    def _note_heard(self, sender: PeerId) -> None:
-        """Note a sign of life of another daemon of the cell, by where its members listen."""
-        if sender.address != self._me.address and sender.address in self._member_addresses:
-            self._member_heard_at = boot_time()
-
-    def _is_alone(self, now: float) -> bool:
-        """Return whether the record names others that are to act, and none of them is heard."""
-        record = self._agent.record
-        if record is None or now - self._member_heard_at < CONTACT_S:
-            return False
-        return any(
-            m.state is not MemberState.RETIRED and m.peer != self._me.address
-            for m in record.members
-        )
-
     def _is_idle_member(self) -> bool:
         """Return whether the record counts on this daemon, and it has no lease to serve by.
 
@@ -514,14 +482,6 @@
         member = record.member(self.incarnation) if record is not None else None
         return member is not None and not self.lease_held and not self.coordinating
 
-    def _handicap_s(self, alone: bool) -> float:
-        """Return how long this daemon holds back before it looks for the coordinator's role."""
-        if alone:
-            return HANDICAP_ALONE_S
-        if self._agent.record is None or self.lease_held:
-            return 0.0
-        return HANDICAP_NO_LEASE_S
-
     def _notice_change(self) -> None:
         """Let waiting requests look again when what may be served has changed."""
         ownership = self._agent.ownership
@@ -560,52 +520,11 @@
     # -- the server --------------------------------------------------------------
 
     async def _grant(self, grant: GrantServer) -> None:
-        """Tell the server all that it owns now; a server that does not check is not asked."""
-        accepted = True
-        if self._fenced:
-            accepted = await self._put_grants(grant)
+        """Tell the server all that it owns now."""
+        accepted = await self._server.grant(grant)
         self._act(self._agent.server_granted(grant, accepted, boot_time()))
 
-    async def _put_grants(self, grant: GrantServer) -> bool:
-        body = json.dumps(
-            {
-                "service": self._service,
-                "version": grant.version,
-                "shards": [_shard_row(shard) for shard in grant.shards],
-            }
-        ).encode()
-        try:
-            status, _ = await self._client.fetch(
-                b"PUT", GRANT_PATH, b"", body, timeout_s=GRANT_TIMEOUT_S
-            )
-        except (ServerUnreachable, ServerBroke) as error:
-            eliot.log_message("pearward:grant-failed", error=str(error))
-            return False
-        return status == HTTP_OK
-
-    def _probe(self) -> None:
-        """Ask the server whether it lives; its answer's content is only a hint."""
-        if not self._probing:
-            self._probing = True
-            spawn(self._probe_once())
-
-    async def _probe_once(self) -> None:
-        try:
-            path = self._settings.server.health_path.encode()
-            await self._client.fetch(b"GET", path, timeout_s=PROBE_TIMEOUT_S)
-            self._failed_probes = 0
-        except (ServerUnreachable, ServerBroke):
-            self._failed_probes += 1
-        finally:
-            self._probing = False
-        self._agent.set_health(self.server_healthy)
-
 
 def _listeners_at(record: CellRecord, address: str) -> frozenset[str]:
     """Return the members that a record places at an address."""
     return frozenset(m.incarnation for m in record.members if m.peer == address)
-
-
-def _shard_row(shard: Shard) -> dict[str, object]:
-    """Return a shard as a grant names it."""
-    return {"start": f"{shard.start:x}", "end": f"{shard.end:x}", "epoch": shard.epoch}
