What a coordinator writes down is a module of its own, and tells what changed

A record's line had a row for each member, at 150 members some 37 KB a write by their number of fields; it has the rows that changed now, and the line of a belief who reports again or no more instead of all.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from behave import then, when
-from fault_steps import KEYS, _links, _lose, _owner, _serves
+from fault_steps import KEYS, _coordinator, _links, _lose, _owner, _serves
 
-from pearward_devtools.cluster import Node, wait_until
+from pearward_devtools.cluster import wait_until
 from pearward_state.records import MemberState
 
 PAUSE_S = 0.02
@@ -18,14 +18,6 @@
     return {m.server for m in record.members if m.state is MemberState.ACTIVE}
 
 
-def _coordinator(context: Any, service: str) -> Node | None:
-    for node in context.cluster.of(service):
-        status = context.cluster.status(node)
-        if status is not None and status["coordinating"]:
-            return node  # type: ignore[no-any-return]
-    return None
-
-
 @when('the coordinator of "{service}" is cut off from all peers')
 def cut_off_coordinator(context: Any, service: str) -> None:
     node = wait_until(lambda: _coordinator(context, service), "a coordinator")
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -4,13 +4,12 @@
 replaced by compare-and-swap; it only keeps the number of writers and watchers at one.
 """
 
-from collections import Counter
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import eliot
 
-from pearward_coordination.coordinator import CellBelief, Coordinator
+from pearward_coordination.coordinator import Coordinator
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_protocol.etcd import KeyValue, WatchEvent
@@ -22,6 +21,7 @@
 from pearward_transport.instances import INSTANCES, parse_instance
 from pearward_transport.platform import KeyValueService, Watch
 
+from .coordinator_log import CoordinatorLog
 from .seeking import role_holder
 from .tasks import spawn
 
@@ -97,7 +97,7 @@
         self._next_table = 0.0
         self._next_awaited = 0.0
         self._polling = False
-        self._logged_belief = CellBelief()
+        self._log = CoordinatorLog(cell)
 
     @property
     def core(self) -> Coordinator:
@@ -232,28 +232,11 @@
         self._writes += 1
         write_id = f"{self._me.incarnation}:{self._writes}"
         planned = self._core.plan(self._record, self._table, write_id, now)
-        self._log_belief()
+        self._log.believed(self._core.belief, self._record.version)
         if planned is not None:
             self._writing = True
             spawn(self._write(planned))
 
-    def _log_belief(self) -> None:
-        """Write down what the cell is believed to be, each time that it changes."""
-        belief = self._core.belief
-        if belief == self._logged_belief or self._record is None:
-            return
-        self._logged_belief = belief
-        eliot.log_message(
-            "pearward:cell-belief",
-            cell=self._cell,
-            version=self._record.version,
-            reporting=list(belief.reporting),
-            missed=list(belief.missed),
-            lost=list(belief.lost),
-            ended=list(belief.ended),
-            draining=list(belief.draining),
-        )
-
     async def _write(self, planned: CellRecord) -> None:
         """Replace the record; a lost answer is settled by reading back."""
         value = planned.to_bytes()
@@ -280,7 +263,7 @@
             return
         record = self._record
         if record is None or record.write_id == planned.write_id:
-            _log_record(planned)
+            self._log.record_written(planned)
         elif record.version >= planned.version:
             await self._check_role()
 
@@ -387,27 +370,3 @@
             self.stop()
             eliot.log_message("pearward:coordinator-lost", cell=self._cell, successor=successor)
             self._on_lost(successor)
-
-
-def _log_record(record: CellRecord) -> None:
-    """Write down a record that was put in force: who is in it, and who times whom."""
-    shards = record.shards
-    owned = Counter(shards.owners)
-    awaited = Counter(index for earlier in shards.predecessors.values() for index in earlier)
-    eliot.log_message(
-        "pearward:record",
-        cell=record.cell,
-        version=record.version,
-        members=[
-            {
-                "incarnation": member.incarnation,
-                "server": member.server,
-                "state": member.state.value,
-                "shards": owned[index],
-                "awaited_for": awaited[index],
-                "witnesses": list(member.witnesses),
-                "former_witnesses": list(member.former_witnesses),
-            }
-            for index, member in enumerate(record.members)
-        ],
-    )
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/coordinator_log.py
@@ -0,0 +1,71 @@
+"""What a coordinator writes down: the records that it puts in force, and what it believes."""
+
+from collections import Counter
+
+import eliot
+
+from pearward_coordination.coordinator import CellBelief
+from pearward_state.records import CellRecord
+
+__all__ = ["CoordinatorLog"]
+
+MemberRow = dict[str, object]
+
+
+class CoordinatorLog:
+    """Writes what changed since the last line, so that lines of a large cell stay short."""
+
+    def __init__(self, cell: str) -> None:
+        self._cell = cell
+        self._rows: dict[str, MemberRow] = {}
+        self._belief = CellBelief()
+
+    def record_written(self, record: CellRecord) -> None:
+        """A record is in force: tell who is in it, and whose place in it has changed."""
+        rows = _member_rows(record)
+        eliot.log_message(
+            "pearward:record",
+            cell=self._cell,
+            version=record.version,
+            members=len(rows),
+            changed=[row for name, row in rows.items() if self._rows.get(name) != row],
+            gone=[name for name in self._rows if name not in rows],
+        )
+        self._rows = rows
+
+    def believed(self, belief: CellBelief, version: int) -> None:
+        """A plan was made from *belief* and the record of that version: tell it if it is news."""
+        before, self._belief = self._belief, belief
+        if belief == before:
+            return
+        eliot.log_message(
+            "pearward:cell-belief",
+            cell=self._cell,
+            version=version,
+            reporting=len(belief.reporting),
+            reports_again=[n for n in belief.reporting if n not in before.reporting],
+            reports_no_more=[n for n in before.reporting if n not in belief.reporting],
+            missed=list(belief.missed),
+            lost=list(belief.lost),
+            ended=list(belief.ended),
+            draining=list(belief.draining),
+        )
+
+
+def _member_rows(record: CellRecord) -> dict[str, MemberRow]:
+    """Return what a line tells of each member: its state, its shards, and who times it."""
+    shards = record.shards
+    owned = Counter(shards.owners)
+    awaited = Counter(index for earlier in shards.predecessors.values() for index in earlier)
+    return {
+        member.incarnation: {
+            "incarnation": member.incarnation,
+            "server": member.server,
+            "state": member.state.value,
+            "shards": owned[index],
+            "awaited_for": awaited[index],
+            "witnesses": list(member.witnesses),
+            "former_witnesses": list(member.former_witnesses),
+        }
+        for index, member in enumerate(record.members)
+    }
--- a/packages/daemon/src/pearward_daemon/seeking.py
+++ b/packages/daemon/src/pearward_daemon/seeking.py
@@ -19,11 +19,17 @@
 __all__ = ["Role", "Seeker", "role_holder"]
 
 ROLE_TTL_S = 15
+"""Seconds after which the store drops the role's key of a holder that has ended: three renewals."""
 COORDINATOR_SILENCE_S = 0.7
+"""Time without an answer after which a coordinator is looked for: nearly three heartbeats."""
+CHANCE_S = 0.4
+"""Time that a holder which the store names is given to answer before it is replaced."""
 RANK_DELAY_S = 0.12
+"""Between one member's look and the next one's, so that the first to look has taken the role."""
 MAX_RANK = 8
 SEEK_BACKOFF_MIN_S = 0.1
 SEEK_BACKOFF_MAX_S = 4.0
+"""Between looks while the store does not answer: few calls as it returns."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +42,7 @@
 
 
 def role_holder(pair: KeyValue | None) -> Role | None:
+    """Return who holds the role by its key; an unreadable value is a holder without a name."""
     if pair is None:
         return None
     try:
@@ -87,8 +94,8 @@
         """Look for a coordinator if none has answered for a while.
 
         *rank* orders the members, so that they do not all ask the platform at once;
-        *handicap_s* holds back a daemon that has no lease. Without *may_replace* it
-        takes the role only where nobody holds it.
+        *handicap_s* holds back a daemon that has no lease. Without *may_replace* the role is
+        taken only where nobody holds it.
         """
         now = boot_time()
         self._may_replace = may_replace
@@ -108,7 +115,7 @@
                 # Give the named one a chance to answer before it is replaced.
                 self._silent_holder = self._found = role.incarnation
                 self._answered = False
-                self._last_reply = boot_time() - COORDINATOR_SILENCE_S + 0.4
+                self._last_reply = boot_time() - COORDINATOR_SILENCE_S + CHANCE_S
                 self._on_found(role.address)
                 return
             foreign = role is not None and role.incarnation != self._me.incarnation
