A fault of the daemon's own ends neither a coordinator's work nor a lookup's wait

A coordinator marks that it is at work before it reads the record anew; its twin that writes takes the mark back whatever happens, the one that reads did so only where the store failed. After any other error it would have planned nothing more for as long as it had the role. In the same way the callers that wait for a lookup would have waited for their deadline, and each later one for that service with them. Neither was seen; the error itself is logged as before.

Change: both are taken back in every case.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -22,6 +22,13 @@
     And every daemon reports, the others that they act on that record
     Then the first daemon is a member again
 
+  Scenario: A look at the record that goes wrong is made again
+    Given a coordinator of a cell of 4 daemons that has read the record
+    And its daemon fails once as it takes a record
+    When another coordinator writes that the first daemon is no member any more
+    And every daemon reports, the others that they act on that record
+    Then the first daemon is a member again
+
   Scenario Outline: A coordinator that hears nobody but itself takes nobody for lost: cell of <count>
     Given a coordinator of a cell of <count> daemons that has read the record
     When it alone reports for 3 seconds, and tells that it hears nobody
--- a/features/new_services.feature
+++ b/features/new_services.feature
@@ -42,3 +42,8 @@
     When the first daemon is asked 200 times for services that do not exist
     Then the store was read at most 60 times more
     And no such answer was served
+
+  Scenario: A lookup that goes wrong by a fault of the daemon keeps nobody waiting
+    Given a daemon that fails as it takes rows that were looked up
+    When a service is looked up, and once more
+    Then both lookups have ended, and neither says that it does not exist
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -34,12 +34,16 @@
 
     def __init__(self) -> None:
         self.known: CellRecord | None = None
+        self.fails_once = False
 
     @property
     def record(self) -> CellRecord | None:
         return self.known
 
     def record_written(self, record: CellRecord, value: bytes) -> None:
+        if self.fails_once:
+            self.fails_once = False
+            raise RuntimeError("a fault of this daemon's own")
         if self.known is None or record.version > self.known.version:
             self.known = record
 
@@ -97,6 +101,11 @@
     assert context.daemon.known == context.first_record
 
 
+@given("its daemon fails once as it takes a record")
+def fails_once(context: Any) -> None:
+    context.daemon.fails_once = True
+
+
 @when("another coordinator writes that the first daemon is no member any more")
 def replaced_meanwhile(context: Any) -> None:
     record = context.first_record
--- a/features/steps/new_service_steps.py
+++ b/features/steps/new_service_steps.py
@@ -3,9 +3,13 @@
 import time
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
+from twisted.internet.task import Clock
 
+from pearward_coordination.service_lookups import Found
+from pearward_daemon.service_finder import ServiceFinder
 from pearward_devtools.cluster import wait_until
+from pearward_devtools.memory_store import MemoryStore
 
 STORE_READ = "/v3/kv/range"
 UNTOLD = ("", "unknown-service")
@@ -121,3 +125,32 @@
 def none_served(context: Any) -> None:
     for answer in context.answers:
         assert answer.status in (404, 503) and answer.outcome == "not-run", answer
+
+
+class _FaultyRows:
+    """Rows of services in a daemon that fails as it takes them."""
+
+    def knows(self, key: str) -> bool:
+        return False
+
+    def value_found(self, key: str, value: bytes) -> None:
+        raise RuntimeError("a fault of this daemon's own")
+
+
+@given("a daemon that fails as it takes rows that were looked up")
+def faulty(context: Any) -> None:
+    store = MemoryStore()
+    store.put("table/premview", b"{}")
+    context.finder = ServiceFinder(Clock(), store, _FaultyRows())
+
+
+@when("a service is looked up, and once more")
+def look_up_twice(context: Any) -> None:
+    context.found = []
+    for _ in range(2):
+        context.finder.find("premview").addCallback(context.found.append)
+
+
+@then("both lookups have ended, and neither says that it does not exist")
+def both_ended(context: Any) -> None:
+    assert context.found == [Found.UNTOLD, Found.UNTOLD], context.found
--- a/packages/daemon/src/pearward_daemon/coordinating.py
+++ b/packages/daemon/src/pearward_daemon/coordinating.py
@@ -212,18 +212,24 @@
 
     async def _catch_up(self) -> None:
         """Read the record anew, and wait a little where the newer one is not to be had."""
+        try:
+            await self._read_again()
+            if self._is_outdated():
+                await sleep(self._reactor, READ_AGAIN_S)
+        finally:
+            self._writing = False
+
+    async def _read_again(self) -> None:
+        """Read the record, and tell where it is another one than before."""
         before = self._record.version if self._record is not None else 0
         try:
             await self._read_record()
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform", call="catch up", error=str(error))
-        else:
-            version = self._record.version if self._record is not None else 0
-            if version != before:
-                eliot.log_message("pearward:record-read", cell=self._cell, version=version)
-        if self._is_outdated():
-            await sleep(self._reactor, READ_AGAIN_S)
-        self._writing = False
+            return
+        version = self._record.version if self._record is not None else 0
+        if version != before:
+            eliot.log_message("pearward:record-read", cell=self._cell, version=version)
 
     def _consider(self, now: float) -> None:
         """Write a new record where what has been heard calls for one."""
--- a/packages/daemon/src/pearward_daemon/service_finder.py
+++ b/packages/daemon/src/pearward_daemon/service_finder.py
@@ -121,15 +121,18 @@
         except InvalidRecord as failed:
             self._unreadable.add(service)
             error = str(failed)
-        eliot.log_message(
-            "pearward:service-lookup",
-            service=service,
-            found=found.value,
-            error=error,
-            took_ms=round((boot_time() - began) * MS_PER_S, 1),
-        )
-        for waiting in self._asking.pop(service):
-            waiting.callback(found)
+        finally:
+            # Also after a fault of another kind: who waits must not wait for the deadline.
+            waiting = self._asking.pop(service)
+            eliot.log_message(
+                "pearward:service-lookup",
+                service=service,
+                found=found.value,
+                error=error,
+                took_ms=round((boot_time() - began) * MS_PER_S, 1),
+            )
+            for result in waiting:
+                result.callback(found)
 
     async def _look_up(self, service: str) -> Found:
         """Read a service's rows, and who is in its cell where that is not known either."""
