The logs name the era of the store and where key maps come from

Sight for the incident: what told its hypotheses apart was not logged. New: store_era when the era is first seen and when it rises, store_read with the revision, era and key maps of each whole read, key_map_read and key_map_written with fence, revision and era.

--- a/features/steps/mesh_store_steps.py
+++ b/features/steps/mesh_store_steps.py
@@ -60,6 +60,11 @@
         self.silent_before = 0.0
         """Calls that began before then get no answer."""
 
+    @property
+    def era(self) -> int:
+        """The store never goes back."""
+        return 0
+
     @property
     def _revision(self) -> int:
         return 1 + int(self._clock.seconds() / self.every_s)
--- a/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
@@ -65,6 +65,11 @@
             return await self._restored(known, item, make_anew, error)
         self._maps.adopt(key_map)
         self._revision = item.revision
+        self._log.decided(
+            "key_map_read", service=key_map.service, version=key_map.version,
+            fence=key_map.fence, revision=item.revision, era=self._store.era,
+            known=known.version if known is not None else 0,
+        )  # fmt: skip
         self._spread(key_map)
         return key_map
 
@@ -102,7 +107,8 @@
         )
         self._log.decided(
             "key_map_written", service=planned.service, version=planned.version, why=why,
-            ranges=len(planned.ranges), targets=len(planned.targets),
+            ranges=len(planned.ranges), targets=len(planned.targets), fence=planned.fence,
+            revision=self._revision, era=self._store.era,
         )  # fmt: skip
         self._maps.adopt(planned)
         self._spread(planned)
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -113,6 +113,8 @@
         self._available = True
         self._stopped = False
         self._round = 0
+        self._era: int | None = None
+        """The era of the store as it was last seen; None before the first answer."""
 
     # -- properties -------------------------------------------------------------
 
@@ -300,7 +302,12 @@
             else:
                 self._own.seen(own)
             maps = [i for i in snapshot.items if i.key.startswith(KEY_MAPS)]
-            self._listener.key_maps_read(self._decoded(maps, decode_key_map))
+            key_maps = self._decoded(maps, decode_key_map)
+            self._log.decided(
+                "store_read", revision=snapshot.revision, era=self._store.era,
+                members=len(members), key_maps={m.service: m.version for m in key_maps},
+            )  # fmt: skip
+            self._listener.key_maps_read(key_maps)
             self._note_former_targets(snapshot.items)
             self._feed.began(snapshot.revision)
             return snapshot.revision
@@ -381,7 +388,14 @@
 
     # -- availability ---------------------------------------------------------------------
 
+    def _note_era(self) -> None:
+        """Tell of the store's era when it is first seen, and when it has risen."""
+        if self._store.era != self._era:
+            self._log.decided("store_era", era=self._store.era, before=self._era)
+            self._era = self._store.era
+
     def _answered(self) -> None:
+        self._note_era()
         if not self._available:
             self._available = True
             self._feed.store_answers(True)
--- a/packages/transport/src/pearward_transport/store.py
+++ b/packages/transport/src/pearward_transport/store.py
@@ -82,6 +82,13 @@
     yet be done later, as long as its conditions hold. StoreRefused says that it was not.
     """
 
+    @property
+    def era(self) -> int:
+        """The newest era of the store that an answer has named; 0 before the first.
+
+        It rises by one each time the store comes back from an older copy.
+        """
+
     async def get(self, key: str) -> KeyValue | None:
         """Return a key's value, or None."""
 
--- a/tests/fuzz/mesh_store.py
+++ b/tests/fuzz/mesh_store.py
@@ -106,6 +106,10 @@
         self._node = node
         self._clock = clock
 
+    @property
+    def era(self) -> int:
+        return 0
+
     def _call(self, work: Callable[[], Any], *, writes: bool = False) -> Deferred[Any]:
         """Run *work* at the store after a while, unless the call or its answer gets lost."""
         world, node = self._world, self._node
