--- a/packages/devtools/src/pearward_devtools/mesh/store.py
+++ b/packages/devtools/src/pearward_devtools/mesh/store.py
@@ -7,12 +7,15 @@
 ``POST /standin/revoke`` takes keys under a prefix away, ``GET /standin/counts`` tells how
 often each call was made, ``PUT /standin/configuration`` is the operator's write, and
 ``POST /standin/drain`` with ``domain`` and ``entry`` (null takes it back) another one.
+``POST /standin/copy`` keeps a copy of everything, ``POST /standin/return`` with ``away_s`` lets
+the store go away and come back from that copy: what pearward wrote since is gone, numbers are
+given out again, and ``Store-Era`` in all answers is one higher.
 """
 
 import base64
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import click
@@ -24,7 +27,10 @@
 
 CONFIGURATION = "op/config"
 DRAINS = "op/evacuate/"
+OPERATORS = "op/"
+ERA_HEADER = b"Store-Era"
 BUSY, MANY, CONFLICT, GONE, NOT_FOUND = 503, 429, 412, 410, 404
+FIRST_LEASE = 100
 
 
 @dataclass
@@ -74,6 +80,18 @@
     timer: Any
 
 
+@dataclass(frozen=True)
+class Copy:
+    """What the store had at one moment."""
+
+    items: dict[str, Item]
+    leases: dict[int, float]
+    """Each lease with its time to live in s, which begins anew when the copy returns."""
+    revision: int
+    next_lease: int
+    history: list[tuple[int, dict[str, Any]]]
+
+
 class Store:
     """Keys, leases and watches."""
 
@@ -85,7 +103,47 @@
         self.forgotten = 0
         self.watches: list[Watch] = []
         self.faults = Faults()
-        self._next_lease = 100
+        self._next_lease = FIRST_LEASE
+        self.era = 0
+        """How often the store has come back from an older copy."""
+        self._copy: Copy | None = None
+
+    def keep_copy(self) -> None:
+        """Keep a copy of everything."""
+        items = {key: replace(item) for key, item in self.items.items()}
+        leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
+        history = list(self.history)
+        self._copy = Copy(items, leases, self.revision, self._next_lease, history)
+
+    def go_back(self, away_s: float) -> None:
+        """Turn everybody away for a while, then answer from the copy."""
+        self.faults = Faults(mode="reset", lapse=False)
+        self.cut_watches()
+        reactor.callLater(away_s, self._return)
+
+    def _return(self) -> None:
+        copy = self._copy
+        assert copy is not None
+        now = reactor.seconds()
+        operators = [item for key, item in self.items.items() if key.startswith(OPERATORS)]
+        self.era += 1
+        self.faults = Faults()
+        self.items = {k: replace(i) for k, i in copy.items.items() if not k.startswith(OPERATORS)}
+        self.leases = {lease: (ttl_s, now + ttl_s) for lease, ttl_s in copy.leases.items()}
+        self.revision = copy.revision
+        self._next_lease = copy.next_lease
+        self.history = list(copy.history)
+        self.forgotten = min(self.forgotten, copy.revision)
+        for item in operators:
+            self.revision += 1
+            self.put(item.key, item.value, 0)
+
+    def cut_watches(self) -> None:
+        """Break the calls off that wait for changes."""
+        for watch in list(self.watches):
+            self.watches.remove(watch)
+            watch.timer.cancel()
+            watch.request.transport.abortConnection()
 
     def put(self, key: str, value: str, lease: int) -> None:
         """Write a key at the present revision."""
@@ -177,6 +235,7 @@
     if request.finished or request._disconnected:
         return
     request.setResponseCode(status)
+    request.setHeader(ERA_HEADER, str(request.site.resource.store.era).encode())
     request.setHeader(b"Content-Type", b"application/json")
     request.write(json.dumps(body).encode())
     request.finish()
@@ -192,6 +251,11 @@
         self._store = store
         self._counts: Counter[str] = Counter()
 
+    @property
+    def store(self) -> Store:
+        """What the calls are made to."""
+        return self._store
+
     def render(self, request: Any) -> Any:
         name = request.path.decode().removeprefix("/pearward/").split("/")[0]
         if request.path.startswith(b"/standin/"):
@@ -258,7 +322,7 @@
     def _watch(self, request: Any, argument: dict[str, str]) -> None:
         store = self._store
         after = int(argument["after"])
-        if after < store.forgotten:
+        if after < store.forgotten or after > store.revision:
             _answer(request, GONE, {})
             return
         prefix = argument["pathPrefix"]
@@ -298,10 +362,11 @@
             case b"/standin/forget":
                 store.forgotten = store.revision
                 store.history.clear()
-                for watch in list(store.watches):
-                    store.watches.remove(watch)
-                    watch.timer.cancel()
-                    watch.request.transport.abortConnection()
+                store.cut_watches()
+            case b"/standin/copy":
+                store.keep_copy()
+            case b"/standin/return":
+                store.go_back(json.loads(body)["away_s"])
             case b"/standin/revoke":
                 prefix = json.loads(body)["prefix"]
                 for key in [k for k in store.items if k.startswith(prefix)]:
--- a/tests/fuzz/mesh_store.py
+++ b/tests/fuzz/mesh_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -31,8 +32,23 @@
 TIMEOUT_S = 1.5
 
 
+FIRST_LEASE = 100
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store had at one moment."""
+
+    items: dict[str, KeyValue]
+    leases: dict[int, float]
+    """Each lease with its time to live in s, which begins anew when the copy returns."""
+    revision: int
+    next_lease: int
+    history: list[WatchEvent]
+
+
 class FakeStore:
-    """The store itself: revisions, leases, transactions."""
+    """The store itself: revisions, leases, transactions; it may return from an older copy."""
 
     def __init__(self, world: World) -> None:
         self._world = world
@@ -41,8 +57,33 @@
         self.revision = 1
         self.history: list[WatchEvent] = []
         self.forgotten = 0
-        self._next_lease = 100
+        self._next_lease = FIRST_LEASE
         self.calls = 0
+        self.era = 0
+        """How often the store has come back from an older copy."""
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of everything."""
+        leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
+        history = list(self.history)
+        return StoreCopy(dict(self.items), leases, self.revision, self._next_lease, history)
+
+    def go_back(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, and numbers are given again.
+
+        What operators wrote is written again; a lease of the copy begins its time anew.
+        """
+        operators = [item for key, item in self.items.items() if key.startswith(DRAINS)]
+        self.era += 1
+        self.items = {k: i for k, i in copy.items.items() if not k.startswith(DRAINS)}
+        self.leases = {lease: (ttl, self._world.now + ttl) for lease, ttl in copy.leases.items()}
+        self.revision = copy.revision
+        self._next_lease = copy.next_lease
+        self.history = list(copy.history)
+        self.forgotten = min(self.forgotten, copy.revision)
+        for item in operators:
+            self.revision += 1
+            self.put(Put(item.key, item.value))
 
     def expire(self) -> None:
         """Let leases run out."""
@@ -105,10 +146,16 @@
         self._world = world
         self._node = node
         self._clock = clock
+        self._era = 0
 
     @property
     def era(self) -> int:
-        return 0
+        return self._era
+
+    def _answered(self, era: int, answer: Callable[[Any], None], result: Any) -> None:
+        """Hand an answer on, which names the era of the store that gave it."""
+        self._era = max(self._era, era)
+        answer(result)
 
     def _call(self, work: Callable[[], Any], *, writes: bool = False) -> Deferred[Any]:
         """Run *work* at the store after a while, unless the call or its answer gets lost."""
@@ -126,15 +173,16 @@
 
         def at_store() -> None:
             world.store.expire()
+            era = world.store.era
             try:
                 result = work()
             except Exception as error:
-                self._clock.callLater(CALL_S / 2, answer.errback, error)
+                self._clock.callLater(CALL_S / 2, self._answered, era, answer.errback, error)
                 return
             if node.cut_from_store:
                 self._clock.callLater(TIMEOUT_S, answer.errback, PlatformUnavailable("lost"))
             else:
-                self._clock.callLater(CALL_S / 2, answer.callback, result)
+                self._clock.callLater(CALL_S / 2, self._answered, era, answer.callback, result)
 
         world.at(world.now + CALL_S / 2, at_store)
         return answer
@@ -186,7 +234,7 @@
         while True:
 
             def look() -> Changes:
-                if after < store.forgotten:
+                if after < store.forgotten or after > store.revision:
                     raise HistoryGone(str(after))
                 events = [
                     e for e in store.history if e.revision > after and e.key.startswith(prefixes)
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -240,6 +240,10 @@
                 assert row.fence > max(others, default=0), (key, target.life, row.fence, others)
                 self._fences[key][target.life] = row.fence
 
+    def highest_fences(self) -> dict[int, int]:
+        """Return the highest fence under which each of the looked-at keys was ever held."""
+        return {key: max(fences.values(), default=0) for key, fences in self._fences.items()}
+
     def holders(self) -> dict[int, str]:
         """Return the target that holds each of the looked-at keys that has one."""
         return {
