Fences and versions of key maps name the era of the store

Cause: the next fence and the next version were one above those of the map that the store has. A store that came back from an older copy lacks the last maps, all daemons had ended, and the lost numbers were given out once more.

Mend: the upper part of both numbers is the era of the store (Store-Era, which only rises), so a number of a later era is above all earlier ones whoever knows them: nothing has to be remembered. A map that the store has from an earlier era, or that is older than the one known here, is written anew under the next number before anything is planned by it, 1.5 s after the new era is seen, so that daemons which lived through it can tell of a newer map; an absent entry no longer begins at fence 1 beside a known map. Each write expects that no map of a later era was written: one that is done late, after the store went back, replaces nothing. On a store that never went back (era 0) the numbers are what they were.

--- a/packages/coordination/src/pearward_coordination/key_pieces.py
+++ b/packages/coordination/src/pearward_coordination/key_pieces.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from pearward_state.eras import next_number
 from pearward_state.keymap import KeyMap, KeyRange, Predecessor, covered
 
 from .grants import HeldRow
@@ -122,7 +123,8 @@
     ended: frozenset[str],
 ) -> KeyMap:
     """Return the next version with the pieces' owners."""
-    fence = key_map.fence + 1
+    # One above the map's own would be a fence that was given before, where the store lost that.
+    fence = next_number(key_map.fence, key_map.era)
     ranges: list[KeyRange] = []
     for piece in pieces:
         old = piece.range
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from pearward_state.eras import next_number
 from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange
 
 from .key_load import KeyRate
@@ -73,10 +74,11 @@
     """How much more that owner must be able to run; speeds are known to a tenth."""
 
 
-def first_map(service: str, owners: Sequence[KeyOwner]) -> KeyMap:
-    """Return the first map: consecutive keys by capacity."""
-    ranges = _dealt(0, KEY_SPACE - 1, owners, fence=1)
-    return KeyMap(service, 1, tuple(ranges), 1)
+def first_map(service: str, owners: Sequence[KeyOwner], era: int = 0) -> KeyMap:
+    """Return the first map: consecutive keys by capacity, numbered in an era of the store."""
+    number = next_number(0, era)
+    ranges = _dealt(0, KEY_SPACE - 1, owners, fence=number)
+    return KeyMap(service, number, tuple(ranges), number)
 
 
 def _dealt(first: int, last: int, owners: Sequence[KeyOwner], fence: int) -> list[KeyRange]:
--- a/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
@@ -1,27 +1,34 @@
 """The key map of one service in the platform's store, as its planner reads and writes it.
 
 It is written by compare-and-swap: two daemons that both believe to have the planner's duty do
-no harm. An entry that another writer spoiled never replaces a map that is known here.
+no harm. An entry that another writer spoiled never replaces a map that is known here, nor does
+one that the store has from before an older copy of it came back: that is numbered anew first.
 """
 
 from collections.abc import Callable
 from dataclasses import replace
 
-from pearward_protocol.entries import decode_key_map, encode_key_map, key_map_key
+from pearward_protocol.entries import decode_key_map, encode_key_map, era_key, key_map_key
 from pearward_protocol.etcd import KeyValue
+from pearward_state.eras import first_of, next_number
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap
 from pearward_transport.errors import PlatformUnavailable
 from pearward_transport.store import Expectation, FleetStore, Put
 
+from ..errors import MapNotSettled
 from .key_maps import KeyMaps
 from .log import DecisionLog
 
 __all__ = ["KeyMapEntry"]
 
+ERAS_MARKED = 8
+"""Eras of the store, up to the present one, that are marked when one begins: a write may be done
+some seconds after it was sent, and the store may go back twice in that time."""
+
 MakeAnew = Callable[[int], KeyMap | None]
-"""Takes a revision of the store that is above all versions and fences ever given; returns a map
-under it, or None while somebody may yet hold keys by a former one."""
+"""Takes a number that is above all versions and fences ever given; returns a map under it, or None
+while somebody may yet hold keys by a former one."""
 
 
 class KeyMapEntry:
@@ -48,30 +55,44 @@
         """Read the entry anew before anything is planned by it."""
         self._revision = 0
 
-    async def read(self, make_anew: MakeAnew) -> KeyMap | None:
+    async def read(self, make_anew: MakeAnew, *, settled: bool) -> KeyMap | None:
         """Return the map as the store has it, or None; read once, then known by its revision.
 
-        Raises what the store raises, and PlatformUnavailable while a spoiled entry stands.
+        A map of an earlier era of the store, or an older one than is known here, is written anew
+        under the next number, once *settled* says that others have had time to tell of theirs.
+        Raises MapNotSettled before, what the store raises, and PlatformUnavailable while a
+        spoiled entry stands.
         """
         known = self._maps.of(self._service)
-        if self._revision and known is not None:
+        if self._revision and known is not None and known.era == self._store.era:
             return known
         item = await self._store.get(self._key)
-        if item is None:
-            return None
+        era = self._store.era
+        known = self._maps.of(self._service)
         try:
-            key_map = self._decoded(item)
+            found = self._decoded(item) if item is not None else None
         except InvalidRecord as error:
-            return await self._restored(known, item, make_anew, error)
-        self._maps.adopt(key_map)
-        self._revision = item.revision
+            assert item is not None
+            return await self._restored(known, item, make_anew, error, era)
+        newest = max(filter(None, (known, found)), key=lambda m: m.version, default=None)
+        if newest is None:
+            return None
         self._log.decided(
-            "key_map_read", service=key_map.service, version=key_map.version,
-            fence=key_map.fence, revision=item.revision, era=self._store.era,
+            "key_map_read", service=self._service, era=era,
+            version=found.version if found is not None else 0,
+            fence=found.fence if found is not None else 0,
+            revision=item.revision if item is not None else 0,
             known=known.version if known is not None else 0,
         )  # fmt: skip
-        self._spread(key_map)
-        return key_map
+        lost = found is None or found.version < newest.version or found.era < era
+        if lost and not settled:
+            raise MapNotSettled(f"{self._key}: version {newest.version} where era {era} is")
+        self._revision = item.revision if item is not None else 0
+        if lost or found is None:
+            return await self._numbered_anew(newest, era, "the store went back")
+        self._maps.adopt(found)
+        self._spread(found)
+        return found
 
     def _decoded(self, item: KeyValue) -> KeyMap:
         key_map = decode_key_map(item.value)
@@ -80,35 +101,60 @@
         return key_map
 
     async def _restored(
-        self, known: KeyMap | None, item: KeyValue, make_anew: MakeAnew, error: InvalidRecord
+        self,
+        known: KeyMap | None,
+        item: KeyValue,
+        make_anew: MakeAnew,
+        error: InvalidRecord,
+        era: int,
     ) -> KeyMap:
         """Write the known map over an entry that another writer spoiled.
 
-        Each version and each fence cost a write of the store: its revision is above all of them.
+        Each version and each fence of an era cost a write of the store in it: its revision is
+        above all of them.
         """
         self._log.decided(
             "key_map_unreadable", failure=True, key=item.key, error=str(error),
             known=known.version if known is not None else 0,
         )  # fmt: skip
+        self._revision = item.revision
         if known is not None:
-            restored: KeyMap | None = replace(known, version=known.version + 1)
-        else:
-            restored = make_anew(item.revision + 1)
+            return await self._numbered_anew(known, era, "restored")
+        restored = make_anew(next_number(first_of(era) + item.revision, era))
         if restored is None:
             raise PlatformUnavailable(f"{item.key} cannot be read, and no map is known") from error
-        self._revision = item.revision
         await self.write(restored, "restored")
         return restored
 
+    async def _numbered_anew(self, key_map: KeyMap, era: int, why: str) -> KeyMap:
+        """Write a map that the store does not have, or has from an earlier era, once more."""
+        number = next_number(key_map.version, era)
+        renewed = replace(key_map, version=number, fence=max(key_map.fence, first_of(era)))
+        await self.write(renewed, why)
+        return renewed
+
     async def write(self, planned: KeyMap, why: str) -> None:
         """Write a map, act on it and tell the others; raises what the store raises."""
+        era = planned.era
+        marks = range(max(1, era - ERAS_MARKED + 1), era + 1) if self._begins(planned) else ()
         self._revision = await self._store.commit(
-            [Expectation(self._key, self._revision)], [Put(self._key, encode_key_map(planned))]
+            # A write that is done only after the store went back must not replace a later map,
+            # though its condition holds: revisions are given out again.
+            [Expectation(self._key, self._revision), Expectation(era_key(era + 1), 0)],
+            [Put(self._key, encode_key_map(planned)), *(Put(era_key(e), b"") for e in marks)],
         )
+        if self._store.era != era:
+            self._revision = 0
+            raise PlatformUnavailable(f"{self._key}: the store went back under the write")
         self._log.decided(
             "key_map_written", service=planned.service, version=planned.version, why=why,
             ranges=len(planned.ranges), targets=len(planned.targets), fence=planned.fence,
-            revision=self._revision, era=self._store.era,
+            revision=self._revision, era=era,
         )  # fmt: skip
         self._maps.adopt(planned)
         self._spread(planned)
+
+    def _begins(self, planned: KeyMap) -> bool:
+        """Return whether a map is the first one here in an era of the store."""
+        known = self._maps.of(self._service)
+        return known is None or known.era < planned.era
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -30,6 +30,7 @@
 from pearward_transport.errors import CasConflict, PlatformError
 from pearward_transport.store import FleetStore
 
+from ..errors import MapNotSettled
 from .key_map_entry import KeyMapEntry
 from .key_maps import KeyMaps
 from .log import DecisionLog
@@ -59,6 +60,9 @@
 """Seconds between looks at who is there, for the instances that may be witnesses."""
 SETTLED_LEASES = 1.2
 """Leases after which nothing that former witnesses granted can run."""
+ERA_SETTLE_S = 1.5
+"""Seconds after the store went back before its maps are written anew: daemons find out with the
+renewal of their lease, write their entries again and report the maps that they know."""
 GRACE_S = 1.5
 """Seconds after the duty began before anybody is found silent: reports have to arrive first."""
 
@@ -117,6 +121,9 @@
         self._seen: dict[str, tuple[str, float]] = {}
         """Failure domain of each instance that had an entry, and when that was last seen."""
         self._limits = PlanLimits()
+        self._era = -1
+        self._era_since = float("-inf")
+        """When this daemon first saw the present era of the store."""
 
     # -- properties -------------------------------------------------------------
 
@@ -178,6 +185,9 @@
         holder = self.duty_holder()
         mine = holder is not None and holder.instance == self._settings.instance and not stopping
         now = boot_time()
+        if self._store.era != self._era:
+            self._era = self._store.era
+            self._era_since = now
         if mine and self._on_duty_since is None:
             self._on_duty_since = now
             for service in self._services.values():
@@ -211,8 +221,9 @@
 
     async def _plan(self, name: str, service: _Service) -> None:
         now = boot_time()
+        settled = now - self._era_since >= ERA_SETTLE_S
         try:
-            key_map = await service.entry.read(partial(self._made_anew, service))
+            key_map = await service.entry.read(partial(self._made_anew, service), settled=settled)
             if key_map is None:
                 await self._write_first(name, service, now)
                 return
@@ -227,6 +238,9 @@
                 planned = replace(planned, version=key_map.version + 1)
             if planned.version != key_map.version:
                 await service.entry.write(planned, why)
+        except MapNotSettled:
+            # The entry's reading was logged; the next look is due in a moment.
+            return
         except CasConflict as error:
             service.entry.forget()
             self._log.decided("key_map_write_lost", service=name, error=str(error))
@@ -265,7 +279,8 @@
         if service.owners_since is None:
             service.owners_since = now
         if now - service.owners_since >= SETTLE_S:
-            planned = self._with_witnesses(first_map(name, owners), service, now)
+            first = first_map(name, owners, self._store.era)
+            planned = self._with_witnesses(first, service, now)
             await service.entry.write(planned, "first")
 
     # -- owners ------------------------------------------------------------------------
--- a/packages/protocol/src/pearward_protocol/entries.py
+++ b/packages/protocol/src/pearward_protocol/entries.py
@@ -2,7 +2,8 @@
 
 ``members/<instance>`` tells who takes part, ``holders/<target>`` on which instance a
 target that owns keys runs, ``keymaps/<service>`` who owns which keys,
-``members/crashes/<target>`` what a target was running when it crashed. The platform's
+``members/crashes/<target>`` what a target was running when it crashed, ``eras/<number>`` that
+maps were written in an era of the store. The platform's
 adapter may put a prefix of its own before them.
 """
 
@@ -42,6 +43,7 @@
     "encode_key_map",
     "encode_key_map_change",
     "encode_member",
+    "era_key",
     "holder_key",
     "key_map_key",
     "member_key",
@@ -54,6 +56,7 @@
 """Below the members: whoever follows those hears of crashes too, without a call of its own."""
 HOLDERS = "holders/"
 KEY_MAPS = "keymaps/"
+ERAS = "eras/"
 
 PACK_LEVEL = 6
 """Of zlib: a map of 43 owners and 800 ranges takes 1 ms and 8.1 kB in place of 22.7; higher
@@ -86,6 +89,11 @@
     return KEY_MAPS + service
 
 
+def era_key(era: int) -> str:
+    """Return the key that is there once a key map was written in an era of the store."""
+    return f"{ERAS}{era}"
+
+
 def packed(entry: bytes) -> bytes:
     """Return an entry as it travels between daemons."""
     return zlib.compress(entry, PACK_LEVEL)
--- a/packages/state/src/pearward_state/keymap.py
+++ b/packages/state/src/pearward_state/keymap.py
@@ -4,6 +4,9 @@
 has one owner and a fence that rises whenever the range changes hands. Where the former
 owner may still hold the range, the range also names it: the new owner is granted the
 keys only once every such predecessor has let them go.
+
+Versions and fences name the era of the store in which they were given (see eras), so that a
+map that the store has lost has a lower version than any that is written after it.
 """
 
 import zlib
@@ -12,6 +15,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from .eras import era_of
 from .errors import InvalidRecord
 
 __all__ = [
@@ -96,7 +100,7 @@
 
     service: str
     version: int
-    """Rises by one with each change."""
+    """Rises with each change."""
     ranges: tuple[KeyRange, ...]
     fence: int
     """The highest fence that was ever given out."""
@@ -123,6 +127,11 @@
         """Return the ranges of one target."""
         return tuple(r for r in self.ranges if r.owner == target)
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the map was written."""
+        return era_of(self.version)
+
     @property
     def checksum(self) -> int:
         """A number that tells this map from others: its ranges, owners, fences, predecessors."""
