Revisions name the era in which the store counted them

What operators saw (in the test): a drain that they wrote after the store had gone back was in force nowhere, as the store counted it lower than what daemons had taken as complete; and a daemon whose watch went on from a revision that the store had passed again never heard of what was written before that. Cause: revisions of two counts were compared. They are compared in many places (drains, own entry, the feed of members, watchers' answers, conditions of writes), so the mend is where they come in: the adapter names the era in each revision. A later era's are higher, no two are alike; a watch from an earlier era is HistoryGone, a condition from one a conflict.

Without it both scenarios of store_entries.feature fail, with it both pass; without a Store-Era the revisions are as the store counts them.

--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -113,7 +113,9 @@
     "drain": (b"{}", check_drain, InvalidRecord),
     "crash": (encode_crash(CrashRecord("i-1", 12.5, ("ab", "cd"))), decode_crash, InvalidRecord),
     "answer's load": (b"3,1,8,150", _answer_load, InvalidRecord),
-    "store's item": (orjson.dumps(ITEM["value"]), lambda d: _item(ITEM | {"value": d}), KeyError),
+    "store's item": (
+        orjson.dumps(ITEM["value"]), lambda d: _item(ITEM | {"value": d}, 0), KeyError,
+    ),
     "greeting": (encode_hello(Hello("life-1", "10.0.0.1:7600")), decode_hello, FrameError),
     "request": (encode_request(HEAD), decode_request, FrameError),
     "answer": (encode_response(ResponseHead(200, Outcome.SERVED)), decode_response, FrameError),
--- a/packages/transport/src/pearward_transport/store.py
+++ b/packages/transport/src/pearward_transport/store.py
@@ -1,7 +1,8 @@
 """The port to a store with revisions, leases, transactions and long-polled changes.
 
 The daemon on a users' platform keeps everything that must be agreed or must last behind
-this port; the adapter of the platform implements it. Keys are pearward's own.
+this port; the adapter of the platform implements it. Keys are pearward's own, and revisions
+name the era in which the store counted them (see revisions).
 """
 
 from dataclasses import dataclass
--- a/tests/fuzz/mesh_store.py
+++ b/tests/fuzz/mesh_store.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_transport.errors import CasConflict, PlatformUnavailable
+from pearward_transport.revisions import check_followed, counted, expected_count, revision_in
 from pearward_transport.store import (
     CONFIGURATION,
     DRAINS,
@@ -26,13 +28,15 @@
 
     from .mesh_world import Node, World
 
-__all__ = ["FakeStore", "StoreClient"]
+__all__ = ["FakeStore", "StoreClient", "StoreCopy"]
 
 CALL_S = 0.004
 TIMEOUT_S = 1.5
 
 
 FIRST_LEASE = 100
+COPY_EVERY_S = 0.5
+COPIES_KEPT = 20
 
 
 @dataclass(frozen=True)
@@ -61,6 +65,7 @@
         self.calls = 0
         self.era = 0
         """How often the store has come back from an older copy."""
+        self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=COPIES_KEPT)
 
     def copy(self) -> StoreCopy:
         """Return a copy of everything."""
@@ -68,6 +73,16 @@
         history = list(self.history)
         return StoreCopy(dict(self.items), leases, self.revision, self._next_lease, history)
 
+    def keep_copy(self) -> None:
+        """Keep a copy from time to time, as a platform does."""
+        if not self._copies or self._world.now - self._copies[-1][0] >= COPY_EVERY_S:
+            self._copies.append((self._world.now, self.copy()))
+
+    def copy_of(self, at: float) -> StoreCopy:
+        """Return the newest copy that was kept by a time, or the oldest that there is."""
+        older = [copy for kept_at, copy in self._copies if kept_at <= at]
+        return older[-1] if older else self._copies[0][1]
+
     def go_back(self, copy: StoreCopy) -> None:
         """Come back from a copy: what was written since is gone, and numbers are given again.
 
@@ -188,19 +203,32 @@
         return answer
 
     async def get(self, key: str) -> KeyValue | None:
-        return await self._call(lambda: self._world.store.items.get(key))
+        def look() -> KeyValue | None:
+            store = self._world.store
+            item = store.items.get(key)
+            return _in_era(item, store.era) if item is not None else None
+
+        return await self._call(look)
 
     async def scan(self, prefix: str) -> Snapshot:
         store = self._world.store
         return await self._call(
             lambda: Snapshot(
-                tuple(i for k, i in sorted(store.items.items()) if k.startswith(prefix)),
-                store.revision,
+                tuple(
+                    _in_era(i, store.era)
+                    for k, i in sorted(store.items.items())
+                    if k.startswith(prefix)
+                ),
+                revision_in(store.era, store.revision),
             )
         )
 
     async def commit(self, expected: list[Expectation], puts: list[Put]) -> int:
-        return await self._call(lambda: self._world.store.commit(expected, puts), writes=True)
+        store = self._world.store
+        rows = [Expectation(e.key, expected_count(e, self._era)) for e in expected]
+        return await self._call(
+            lambda: revision_in(store.era, store.commit(rows, puts)), writes=True
+        )
 
     async def grant_lease(self, ttl_s: float) -> int:
         return await self._call(lambda: self._world.store.grant(ttl_s))
@@ -217,8 +245,12 @@
 
         def look() -> Snapshot:
             store = self._world.store
-            drains = [item for key, item in store.items.items() if key.startswith(DRAINS)]
-            return Snapshot((configuration, *drains), store.revision)
+            drains = [
+                _in_era(item, store.era)
+                for key, item in store.items.items()
+                if key.startswith(DRAINS)
+            ]
+            return Snapshot((configuration, *drains), revision_in(store.era, store.revision))
 
         return await self._call(look)
 
@@ -231,17 +263,22 @@
     async def _watch(self, prefixes: tuple[str, ...], after: int, wait_s: float) -> Changes:
         store = self._world.store
         until = self._world.now + wait_s
+        count = counted(after)
         while True:
 
             def look() -> Changes:
-                if after < store.forgotten or after > store.revision:
+                if count < store.forgotten or count > store.revision:
                     raise HistoryGone(str(after))
                 events = [
-                    e for e in store.history if e.revision > after and e.key.startswith(prefixes)
+                    replace(e, revision=revision_in(store.era, e.revision))
+                    for e in store.history
+                    if e.revision > count and e.key.startswith(prefixes)
                 ]
-                return Changes(tuple(events), store.revision)
+                return Changes(tuple(events), revision_in(store.era, store.revision))
 
+            check_followed(after, self._era)
             changes = await self._call(look)
+            check_followed(after, self._era)
             if changes.events or self._world.now >= until:
                 return changes
             pause: Deferred[None] = Deferred()
@@ -251,6 +288,10 @@
             store.calls -= 1
 
 
+def _in_era(item: KeyValue, era: int) -> KeyValue:
+    return replace(item, revision=revision_in(era, item.revision))
+
+
 def _quietly(work: Callable[[], Any]) -> None:
     """Do a write whose answer nobody waits for; its condition may fail by then."""
     try:
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -203,6 +203,7 @@
         """Let one tick pass."""
         self.now += TICK_S
         self.store.expire()
+        self.store.keep_copy()
         due = sorted(e for e in self._events if e[0] <= self.now)
         self._events = [e for e in self._events if e[0] > self.now]
         for _, _, call in due:
