Daemons write again what the store lost when it went back

What callers would see: a target that was replaced in the lost seconds gets no work, as its daemon takes its entry as standing and the others choose the target of before; a request that had crashed its targets is free again for daemons that start. Cause: what the store has acknowledged was taken to stand.

Mend: a daemon that sees the era rise, in any answer, drops its lease (its number may be given out again), writes its member's and its target's entry under a new one, writes the crashes that still count, and reads everything that it follows anew. One line says so (store_went_back), a gauge counts it (pearward.store.returns). An entry's write that ends after its lease went counts as not done.

--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -291,6 +291,10 @@
             "pearward.watcher", "Follows the members in the store",
             lambda: float(self._core.feed.is_watcher),
         )  # fmt: skip
+        gauge(
+            "pearward.store.returns", "Times that the store came back from an older copy",
+            lambda: float(self._core.session.store_returns),
+        )  # fmt: skip
         gauge("pearward.members", "Members known", lambda: len(self._core.directory.members))
         gauge(
             "pearward.store.available", "Store answers", lambda: float(self._core.session.available)
--- a/packages/daemon/src/pearward_daemon/mesh/crash_entries.py
+++ b/packages/daemon/src/pearward_daemon/mesh/crash_entries.py
@@ -17,6 +17,8 @@
 LAST_RETRY_S = 5.0
 """Pauses after a failed call double up to this: nothing waits for the entry but daemons that
 start, and after a crash of many targets many daemons write one."""
+SHORTEST_LEASE_S = 1.0
+"""Seconds of a lease, at least: the store grants none below."""
 GIVEN_UP_S = 120.0
 """Seconds after which an entry is not written any more: the store has been away for so long that
 every daemon beside the service's targets has heard of the crash from this one, or has gone."""
@@ -38,18 +40,32 @@
         self._log = log
         self._lasts_s = lasts_s
         self._run = run
+        self._written: dict[str, tuple[CrashRecord, float]] = {}
+        """Crashes of the targets beside this daemon, by target, and when each was noticed."""
 
     def write(self, record: CrashRecord) -> None:
         """Write a crash's entry as soon as the store takes it."""
-        self._run(self._write(record))
+        now = boot_time()
+        self._written[record.target] = (record, now)
+        self._run(self._write(record, now))
 
-    async def _write(self, record: CrashRecord) -> None:
+    def store_went_back(self) -> int:
+        """Write the entries that still count again; return how many there are."""
+        now = boot_time()
+        counts = {t: (r, at) for t, (r, at) in self._written.items() if now - at < self._lasts_s}
+        self._written = counts
+        for record, noticed_at in counts.values():
+            self._run(self._write(record, noticed_at))
+        return len(counts)
+
+    async def _write(self, record: CrashRecord, noticed_at: float) -> None:
         began = boot_time()
         retry_s = FIRST_RETRY_S
         while boot_time() - began < GIVEN_UP_S:
+            left_s = max(SHORTEST_LEASE_S, noticed_at + self._lasts_s - boot_time())
             try:
                 # The entry and its lease are two calls; a lease without an entry just runs out.
-                lease = await self._store.grant_lease(self._lasts_s)
+                lease = await self._store.grant_lease(left_s)
                 await self._store.commit(
                     [], [Put(crash_key(record.target), encode_crash(record), lease)]
                 )
--- a/packages/daemon/src/pearward_daemon/mesh/own_entry.py
+++ b/packages/daemon/src/pearward_daemon/mesh/own_entry.py
@@ -72,6 +72,7 @@
     async def under_lease(self, lease: int) -> None:
         """Write the entry under a new lease."""
         self._lease = lease
+        self._written = None
         await self.write()
 
     def lease_gone(self) -> None:
@@ -79,6 +80,12 @@
         self._lease = 0
         self._written = None
 
+    def store_went_back(self) -> None:
+        """The store may have lost all entries, the holder's too: they go under the next lease."""
+        self.lease_gone()
+        self._holder_written = ""
+        self._written_at = 0
+
     def stop(self) -> None:
         """What goes or is changed from now on is not written again."""
         self._stopped = True
@@ -105,6 +112,9 @@
             entry = Holder(member.target, member.instance)
             puts.append(Put(holder_key(member.target), encode_holder(entry)))
         self._written_at = await self._store.commit([], puts)
+        if lease != self._lease:
+            # The lease went under the write, and the entry with it.
+            return
         self._written = member
         if len(puts) > 1:
             self._holder_written = member.target
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -115,6 +115,7 @@
         self._round = 0
         self._era: int | None = None
         """The era of the store as it was last seen; None before the first answer."""
+        self._returns = 0
 
     # -- properties -------------------------------------------------------------
 
@@ -128,6 +129,11 @@
         """Whether the last call to the store was answered."""
         return self._available
 
+    @property
+    def store_returns(self) -> int:
+        """How often the store came back from an older copy in this daemon's life."""
+        return self._returns
+
     @property
     def registered(self) -> bool:
         """Whether this daemon's entry surely stands in the store."""
@@ -364,7 +370,9 @@
             try:
                 if after is None:
                     after = await read()
+                    self._note_era()
                 changes = await wait(after, WATCH_S)
+                self._note_era()
                 if number != self._round:
                     return
                 for event in changes.events:
@@ -375,6 +383,7 @@
                 await sleep(self._reactor, gather() if changes.events else 0.0)
             except HistoryGone:
                 self._log.decided("store_history_gone", after=after)
+                self._note_era()
                 after = None
             except PlatformError as error:
                 # Something may have been missed where a watch was cut: the store tells
@@ -389,10 +398,27 @@
     # -- availability ---------------------------------------------------------------------
 
     def _note_era(self) -> None:
-        """Tell of the store's era when it is first seen, and when it has risen."""
-        if self._store.era != self._era:
-            self._log.decided("store_era", era=self._store.era, before=self._era)
-            self._era = self._store.era
+        """Write all that is this daemon's again when the store has come back from an older copy.
+
+        The store has lost what was acknowledged in the last seconds, and tells nobody what.
+        """
+        before, self._era = self._era, self._store.era
+        if before == self._era:
+            return
+        if before is None:
+            self._log.decided("store_era", era=self._era)
+            return
+        # Numbers of leases may be given out again: it might be another daemon's now.
+        self._lease = 0
+        self._own.store_went_back()
+        crashes = self._crashes.store_went_back()
+        self._returns += 1
+        self._log.decided(
+            "store_went_back", failure=True, era=self._era, before=before,
+            crashes_written=crashes,
+        )  # fmt: skip
+        # What was followed is read anew: the entries there are older ones, some are gone.
+        self._start_watches()
 
     def _answered(self) -> None:
         self._note_era()
