--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,6 +12,10 @@
     When seed 13 is played for 14 s with requests that crash their targets
     Then no promise is broken and requests were served
 
+  Scenario: A short soak with a store that comes back from older copies
+    When seed 14 is played for 14 s with a store that goes back
+    Then no promise is broken and requests were served
+
   Scenario: A seed always plays the same faults
     Then seed 5 plans the same faults twice, and seed 6 others
 
--- a/features/steps/mesh_return_steps.py
+++ b/features/steps/mesh_return_steps.py
@@ -1,6 +1,8 @@
 """Steps of a store that comes back from an older copy, with real processes."""
 
+import http.client
 import json
+import time
 from collections import defaultdict
 from typing import Any
 
@@ -8,10 +10,13 @@
 
 from pearward_devtools.cluster import wait_until
 from pearward_devtools.mesh.cluster import MeshCluster, MeshNode
+from pearward_state.eras import era_of
 
 KEYS = range(0, 65_536, 1024)
 AWAY_S = 0.3
 HAND_OVERS = 2
+UNDER_REQUESTS_S = 5.0
+"""Seconds of requests: longer than a lease, which would run out if it were not renewed."""
 
 
 def _keyed(context: Any) -> list[MeshNode]:
@@ -71,3 +76,40 @@
     now = _fences(context)
     again = {k: (now[k], before) for k, before in context.highest.items() if now[k] <= before}
     assert not again, again
+
+
+@when("the store goes back while requests for keys come")
+def goes_back_under_requests(context: Any) -> None:
+    cluster: MeshCluster = context.mesh
+    context.statuses = []
+    ends = time.monotonic() + UNDER_REQUESTS_S
+    cluster.store_call("/standin/return", json.dumps({"away_s": AWAY_S}))
+    while time.monotonic() < ends:
+        for node in cluster.nodes:
+            headers = {
+                "Request-Id": f"g{next(context.mesh_ids)}",
+                "Shard-Key": str(KEYS[len(context.statuses) % len(KEYS)]),
+                "Deadline-Ms": "2000",
+            }
+            reply = cluster.call(node, "/roster/safe/x", headers=headers)
+            context.statuses.append(reply.status)
+
+
+@then("all of these requests were served")
+def all_served(context: Any) -> None:
+    refused = [status for status in context.statuses if status != http.client.OK]
+    assert not refused, (len(refused), len(context.statuses))
+
+
+@then("the store has the entries of all daemons and a key map of its new era within {seconds:g} s")
+def entries_again(context: Any, seconds: float) -> None:
+    cluster: MeshCluster = context.mesh
+
+    def there() -> bool:
+        items = cluster.store_call("/standin/items")
+        entries = json.loads(items)
+        members = [f"pearward/members/{node.name}" in entries for node in cluster.nodes]
+        key_map = json.loads(entries["pearward/keymaps/roster"])
+        return all(members) and era_of(key_map["version"]) > 0
+
+    wait_until(there, "entries and a key map of the new era", seconds)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -33,6 +33,11 @@
     context.broken, context.served = play(seed, seconds, crashes=True)
 
 
+@when("seed {seed:d} is played for {seconds:d} s with a store that goes back")
+def play_returns(context: Any, seed: int, seconds: int) -> None:
+    context.broken, context.served = play(seed, seconds, returns=True)
+
+
 @then("no promise is broken and requests were served")
 def held(context: Any) -> None:
     assert not context.broken, context.broken[:5]
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -3,7 +3,8 @@
 ``python -m pearward_devtools.mesh.soak --seed 7 --seconds 40`` plays one seed;
 ``--seeds 50`` plays that many in a row, from ``--seed`` on. Faults overlap: daemons and targets
 are killed, paused and stopped, links between daemons are cut one way, stalled, delayed or
-reset, the store is silent, refuses, forgets and loses answers. Callers keep their connections.
+reset, the store is silent, refuses, forgets and loses answers, or with ``--returns`` comes back
+from an older copy, at times while everything is killed. Callers keep their connections.
 At the end everything is healed, and every key must be served again.
 """
 
@@ -63,6 +64,12 @@
                 "store-lost", "store-forget", "store-revoke")  # fmt: skip
 
 
+RETURN_FAULTS = ("return-store", "return-store", "return-all", "return-daemons")
+"""The store comes back from an older copy: alone, or as everything or all daemons are killed."""
+RETURN_AGES_S = (0.5, 1.0, 2.0, 4.0)
+RETURN_AWAY_S = 0.3
+
+
 @dataclass(frozen=True, slots=True)
 class SoakFault:
     """One fault: what happens, when, for how long and to whom."""
@@ -76,7 +83,13 @@
 
 
 def plan(
-    seed: int, seconds: float, nodes: int, *, by_call: bool = False, crashes: bool = False
+    seed: int,
+    seconds: float,
+    nodes: int,
+    *,
+    by_call: bool = False,
+    crashes: bool = False,
+    returns: bool = False,
 ) -> list[SoakFault]:
     """Return the faults of a seed, in the order of their times."""
     rng = random.Random(seed)
@@ -85,6 +98,8 @@
         kinds += CALL_FAULTS
     if crashes:
         kinds += CRASH_FAULTS
+    if returns:
+        kinds += RETURN_FAULTS
     last = max(CALM_S, seconds - CALM_S - LONGEST_FAULT_S)
     faults = [
         SoakFault(
@@ -183,7 +198,7 @@
     def begin(self, fault: SoakFault) -> Callable[[], None]:
         """Begin a fault; return what ends it."""
         scope, _, what = fault.kind.partition("-")
-        if scope in ("target", "link") or what in ("kill", "pause"):
+        if scope in ("target", "link", "return") or what in ("kill", "pause"):
             now = time.monotonic()
             self.disturbances.append(Disturbance(now, now + fault.for_s))
         node = self._cluster.nodes[fault.node]
@@ -197,6 +212,8 @@
                 return self._link(what, node, other)
             case "request":
                 return self._crashing_request(fault)
+            case "return":
+                return self._return(what, RETURN_AGES_S[fault.other % len(RETURN_AGES_S)])
             case _:
                 return self._store_fault(what, other, whole=fault.node % 2 == 0)
 
@@ -257,6 +274,27 @@
             process.wait()
         return replaced
 
+    def _return(self, what: str, age_s: float) -> Callable[[], None]:
+        """Let the store come back from a copy of an age, as processes are killed."""
+        killed = self._cluster.nodes if what != "store" else []
+        for node in killed:
+            if what == "all" and node.target is not None:
+                node.target.kill()
+                node.target.wait()
+            if node.daemon is not None and node.daemon.poll() is None:
+                self.kills.append(Restart(node.name, time.monotonic()))
+                self._cluster.kill(node)
+        body = {"away_s": RETURN_AWAY_S, "age_s": age_s}
+        self._cluster.store_call("/standin/return", json.dumps(body))
+
+        def ended() -> None:
+            for node in killed:
+                self._start_again(node)
+                if node.target is None or node.target.poll() is not None:
+                    self._cluster.start_target(node)
+
+        return ended
+
     def _crashing_request(self, fault: SoakFault) -> Callable[[], None]:
         """Send one content again and again, under new ids, that crashes whoever runs it."""
         ending = threading.Event()
@@ -334,6 +372,7 @@
     *,
     by_call: bool = False,
     crashes: bool = False,
+    returns: bool = False,
 ) -> tuple[list[str], int]:
     """Play one seed; return a line for each broken promise, and how many requests were served."""
     grants = "call" if by_call else "heartbeat"
@@ -343,7 +382,9 @@
     try:
         cluster.start()
         callers.start()
-        planned = plan(seed, seconds, len(cluster.nodes), by_call=by_call, crashes=crashes)
+        planned = plan(
+            seed, seconds, len(cluster.nodes), by_call=by_call, crashes=crashes, returns=returns
+        )
         _play_faults(planned, faults, seconds)
         callers.stop()
         time.sleep(BACK_S)
@@ -422,13 +463,22 @@
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep the logs of failures here.")
 @click.option("--by-call", is_flag=True, help="Targets take their keys by calls.")
 @click.option("--crashes", is_flag=True, help="Some requests crash the targets that run them.")
+@click.option("--returns", is_flag=True, help="The store comes back from older copies.")
 def main(
-    seed: int, seeds: int, seconds: float, keep: Path | None, by_call: bool, crashes: bool
+    seed: int,
+    seeds: int,
+    seconds: float,
+    keep: Path | None,
+    by_call: bool,
+    crashes: bool,
+    returns: bool,
 ) -> None:
     """Play seeds and tell which broke a promise."""
     failed = 0
     for number in range(seed, seed + seeds):
-        broken, served = play(number, seconds, keep, by_call=by_call, crashes=crashes)
+        broken, served = play(
+            number, seconds, keep, by_call=by_call, crashes=crashes, returns=returns
+        )
         failed += bool(broken)
         click.echo(f"seed {number}: {'BROKEN' if broken else 'held'}, {served} served")
         for line in broken[:10]:
--- a/packages/devtools/src/pearward_devtools/mesh/store.py
+++ b/packages/devtools/src/pearward_devtools/mesh/store.py
@@ -7,14 +7,15 @@
 ``POST /standin/revoke`` takes keys under a prefix away, ``GET /standin/counts`` tells how
 often each call was made, ``PUT /standin/configuration`` is the operator's write, and
 ``POST /standin/drain`` with ``domain`` and ``entry`` (null takes it back) another one.
-``POST /standin/copy`` keeps a copy of everything, ``POST /standin/return`` with ``away_s`` lets
-the store go away and come back from that copy: what pearward wrote since is gone, numbers are
-given out again, and ``Store-Era`` in all answers is one higher.
+``POST /standin/return`` with ``away_s`` and ``age_s`` lets the store go away and come back from a
+copy of that age; ``POST /standin/copy`` keeps the one that it comes back from where no age is
+given. What pearward wrote since is gone, numbers are given out again, and ``Store-Era`` in all
+answers is one higher.
 """
 
 import base64
 import json
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -31,6 +32,8 @@
 ERA_HEADER = b"Store-Era"
 BUSY, MANY, CONFLICT, GONE, NOT_FOUND = 503, 429, 412, 410, 404
 FIRST_LEASE = 100
+COPY_EVERY_S = 0.5
+COPIES_KEPT = 20
 
 
 @dataclass
@@ -107,23 +110,35 @@
         self.era = 0
         """How often the store has come back from an older copy."""
         self._copy: Copy | None = None
+        self._copies: deque[tuple[float, Copy]] = deque(maxlen=COPIES_KEPT)
+        """Copies of the last seconds, with their times."""
 
     def keep_copy(self) -> None:
-        """Keep a copy of everything."""
+        """Keep a copy of everything, to come back from where no age is asked for."""
+        self._copy = self._copied()
+
+    def _copied(self) -> Copy:
         items = {key: replace(item) for key, item in self.items.items()}
         leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
         history = list(self.history)
-        self._copy = Copy(items, leases, self.revision, self._next_lease, history)
+        return Copy(items, leases, self.revision, self._next_lease, history)
+
+    def _copy_from_time_to_time(self, now: float) -> None:
+        if not self._copies or now - self._copies[-1][0] >= COPY_EVERY_S:
+            self._copies.append((now, self._copied()))
 
-    def go_back(self, away_s: float) -> None:
-        """Turn everybody away for a while, then answer from the copy."""
+    def go_back(self, away_s: float, age_s: float | None) -> None:
+        """Turn everybody away for a while, then answer from a copy."""
+        copy = self._copy
+        if age_s is not None:
+            older = [c for at, c in self._copies if at <= reactor.seconds() - age_s]
+            copy = older[-1] if older else self._copies[0][1]
+        assert copy is not None, "neither an age nor a copy"
         self.faults = Faults(mode="reset", lapse=False)
         self.cut_watches()
-        reactor.callLater(away_s, self._return)
+        reactor.callLater(away_s, self._return, copy)
 
-    def _return(self) -> None:
-        copy = self._copy
-        assert copy is not None
+    def _return(self, copy: Copy) -> None:
         now = reactor.seconds()
         operators = [item for key, item in self.items.items() if key.startswith(OPERATORS)]
         self.era += 1
@@ -208,6 +223,7 @@
         if self.faults.mode and not self.faults.lapse:
             return
         now = reactor.seconds()
+        self._copy_from_time_to_time(now)
         for lease, (_, until) in list(self.leases.items()):
             if until <= now:
                 self.end(lease)
@@ -366,7 +382,8 @@
             case b"/standin/copy":
                 store.keep_copy()
             case b"/standin/return":
-                store.go_back(json.loads(body)["away_s"])
+                asked = json.loads(body)
+                store.go_back(asked["away_s"], asked.get("age_s"))
             case b"/standin/revoke":
                 prefix = json.loads(body)["prefix"]
                 for key in [k for k in store.items if k.startswith(prefix)]:
