--- a/packages/coordination/src/pearward_coordination/era_settling.py
+++ b/packages/coordination/src/pearward_coordination/era_settling.py
@@ -30,9 +30,10 @@
         self._over: set[str] = set()
 
     def over_at(self, instance: str, version: int) -> None:
-        """An instance says so for the era of a version."""
+        """An instance says so for the era of a version; an answer of an earlier era is late."""
         self._note_era(era_of(version))
-        self._over.add(instance)
+        if era_of(version) == self._era:
+            self._over.add(instance)
 
     def waits_for(self, key_map: KeyMap, instances: frozenset[str]) -> frozenset[str]:
         """Return the instances that have not said so, in the era of a map."""
@@ -46,16 +47,16 @@
         return missing < majority(min(sizes, default=0))
 
     def _note_era(self, era: int) -> None:
-        if era != self._era:
+        if era > self._era:
             self._era = era
             self._over.clear()
 
 
 def settled(key_map: KeyMap, owners: Sequence[KeyOwner]) -> KeyMap:
     """Return the next version, in which nobody can hold keys by a lost map any more."""
-    number = next_number(key_map.version, key_map.era)
-    fenced = fenced_anew(replace(key_map, unsettled=False), owners)
-    return replace(fenced or key_map, version=number, unsettled=False)
+    now_settled = replace(key_map, version=key_map.version + 1, unsettled=False)
+    fenced = fenced_anew(now_settled, owners)
+    return replace(fenced or now_settled, version=now_settled.version)
 
 
 def fenced_anew(key_map: KeyMap, owners: Sequence[KeyOwner]) -> KeyMap | None:
@@ -78,5 +79,4 @@
         replace(r, fence=fence, predecessors=()) if rests(r) else r
         for r in key_map.ranges
     )
-    number = next_number(key_map.version, key_map.era)
-    return replace(key_map, version=number, fence=fence, ranges=ranges)
+    return replace(key_map, version=key_map.version + 1, fence=fence, ranges=ranges)
--- a/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_map_entry.py
@@ -78,9 +78,9 @@
         newest = max(filter(None, (known, found)), key=lambda m: m.version, default=None)
         if newest is None:
             return None
-        lost = found is None or found.version < newest.version or found.era < era
-        if lost and not told:
-            raise MapNotSettled(f"{self._key}: version {newest.version} where era {era} is")
+        current = found is not None and found.version == newest.version and found.era == era
+        if not current and not told:
+            raise MapNotSettled(f"{self._key}: version {newest.version} in era {era}")
         self._log.decided(
             "key_map_read", service=self._service, era=era,
             version=found.version if found is not None else 0,
@@ -89,11 +89,11 @@
             known=known.version if known is not None else 0,
         )  # fmt: skip
         self._revision = item.revision if item is not None else 0
-        if lost or found is None:
+        if not current:
             return await self._numbered_anew(newest, era, "the store went back")
-        self._maps.adopt(found)
-        self._spread(found)
-        return found
+        self._maps.adopt(newest)
+        self._spread(newest)
+        return newest
 
     def _decoded(self, item: KeyValue) -> KeyMap:
         key_map = decode_key_map(item.value)
@@ -153,7 +153,7 @@
         self._log.decided(
             "key_map_written", service=planned.service, version=planned.version, why=why,
             ranges=len(planned.ranges), targets=len(planned.targets), fence=planned.fence,
-            revision=self._revision, era=era,
+            revision=self._revision, era=era, unsettled=planned.unsettled,
         )  # fmt: skip
         self._maps.adopt(planned)
         self._spread(planned)
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -113,13 +113,13 @@
         spread: Callable[[KeyMap], None],
         ask: Callable[[str, AskRelease], None],
     ) -> None:
-        self._ask = ask
         self._settings = settings
         self._store = store
         self._directory = directory
         self._maps = key_maps
         self._log = log
         self._spread = spread
+        self._ask = ask
         self._services: dict[str, _Service] = {}
         self._on_duty_since: float | None = None
         self._registered = False
@@ -251,7 +251,7 @@
             if planned.version != key_map.version:
                 await service.entry.write(planned, why)
         except MapNotSettled:
-            # The entry's reading was logged; the next look is due in a moment.
+            # Others may yet tell of a newer map: the next look is due in a moment.
             return
         except CasConflict as error:
             service.entry.forget()
