A test's requests: one runs at each target before the one that crashes it

Cause: the step sent four requests to one daemon, slept 0.3 s and supposed that each of the two targets ran one of them.

Change: the step sends at both daemons by turns until each target runs one. What the scenario asserts is as it was.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -53,14 +53,24 @@
     return [line for line in lines if line["message_type"] == f"pearward:{what}"]
 
 
-def _arrivals(context: Any, path: str) -> list[dict[str, Any]]:
-    """Return what all targets wrote down of runs of *path*, whether they live or not."""
+def _runs(context: Any) -> list[dict[str, Any]]:
+    """Return what all targets wrote down of what they ran, whether they live or not."""
     runs = []
     for log in _cluster(context).logs.glob("*-target.log"):
         for line in log.read_text(encoding="utf-8").splitlines():
             if line.startswith("{"):
                 runs.append(json.loads(line))
-    return [run for run in runs if run.get("path") == path]
+    return runs
+
+
+def _arrivals(context: Any, path: str) -> list[dict[str, Any]]:
+    """Return the runs of *path*."""
+    return [run for run in _runs(context) if run.get("path") == path]
+
+
+def _targets_of(context: Any, prefix: str) -> set[str]:
+    """Return the targets that wrote down a run of a path that begins with *prefix*."""
+    return {run["target"] for run in _runs(context) if run.get("path", "").startswith(prefix)}
 
 
 def _ended(context: Any, service: str) -> list[MeshNode]:
@@ -95,15 +105,22 @@
 @when('an "{kind}" request crashes its target of the pooled service while another one runs there')
 def crash_beside_another(context: Any, kind: str) -> None:
     service = SERVICES["pooled"]
-    node = _nodes(context, service)[0]
-    others = [f"/{service}/{kind}/other-{n}?work_ms=1500" for n in range(4)]
-    threads = [threading.Thread(target=_send, args=(context, node, path, kind)) for path in others]
-    for thread in threads:
-        thread.start()
-    time.sleep(0.3)
+    nodes = _nodes(context, service)
+    threads: list[threading.Thread] = []
+
+    def one_runs_at_each() -> bool:
+        """Send one more, at the daemons by turns: a target that is free may take the next one."""
+        path = f"/{service}/{kind}/other-{len(threads)}?work_ms=1500"
+        sent_at = nodes[len(threads) % len(nodes)]
+        threads.append(threading.Thread(target=_send, args=(context, sent_at, path, kind)))
+        threads[-1].start()
+        time.sleep(0.05)
+        return len(_targets_of(context, f"/{service}/{kind}/other-")) == len(nodes)
+
+    wait_until(one_runs_at_each, "another request to run at each target", 1.0)
     known = len(_lines(context, "target_crashed"))
     context.path = f"/{service}/{kind}/sight?spoil=crash&work_ms={WORK_MS}"
-    _send(context, node, context.path, kind)
+    _send(context, nodes[0], context.path, kind)
     for thread in threads:
         thread.join()
     wait_until(lambda: len(_lines(context, "target_crashed")) > known, "the end to be told", WAIT_S)
@@ -117,8 +134,7 @@
     assert bad["target"] == context.crash["target"], (bad, context.crash)
     running = [
         run["id"]
-        for log in _cluster(context).logs.glob("*-target.log")
-        for run in map(json.loads, log.read_text(encoding="utf-8").splitlines())
+        for run in _runs(context)
         if run.get("target") == bad["target"] and "other-" in run.get("path", "")
     ]
     assert running, "no other request ran at the target that ended"
