Keys by calls: given only while the process that was heard runs

Cause: a call names the target's id alone. A renewal that was due between the new process's start and its first heartbeat reached it and was taken.

Change: each heartbeat attaches to the process by a connection without use. The kernel ends it with the process, and each grant asks the kernel before it is sent; without a process that was heard nothing is given until the next heartbeat. Releases go on: they take nothing.

Why it holds: as long as that connection stands the process at its other end runs, and no other one listens at the address.

--- a/packages/coordination/src/pearward_coordination/grant_calls.py
+++ b/packages/coordination/src/pearward_coordination/grant_calls.py
@@ -5,7 +5,9 @@
 daemon sets the pace of renewals. Keys are taken back by a call of its own, answered when
 the work on them has ended. And a grant that goes unanswered may be taken seconds later,
 behind newer calls; so keys that were let go rest until every grant of them that was
-neither answered nor refused has surely run out.
+neither answered nor refused has surely run out. And a call names the target's id alone, which
+the target's next process may have as well: grants are made while the process that was heard
+runs.
 
 No I/O and no clock.
 """
@@ -67,8 +69,12 @@
 
     # -- calls that are due ------------------------------------------------------------
 
-    def due(self, now: float) -> list[GrantCall | ReleaseCall]:
-        """Return the calls to make now; each counts as under way until it is told otherwise."""
+    def due(self, now: float, *, attached: bool) -> list[GrantCall | ReleaseCall]:
+        """Return the calls to make now; each counts as under way until it is told otherwise.
+
+        *attached* says that the process whose heartbeats were heard surely runs: the next one
+        under its id would take a renewal, and hold keys under the former one's fence.
+        """
         self._keeper.ledger.expire(now)
         calls: list[GrantCall | ReleaseCall] = []
         for row in list(self._keeper.unwanted(now)):
@@ -77,7 +83,7 @@
                 self._releases.add(release)
                 calls.append(release)
         hold_s = self._keeper.hold_s(now + CALL_TRANSIT_S)
-        if hold_s < SHORTEST_HOLD_S:
+        if hold_s < SHORTEST_HOLD_S or not attached:
             return calls
         for granted, first_time in self._rows_due(now):
             refused = self._refused.get(granted, now) > now
--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -4,10 +4,12 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.python.failure import Failure
 
 from pearward_coordination.grant_calls import CALL_TRANSIT_S, GrantCall, GrantCalls, ReleaseCall
 from pearward_coordination.grants import GrantKeeper
 from pearward_transport.clock import boot_time
+from pearward_transport.errors import ServerUnreachable
 
 from .dialect import BeatAnswer, GrantPort, GrantReply, GrantVerdict, ReleaseReply
 from .log import DecisionLog
@@ -57,14 +59,23 @@
         self._keeper.begun_unknown(CALL_TRANSIT_S)
 
     def hold(self, received: float, *, at_once: bool) -> "Deferred[BeatAnswer]":
-        """Answer a heartbeat: it says nothing of keys."""
+        """Answer a heartbeat, which says nothing of keys; note the process that sent it."""
+        if self._keyed:
+            self._port.attach().addCallbacks(lambda _: self.give(), self._not_attached)
         return succeed(BeatAnswer())
 
+    def _not_attached(self, failure: Failure) -> None:
+        failure.trap(ServerUnreachable)
+        self._log.decided(
+            "target_not_reached", failure=True, target=self._keeper.target,
+            error=failure.getErrorMessage(),
+        )  # fmt: skip
+
     def give(self) -> None:
         """Make the calls that are due."""
         if not self._keyed or not self._keeper.target:
             return
-        for call in self._calls.due(boot_time()):
+        for call in self._calls.due(boot_time(), attached=self._port.attached):
             if isinstance(call, GrantCall):
                 self._grant(call)
             else:
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -144,8 +144,15 @@
 class GrantPort(Protocol):
     """Calls that give keys to the target beside this daemon and take them back."""
 
+    @property
+    def attached(self) -> bool:
+        """Whether the target's process that `attach` found runs still."""
+
+    def attach(self) -> "Deferred[None]":
+        """Note the process that is there now; fails with ServerUnreachable where none is."""
+
     def grant(self, target: str, row: GrantedRow, hold_s: float) -> "Deferred[GrantReply]":
-        """Give keys, or renew them; never fails."""
+        """Give keys, or renew them, to the process that `attach` found; never fails."""
 
     def release(self, target: str, row: HeldRow) -> "Deferred[ReleaseReply]":
         """Take keys back; answered when what ran on them has ended; never fails."""
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -144,6 +144,19 @@
         the answer was not whole after *timeout_s* seconds, or broke off.
         """
         connection = self.take() or await self.connect()
+        return await self.exchange(connection, method, path, headers, body, timeout_s=timeout_s)
+
+    async def exchange(
+        self,
+        connection: ServerConnection,
+        method: bytes,
+        path: bytes,
+        headers: bytes = b"",
+        body: bytes = b"",
+        *,
+        timeout_s: float,
+    ) -> SmallAnswer:
+        """Make one small exchange on a connection that serves no other; raises ServerBroke."""
         sink = _Collected()
         timer = self._reactor.callLater(timeout_s, sink.exchange_failed, "no answer in time")
         try:
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
+    MSG_DONTWAIT,
+    MSG_PEEK,
     SO_KEEPALIVE,
     SOL_SOCKET,
     TCP_KEEPCNT,
@@ -145,6 +147,21 @@
         """Whether an exchange can begin."""
         return self._connected and self._sink is None
 
+    @property
+    def stands(self) -> bool:
+        """Whether the server still has this connection, by what the kernel has at this moment.
+
+        The loop reads the end of a connection only when its turn comes.
+        """
+        if not self._connected:
+            return False
+        try:
+            return bool(self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def rested(self, now: float) -> bool:
         """Whether the server may be about to close this idle connection."""
         return now - self._used_at > self._idle_limit_s
--- a/tests/fuzz/mesh_targets.py
+++ b/tests/fuzz/mesh_targets.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from pearward_coordination.grants import GrantedRow, HeldRow, ReleasedRow
 from pearward_daemon.mesh.dialect import (
@@ -16,6 +16,7 @@
     TargetBeat,
 )
 from pearward_state.members import TargetState, target_id
+from pearward_transport.errors import ServerUnreachable
 
 if TYPE_CHECKING:
     from .mesh_world import Node, World
@@ -241,9 +242,32 @@
         self._world = world
         self._node = node
         self.offered: list[GrantedRow] = []
+        self._process: FakeTarget | None = None
+
+    @property
+    def attached(self) -> bool:
+        """Whether the process that was there when `attach` was called last runs still."""
+        return self._process is not None and self._process.alive
 
     def close(self) -> None:
-        """Nothing is kept."""
+        """The target has ended."""
+        self._process = None
+
+    def attach(self) -> Deferred[None]:
+        """Note the process that is there when the connection is made."""
+        if self.attached:
+            return succeed(None)
+        made: Deferred[None] = Deferred()
+
+        def arrive() -> None:
+            self._process = self._node.target
+            if self.attached:
+                made.callback(None)
+            else:
+                made.errback(ServerUnreachable("no process there"))
+
+        self._world.deliver(self._node.daemon, self._world.now + LINK_S, arrive)
+        return made
 
     def grant(self, target: str, row: GrantedRow, hold_s: float) -> Deferred[GrantReply]:
         """Deliver a grant: at once, or late and without an answer, or both."""
