Cells: a line for each change of what a daemon serves

Neither the lease nor the keys that the server has taken were told; the wait of requests beside an owner that serves could not be followed without them.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -498,6 +498,12 @@
         )
         if key != self._state_key:
             self._state_key = key
+            eliot.log_message(
+                "pearward:serving", cell=self._cell, version=ownership.adopted,
+                lease_held=self.lease_held, term=self._agent.lease.term,
+                shards=ownership.shard_count, serving=ownership.serving_count,
+                released=ownership.released, awaited=ownership.awaited_releases(),
+            )  # fmt: skip
             for callback in self._on_serving_changed:
                 callback()
 
