Keys by calls: a grant's answer lets requests for its keys look, not all that wait

Cause: the answer to each grant let all waiting requests look again.

Change: an answer names its keys, and only requests for these look.

Open: a daemon that stood still for another reason still sends on what it read before it sees that the callers have left.

--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -29,7 +29,7 @@
         keeper: GrantKeeper,
         port: GrantPort,
         log: DecisionLog,
-        on_granted: Callable[[], None],
+        on_granted: Callable[[int, int], None],
         on_released: Callable[[], None],
         on_behind: Callable[[], None],
         on_other_target: Callable[[str], None],
@@ -101,7 +101,7 @@
     def _grant_answered(self, reply: GrantReply, call: GrantCall, target: str) -> None:
         if reply.verdict is GrantVerdict.TAKEN:
             if self._calls.granted(call) and call.first_time:
-                self._on_granted()
+                self._on_granted(call.row.first, call.row.last)
             return
         if reply.verdict is GrantVerdict.UNANSWERED:
             self._calls.unanswered(call)
--- a/packages/daemon/src/pearward_daemon/mesh/parked_requests.py
+++ b/packages/daemon/src/pearward_daemon/mesh/parked_requests.py
@@ -13,6 +13,10 @@
 class ParkedRequest(Protocol):
     """A request that is told when keys have come."""
 
+    @property
+    def position(self) -> int:
+        """The key that it waits for."""
+
     def admit(self) -> None:
         """Look again whether the target may run it."""
 
@@ -47,8 +51,18 @@
         """A request no longer waits for its key."""
         self._waiting.pop(request, None)
 
+    def admit(self, first: int, last: int) -> None:
+        """The keys from *first* to *last* have come: let those that wait for them look again.
+
+        Keys come by many calls after a restart: the daemon would stand still for a second if all
+        looked each time.
+        """
+        for request in [r for r in self._waiting if first <= r.position <= last]:
+            self._waiting.pop(request, None)
+            request.admit()
+
     def admit_all(self) -> None:
-        """Keys have come: let all look again; those whose keys have not come wait on."""
+        """Any keys may have come: let all look again; those whose keys have not come wait on."""
         waiting, self._waiting = list(self._waiting), {}
         for request in waiting:
             request.admit()
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -79,6 +79,11 @@
         """What is asked for."""
         return self._head
 
+    @property
+    def position(self) -> int:
+        """The key that it asks for."""
+        return self._head.position
+
     @cached_property
     def content(self) -> str:
         """What it asks for, the same for every id under which it comes."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_side.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_side.py
@@ -122,7 +122,7 @@
     def _delivery_of(self, way: GrantWay, grants: GrantPort) -> GrantDelivery:
         if way is GrantWay.CALL:
             return CallDelivery(
-                self._reactor, self._keeper, grants, self._log, self._parked.admit_all,
+                self._reactor, self._keeper, grants, self._log, self._parked.admit,
                 self._keys_let_go, self._map_wanted, self._other_target_there,
             )  # fmt: skip
         return BeatAnswers(self._reactor, self._keeper, self._log, self._parked.admit_all)
