A stopping daemon gives requests no more time than it has itself

Cause: a request's deadline did not know of the end. Targets and links order their work by the time that is left, so that an answer which had to be out in 4.5 s stood behind others.

Change: from SIGTERM on a request ends with its daemon at the latest. It is answered 504 a moment before where it was answered with that at the end; nothing is refused sooner.

Requests that came before the SIGTERM are as they were.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -99,6 +99,13 @@
     Then the caller gets 504 and no part of that answer
     And that daemon ends with exit code 0 and is started again
 
+  # The daemons on its way order what they have by the time that is left.
+  Scenario: A request that comes to a stopping daemon has no more time than that daemon
+    Given a route "/patient/" whose requests may take 20 s
+    When a request on "/patient/" that may take 20 s comes 1 s after a daemon was told to stop
+    Then it is answered, and its target was given between 4 s and 4.7 s
+    And that daemon ends with exit code 0 and is started again
+
   Scenario: A planned stop cuts no request of others, though the target's keys cannot be moved
     When the store is away and a daemon with keys is told to stop under requests of 1 s
     Then every request that its target ran was answered whole
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -380,6 +380,29 @@
     caller.join()
 
 
+@when('a request on "{prefix}" that may take {allowed:d} s comes {seconds:g} s '
+      "after a daemon was told to stop")  # fmt: skip
+def request_after_stop(context: Any, prefix: str, allowed: int, seconds: float) -> None:
+    node = context.stopped = _nodes(context, POOLED)[0]
+    context.asked = _id(context)
+    node.daemon.send_signal(signal.SIGTERM)
+    time.sleep(seconds)
+    headers = {"Request-Id": context.asked, "Deadline-Ms": str(allowed * 1000)}
+    context.reply = _cluster(context).call(node, f"{prefix}x", headers=headers)
+
+
+@then("it is answered, and its target was given between {least:g} s and {most:g} s")
+def time_given(context: Any, least: float, most: float) -> None:
+    assert context.reply.status == 200, context.reply
+    (run,) = [
+        run
+        for node in _cluster(context).nodes
+        for run in _cluster(context).state(node)["ran"]
+        if run["id"] == context.asked
+    ]
+    assert least * 1000 <= int(run["deadline"]) <= most * 1000, run
+
+
 @then("that daemon ends with exit code 0 and is started again")
 def ends_and_returns(context: Any) -> None:
     assert context.stopped.daemon.wait(timeout=8) == 0
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -129,7 +129,7 @@
             "stopping", open=self._ingress.open_requests, at_target=self._side.open_requests
         )
         self._core.stop()
-        self._ingress.stop()
+        self._ingress.stop(self._stopping_since + self._settings.stop_s - STOP_MARGIN_S)
         self._check_stopped()
 
     def reload(self, settings: MeshSettings) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -1,5 +1,6 @@
 """The callers' side: routes, targets to choose from, and what all requests share."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
@@ -138,6 +139,8 @@
         self._sheds = settings.overload.uses(Mechanism.SHED_KEYS)
         self._open: set[RoutedRequest] = set()
         self._stopping = False
+        self._ends_at = math.inf
+        """Time in s at which this daemon ends; nothing reaches a caller from then on."""
         self._refusing_s = 0.0
         self.directory = directory
         self.quarantine = quarantine
@@ -151,6 +154,11 @@
         """Callers' requests that are not answered yet."""
         return len(self._open)
 
+    @property
+    def ends_at(self) -> float:
+        """Time in s at which this daemon ends; infinite until it is told to stop."""
+        return self._ends_at
+
     @property
     def caller_service(self) -> str:
         """Service on whose instance the requests begin."""
@@ -170,9 +178,10 @@
         present = {(route.name, route.services) for route in table.routes}
         self._turns = {key: turns for key, turns in self._turns.items() if key in present}
 
-    def stop(self) -> None:
-        """Let callers' connections end with their next answer."""
+    def stop(self, ends_at: float) -> None:
+        """Let callers' connections end with their next answer, and requests by *ends_at*."""
         self._stopping = True
+        self._ends_at = ends_at
 
     def refuse_new(self, retry_after_s: float) -> None:
         """Turn new requests away from now on, to come back after some seconds."""
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -67,7 +67,8 @@
         limit_ms = route.timeout_ms
         if intent.deadline_ms is not None:
             limit_ms = min(limit_ms, intent.deadline_ms)
-        self._deadline = self._began + limit_ms / MS_PER_S
+        # Others order their work by the time that is left, and the caller hears nothing later.
+        self._deadline = min(self._began + limit_ms / MS_PER_S, ingress.ends_at)
         self._service = ingress.service_for(route)
         self._keyed = intent.key is not None and ingress.is_keyed(self._service)
         self._forwarded = b""
