Keys by calls: a grant is with the kernel when it counts as sent, or it is not sent

Cause: the end of a hold was reckoned as the call was decided, and the call went out when its connection stood and the loop had turned. After a restart 85 grants at once opened 85 connections on a daemon that stood still for a second.

Change: a call names the time by which it has to be with the kernel, 0.05 s; where its connection comes later it is not sent and reckoned anew, and what is sent does not wait for the loop. At most 16 grants are under way, the next one is decided when one is answered. One that was not sent is made again at once; it used to rest for 0.5 s.

Why it holds: between the last look at the clock and the kernel nothing else runs.

Test: features/attached_target.feature, on the kernel's sockets (both scenarios failed before: the grant was still here; it was sent 0.1 s late), keys_come.feature.

--- a/features/attached_target.feature
+++ b/features/attached_target.feature
@@ -1,4 +1,4 @@
-Feature: Calls that give keys reach the process whose heartbeat was heard, and no other one
+Feature: Calls that give keys reach the process whose heartbeat was heard, at once or not at all
 
   # The call names the target's id, which its next process may have as well: that one would hold keys
   # under the fence under which the former one had them.
@@ -16,3 +16,16 @@
     When a heartbeat of it is heard
     And 3 s later a heartbeat is heard and the connection of that moment is reset
     Then a grant is sent to its process
+
+  # A hold runs from the call's arrival. A daemon that stood still for a second after it had reckoned
+  # when the hold ends, before the call went out, let others have the keys while its target held them.
+  Scenario: A grant is with the target's kernel when it counts as sent
+    Given a target that takes its keys by calls, and its process
+    When a heartbeat of it is heard
+    And its connection for calls is kept
+    Then a grant is sent to its process before the loop turns
+
+  Scenario: A grant whose connection takes too long is not sent
+    Given a target that takes its keys by calls, and its process
+    When a heartbeat of it is heard
+    Then a grant whose connection stands 0.1 s later is not sent
--- a/features/keys_come.feature
+++ b/features/keys_come.feature
@@ -7,3 +7,4 @@
     Given a daemon whose target is to get 85 ranges by calls, and 500 requests that wait for them
     When the calls are answered, one after the other
     Then each of the 500 requests has looked once
+    And no more than 16 calls were ever under way
--- a/features/steps/attached_steps.py
+++ b/features/steps/attached_steps.py
@@ -1,12 +1,15 @@
 """Steps of calls to a target that another process may have followed: sockets are the kernel's."""
 
 import socket
+from contextlib import suppress
 from typing import Any
 from unittest import mock
 
 from behave import given, then, when
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.tcp import Connection
+from twisted.internet.testing import MemoryReactorClock
 
+from pearward_coordination.grant_calls import CALL_SENT_S
 from pearward_coordination.grants import GrantedRow
 from pearward_daemon.mesh.dialect import GrantVerdict
 from pearward_platform import grants
@@ -16,17 +19,7 @@
 TARGET = "i-0123456789"
 ROW = GrantedRow(0, 4095, 1, "")
 HOLD_S = 2.7
-
-
-class _Transport(StringTransport):
-    """A transport that tells what was written, over a connection that the kernel keeps."""
-
-    def __init__(self, connected: socket.socket) -> None:
-        super().__init__()
-        self.socket = connected
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        """Nothing is held back here."""
+BUFFER = 65_536
 
 
 class _Process:
@@ -35,14 +28,23 @@
     def __init__(self) -> None:
         self._listening = socket.create_server(("127.0.0.1", 0))
         self.accepted: list[socket.socket] = []
-        self.transports: list[_Transport] = []
+        self._received = b""
 
-    def connect(self, factory: Any) -> None:
-        """Complete one connection to this process."""
+    def connect(self, factory: Any, reactor: Any) -> Any:
+        """Complete one connection to this process, and return the caller's end."""
         caller = socket.create_connection(self._listening.getsockname())
+        caller.setblocking(False)
         self.accepted.append(self._listening.accept()[0])
-        self.transports.append(_Transport(caller))
-        factory.buildProtocol(None).makeConnection(self.transports[-1])
+        self.accepted[-1].setblocking(False)
+        protocol = factory.buildProtocol(None)
+        transport = Connection(caller, protocol, reactor)
+        transport.connected = 1
+        protocol.makeConnection(transport)
+        return protocol
+
+    def forget(self) -> None:
+        """Look only at what comes from now on."""
+        self._received = b""
 
     def end(self) -> None:
         """The kernel closes what the process had."""
@@ -51,15 +53,25 @@
 
     @property
     def received(self) -> bytes:
-        """What was written on all connections to this process."""
-        return b"".join(transport.value() for transport in self.transports)
+        """What has reached this process on all connections."""
+        for connection in self.accepted:
+            # One that was reset has nothing for this process any more.
+            with suppress(OSError):
+                self._received += connection.recv(BUFFER)
+        return self._received
 
 
 def _connect(context: Any) -> None:
     """Complete all connections that are being made to the process that stands now."""
     made = context.reactor.tcpClients
     while made:
-        context.process.connect(made.pop(0)[2])
+        context.connection = context.process.connect(made.pop(0)[2], context.reactor)
+
+
+def _turn(context: Any) -> None:
+    """Let the loop write what it has been given."""
+    for writer in list(context.reactor.writers):
+        writer.doWrite()
 
 
 @given("a target that takes its keys by calls, and its process")
@@ -94,15 +106,49 @@
 
 @then("a grant is sent to its process")
 def sent(context: Any) -> None:
-    answer = context.grants.grant(TARGET, ROW, HOLD_S)
+    answer = _grant(context)
     _connect(context)
+    _turn(context)
     assert b"POST /pearward/grant" in context.process.received
     assert not answer.called
 
 
+def _grant(context: Any) -> Any:
+    return context.grants.grant(TARGET, ROW, HOLD_S, boot_time() + CALL_SENT_S)
+
+
+@when("its connection for calls is kept")
+def kept(context: Any) -> None:
+    answer = _grant(context)
+    _connect(context)
+    _turn(context)
+    assert b"POST /pearward/grant" in context.process.received
+    context.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert answer.result.verdict is GrantVerdict.TAKEN
+    context.process.forget()
+
+
+@then("a grant is sent to its process before the loop turns")
+def in_kernel(context: Any) -> None:
+    _grant(context)
+    assert not context.reactor.tcpClients
+    assert b"POST /pearward/grant" in context.process.received
+
+
+@then("a grant whose connection stands {seconds:g} s later is not sent")
+def late(context: Any, seconds: float) -> None:
+    answer = _grant(context)
+    with mock.patch.object(grants, "boot_time", lambda: boot_time() + seconds):
+        _connect(context)
+    _turn(context)
+    assert context.process.received == b""
+    assert answer.result.verdict is GrantVerdict.NOT_SENT, answer.result
+
+
 @then("a grant is not sent, and no connection to the next process carries one")
 def not_sent(context: Any) -> None:
-    answer = context.grants.grant(TARGET, ROW, HOLD_S)
+    answer = _grant(context)
     _connect(context)
+    _turn(context)
     assert answer.result.verdict is GrantVerdict.NOT_SENT, answer.result
     assert context.process.received == b""
--- a/features/steps/keys_come_steps.py
+++ b/features/steps/keys_come_steps.py
@@ -91,3 +91,9 @@
     assert set(context.looks) == set(context.requests), len(context.looks)
     most = max(context.looks.values())
     assert most == 1, f"{context.looks.total()} looks of {count} requests, up to {most} each"
+
+
+@then("no more than {most:d} calls were ever under way")
+def few_under_way(context: Any, most: int) -> None:
+    grants = context.world.nodes[0].grants
+    assert 0 < grants.most_under_way <= most, grants.most_under_way
--- a/packages/coordination/src/pearward_coordination/grant_calls.py
+++ b/packages/coordination/src/pearward_coordination/grant_calls.py
@@ -20,11 +20,17 @@
 from .grants import CLOCK_SLACK, SHORTEST_HOLD_S, GrantedRow, GrantKeeper, HeldRow, ReleasedRow
 from .hold_ledger import Hold
 
-__all__ = ["CALL_TRANSIT_S", "GrantCall", "GrantCalls", "ReleaseCall"]
+__all__ = ["CALL_SENT_S", "CALL_TRANSIT_S", "GrantCall", "GrantCalls", "ReleaseCall"]
 
 CALL_TRANSIT_S = 0.15
 """Seconds in which a call surely arrives at a target on the same instance; written ones
 take under a millisecond, so that this covers a busy processor many times."""
+CALL_SENT_S = 0.05
+"""Seconds within which a call has to be with the kernel: a daemon that stood still since it
+reckoned the end of the hold does not send it any more."""
+MOST_UNDER_WAY = 16
+"""Grants that are under way at once. A daemon that has many to make after a restart would
+otherwise open a connection for each, and send the last ones long after it reckoned their holds."""
 REFUSED_REST_S = 0.5
 """Seconds for which a refused grant is not made again: a newer map is here by then."""
 RENEWED_AFTER = 0.5
@@ -86,6 +92,8 @@
         if hold_s < SHORTEST_HOLD_S or not attached:
             return calls
         for granted, first_time in self._rows_due(now):
+            if len(self._grants) >= MOST_UNDER_WAY:
+                break
             refused = self._refused.get(granted, now) > now
             if not refused and not self._under_way(granted.first, granted.last):
                 calls.append(self._grant(granted, first_time, hold_s, now))
@@ -151,6 +159,12 @@
         self._refused = {row: until for row, until in self._refused.items() if until > now}
         self._refused[call.row] = now + REFUSED_REST_S
 
+    def not_sent(self, call: GrantCall) -> None:
+        """The call did not go out: the target cannot take it, and it is made again."""
+        if call in self._grants:
+            self._grants.discard(call)
+            self._keeper.ledger.settle(call.hold)
+
     def unanswered(self, call: GrantCall) -> None:
         """No answer came: the grant may be taken yet, and is made again."""
         self._grants.discard(call)
--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -6,7 +6,13 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
-from pearward_coordination.grant_calls import CALL_TRANSIT_S, GrantCall, GrantCalls, ReleaseCall
+from pearward_coordination.grant_calls import (
+    CALL_SENT_S,
+    CALL_TRANSIT_S,
+    GrantCall,
+    GrantCalls,
+    ReleaseCall,
+)
 from pearward_coordination.grants import GrantKeeper
 from pearward_transport.clock import boot_time
 from pearward_transport.errors import ServerUnreachable
@@ -94,7 +100,8 @@
                 "grant_sent", target=target, first=call.row.first, last=call.row.last,
                 fence=call.row.fence, warm=bool(call.row.token), hold_s=round(call.hold_s, 3),
             )  # fmt: skip
-        self._port.grant(target, call.row, call.hold_s).addCallback(
+        send_by = call.hold.sent + CALL_SENT_S
+        self._port.grant(target, call.row, call.hold_s, send_by).addCallback(
             self._grant_answered, call, target
         )
 
@@ -102,9 +109,12 @@
         if reply.verdict is GrantVerdict.TAKEN:
             if self._calls.granted(call) and call.first_time:
                 self._on_granted(call.row.first, call.row.last)
+            self.give()
             return
         if reply.verdict is GrantVerdict.UNANSWERED:
             self._calls.unanswered(call)
+        elif reply.verdict is GrantVerdict.NOT_SENT:
+            self._calls.not_sent(call)
         else:
             self._calls.refused(call, boot_time())
         key_map = self._keeper.key_map
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -151,8 +151,14 @@
     def attach(self) -> "Deferred[None]":
         """Note the process that is there now; fails with ServerUnreachable where none is."""
 
-    def grant(self, target: str, row: GrantedRow, hold_s: float) -> "Deferred[GrantReply]":
-        """Give keys, or renew them, to the process that `attach` found; never fails."""
+    def grant(
+        self, target: str, row: GrantedRow, hold_s: float, send_by: float
+    ) -> "Deferred[GrantReply]":
+        """Give keys, or renew them, to the process that `attach` found; never fails.
+
+        The hold of *hold_s* seconds runs from the arrival: a call that is not with the kernel at
+        *send_by*, a time in s, is not sent.
+        """
 
     def release(self, target: str, row: HeldRow) -> "Deferred[ReleaseReply]":
         """Take keys back; answered when what ran on them has ended; never fails."""
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -155,14 +155,20 @@
         body: bytes = b"",
         *,
         timeout_s: float,
+        at_once: bool = False,
     ) -> SmallAnswer:
-        """Make one small exchange on a connection that serves no other; raises ServerBroke."""
+        """Make one small exchange on a connection that serves no other; raises ServerBroke.
+
+        With *at_once* the kernel has the request as this is called.
+        """
         sink = _Collected()
         timer = self._reactor.callLater(timeout_s, sink.exchange_failed, "no answer in time")
         try:
             if b"Host:" not in headers:
                 headers += b"Host: %b\r\n" % self._address.encode()
             connection.send(method, path, headers, body, sink)
+            if at_once:
+                connection.flush()
             return await sink.done
         except ServerBroke:
             connection.abort()
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -178,6 +178,12 @@
             b"%b %b HTTP/1.1\r\n%b%b\r\n%b" % (method, path, headers, length, body)
         )
 
+    def flush(self) -> None:
+        """Hand what was sent to the kernel now: the loop does so only at its next turn."""
+        if self._connected:
+            # A failure shows at the loop's own next try, and ends the connection then.
+            self.transport.doWrite()
+
     def send_head(
         self, method: bytes, path: bytes, headers: bytes, length: int, sink: AnswerSink
     ) -> None:
--- a/tests/fuzz/mesh_targets.py
+++ b/tests/fuzz/mesh_targets.py
@@ -242,6 +242,7 @@
         self._world = world
         self._node = node
         self.offered: list[GrantedRow] = []
+        self.under_way = self.most_under_way = 0
         self._process: FakeTarget | None = None
 
     @property
@@ -269,11 +270,16 @@
         self._world.deliver(self._node.daemon, self._world.now + LINK_S, arrive)
         return made
 
-    def grant(self, target: str, row: GrantedRow, hold_s: float) -> Deferred[GrantReply]:
+    def grant(
+        self, target: str, row: GrantedRow, hold_s: float, send_by: float
+    ) -> Deferred[GrantReply]:
         """Deliver a grant: at once, or late and without an answer, or both."""
         world, daemon = self._world, self._node.daemon
         self.offered.append(row)
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
         answer: Deferred[GrantReply] = Deferred()
+        answer.addCallback(self._answered)
         present = self._node.target
         arrived = world.now + LINK_S
         late = world.next_order_late()
@@ -299,6 +305,10 @@
         )  # fmt: skip
         return answer
 
+    def _answered(self, reply: GrantReply) -> GrantReply:
+        self.under_way -= 1
+        return reply
+
     def release(self, target: str, row: HeldRow) -> Deferred[ReleaseReply]:
         """Deliver a release, and its answer when the work on the keys has ended."""
         world, daemon = self._world, self._node.daemon
