Daemons: the time that a request waited on its way counts as its caller's time

Cause: the time left is told as it is at the sending. A daemon that stood still reads the requests that came meanwhile as if they came now; the word that their callers have left stands behind them in the same buffer.

Change: requests and greetings tell when they were sent, by the sender's steady clock. Nothing is guessed where no time is told.

Open: a daemon cannot tell how long a caller's own request stood in the kernel before it was read.

--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -300,6 +300,7 @@
             last_target=self._long and self._asks_last(placement),
             idle_only=self._asks_idle(placement),
             route=self._route.name,
+            sent_ms=int(now * MS_PER_S),
         )
 
     def _asks_idle(self, placement: Placement) -> bool:
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -43,6 +43,8 @@
 
     incarnation: str
     address: str
+    sent_ms: int = 0
+    """Time in ms of the sender's steady clock; 0 where it tells none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,8 @@
     """Name of the route: requests of one route run about equally long."""
     idle_only: bool = False
     """Whether the target is passed over unless it has a free slot now."""
+    sent_ms: int = 0
+    """Time in ms of the sender's steady clock as the frame was made; 0 where it tells none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +109,9 @@
 def encode_hello(hello: Hello) -> bytes:
     """Return the payload of a HELLO frame."""
     message = schema.Hello.new_message(
-        protocol=PROTOCOL_VERSION, incarnation=hello.incarnation, address=hello.address
-    )
+        protocol=PROTOCOL_VERSION, incarnation=hello.incarnation, address=hello.address,
+        sentMs=hello.sent_ms,
+    )  # fmt: skip
     return message.to_bytes()
 
 
@@ -116,7 +121,7 @@
         with schema.Hello.from_bytes(payload) as message:
             if message.protocol != PROTOCOL_VERSION:
                 raise FrameError(f"peer speaks version {message.protocol}")
-            return Hello(message.incarnation, message.address)
+            return Hello(message.incarnation, message.address, message.sentMs)
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"greeting: {error}") from error
 
@@ -147,6 +152,7 @@
         message.lastTarget = head.last_target
         message.route = head.route
         message.idleOnly = head.idle_only
+        message.sentMs = head.sent_ms
     return message.to_bytes()
 
 
@@ -177,6 +183,7 @@
                 message.lastTarget,
                 message.route,
                 message.idleOnly,
+                message.sentMs,
             )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"request head: {error}") from error
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -6,6 +6,7 @@
   protocol @0 :UInt16;
   incarnation @1 :Text;
   address @2 :Text;
+  sentMs @3 :UInt64;
 }
 
 struct RequestHead {
@@ -31,6 +32,7 @@
   lastTarget @19 :Bool;
   route @20 :Text;
   idleOnly @21 :Bool;
+  sentMs @22 :UInt64;
 }
 
 struct ResponseHead {
--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -1,6 +1,7 @@
 """One connection between two daemons: streams and control messages over TCP."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 from twisted.internet.error import ConnectionAborted
@@ -24,6 +25,9 @@
     ResponseReceived,
     StreamWritable,
 )
+from pearward_protocol.way_time import WayTime
+
+from .clock import boot_time
 
 __all__ = ["InboundHandler", "PeerConnection", "PeerHandler", "SilenceChecks", "StreamHandler"]
 
@@ -32,6 +36,10 @@
 SILENCE_LIMIT_S = 1.5
 """A connection that owes a sign of life and stays silent for longer, pings included, is dead."""
 
+LEAST_WAIT_MS = 10
+"""Milliseconds of waiting on the way that are taken off: less is the way's own unevenness."""
+MS_PER_S = 1000
+
 
 class StreamHandler(Protocol):
     """What one end of a stream does with what the other end sends."""
@@ -143,6 +151,7 @@
         self._sent_since = False
         """Whether a control message was sent since anything was received."""
         self._checks = checks
+        self._way = WayTime()
 
     # -- properties ---------------------------------------------------------
 
@@ -227,7 +236,7 @@
         self.transport.registerProducer(self, True)
         self._last_received = self._reactor.seconds()
         self._checks.add(self)
-        self._mux.send_hello(Hello(self._me.incarnation, self._me.address))
+        self._mux.send_hello(self._hello())
         self._flush()
 
     def dataReceived(self, data: bytes) -> None:
@@ -289,7 +298,7 @@
                     handler.response_received(event.head, event.ended, event.body)
             case RequestReceived():
                 inbound = self._handler.request_received(
-                    self, event.stream, event.head, event.ended, event.body
+                    self, event.stream, self._aged(event.head), event.ended, event.body
                 )
                 self._streams[event.stream] = inbound
                 inbound.begin()
@@ -305,7 +314,28 @@
             case HelloReceived():
                 self._greeted(event.hello)
 
+    def _aged(self, head: RequestHead) -> RequestHead:
+        """Take the time that a request waited on its way from what its caller allows.
+
+        A daemon that stood still would run requests whose callers have long left.
+        """
+        if not head.sent_ms:
+            return head
+        waited_ms = int(self._way.waited_s(head.sent_ms / MS_PER_S, boot_time()) * MS_PER_S)
+        if waited_ms < LEAST_WAIT_MS:
+            return head
+        return replace(
+            head,
+            deadline_ms=max(0, head.deadline_ms - waited_ms),
+            objective_ms=max(0, head.objective_ms - waited_ms),
+        )
+
+    def _hello(self) -> Hello:
+        return Hello(self._me.incarnation, self._me.address, int(boot_time() * MS_PER_S))
+
     def _greeted(self, hello: Hello) -> None:
+        if hello.sent_ms:
+            self._way.waited_s(hello.sent_ms / MS_PER_S, boot_time())
         self._peer = PeerId(hello.incarnation, hello.address)
         if self._opener:
             self._handler.peer_answered(self._peer, self._expected)
