A connection that was made and not used yet counts as used when it was made

Found by reading: a grant whose connection came too late left it for the next one, and that one closed it and opened another: a connection that had never carried anything was as old as the clock. A daemon that is slow after its start would have made no progress by it.

Test: features/attached_target.feature, the last step (failed before).

--- a/features/attached_target.feature
+++ b/features/attached_target.feature
@@ -29,3 +29,4 @@
     Given a target that takes its keys by calls, and its process
     When a heartbeat of it is heard
     Then a grant whose connection stands 0.1 s later is not sent
+    And the next one is sent on that connection
--- a/features/steps/attached_steps.py
+++ b/features/steps/attached_steps.py
@@ -152,3 +152,10 @@
     _turn(context)
     assert answer.result.verdict is GrantVerdict.NOT_SENT, answer.result
     assert context.process.received == b""
+
+
+@then("the next one is sent on that connection")
+def next_on_it(context: Any) -> None:
+    _grant(context)
+    assert not context.reactor.tcpClients
+    assert b"POST /pearward/grant" in context.process.received
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -256,6 +256,7 @@
 
     def connectionMade(self) -> None:
         self._connected = True
+        self._used_at = self._owner.now()
         self.transport.setTcpNoDelay(True)
         _end_when_silent(self.transport.socket)
         self.state = STATUS
