A daemon sends nothing on for a caller that has left, by what the kernel has

Cause: the daemon reads a request that waited in the kernel, sends it on over a kept connection, and reads only then that the caller's connection has ended.

Change: before each attempt the kernel is asked whether the caller's connection stands. The same look that grants make is one function now (socket_state.py).

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -119,6 +119,12 @@
     Then the logs lead from its id to the target and the reason
     And the metrics of its daemon count it by route and outcome
 
+  # The request stands before the end of its connection in the kernel's buffer.
+  Scenario: A daemon that stood still sends nothing on for callers that have left
+    When a daemon is frozen, 20 callers send requests to it and leave, and it goes on
+    Then no target has run any of them
+    And its logs say that each caller had left
+
   Scenario: A failure domain that operators drain gets nothing until they take it back
     When the failure domain of a keyed target is drained and 1.5 s have passed
     Then no target there gets any of 100 requests and every key is served elsewhere
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -521,3 +521,57 @@
     text = _cluster(context).metrics(_nodes(context, KEYED)[0])
     assert f'route="{POOLED}-safe"' in text
     assert 'outcome="given_up"' in text
+
+
+# -- callers that leave -----------------------------------------------------------------------
+
+
+@when("a daemon is frozen, {count:d} callers send requests to it and leave, and it goes on")
+def leave_frozen(context: Any, count: int) -> None:
+    node = _nodes(context, POOLED)[0]
+    context.asked = [_id(context) for _ in range(count)]
+    _keep_connections(context, node)
+    node.daemon.send_signal(signal.SIGSTOP)
+    try:
+        for request_id in context.asked:
+            with socket.create_connection((node.ip, CALLERS)) as caller:
+                caller.sendall(
+                    f"GET /{POOLED}/safe/left HTTP/1.1\r\nHost: {HOST}\r\n"
+                    f"Request-Id: {request_id}\r\n\r\n".encode()
+                )
+    finally:
+        node.daemon.send_signal(signal.SIGCONT)
+
+
+def _keep_connections(context: Any, node: MeshNode) -> None:
+    """Have a daemon keep connections to targets, on which a request goes out at once."""
+    path = f"/{POOLED}/safe/kept?work_ms=200"
+    threads = [
+        threading.Thread(
+            target=_cluster(context).call,
+            args=(node, path),
+            kwargs={"headers": {"Request-Id": _id(context)}},
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _left(context: Any) -> set[str]:
+    lines = _cluster(context).log_lines()
+    return {line["id"] for line in lines if line["message_type"] == "pearward:caller_left"}
+
+
+@then("no target has run any of them")
+def none_ran(context: Any) -> None:
+    wait_until(lambda: set(context.asked) <= _left(context), "the callers' end to be seen", 10)
+    ran = {r["id"] for n in _cluster(context).nodes for r in _cluster(context).state(n)["ran"]}
+    assert not ran.intersection(context.asked), ran.intersection(context.asked)
+
+
+@then("its logs say that each caller had left")
+def left_logged(context: Any) -> None:
+    assert set(context.asked) <= _left(context), set(context.asked) - _left(context)
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -172,7 +172,7 @@
     def _next_attempt(self) -> None:
         """Send the request to the owner of its key, or to the best target."""
         self._wait = None
-        if self._done or self._is_quarantined() or self._is_shed():
+        if self._done or self._caller_has_left() or self._is_quarantined() or self._is_shed():
             return
         placement = self._ingress.place(
             self._service, self._route, self._key, self._plan.excluded,
@@ -191,6 +191,13 @@
         else:
             self._connect(placement)
 
+    def _caller_has_left(self) -> bool:
+        """Send nothing for a caller that left while this daemon stood still."""
+        left = self._request.left
+        if left:
+            self.caller_lost()
+        return left
+
     def _is_quarantined(self) -> bool:
         """Refuse a request under which too many targets crashed, whatever its id."""
         quarantine = self._ingress.quarantine
--- a/packages/transport/src/pearward_transport/caller_request.py
+++ b/packages/transport/src/pearward_transport/caller_request.py
@@ -13,6 +13,8 @@
 from twisted.web.http import NO_BODY_CODES, RESPONSES
 from zope.interface import implementer
 
+from .socket_state import still_open
+
 __all__ = ["BodySink", "CallerRequest"]
 
 
@@ -115,6 +117,11 @@
         """Whether the caller's connection has ended."""
         return self._gone
 
+    @property
+    def left(self) -> bool:
+        """Whether the caller has closed its connection, read by the loop or not."""
+        return self._gone or not still_open(self.channel.transport.socket)
+
     def header_values(self) -> dict[bytes, bytes]:
         """Return the last value of each request header, by its name in canonical case."""
         return {name: values[-1] for name, values in self.requestHeaders.getAllRawHeaders()}
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
-    MSG_DONTWAIT,
-    MSG_PEEK,
     SO_KEEPALIVE,
     SOL_SOCKET,
     TCP_KEEPCNT,
@@ -25,6 +23,8 @@
 from twisted.web.http import _ChunkedTransferDecoder, _IdentityTransferDecoder
 from zope.interface import implementer
 
+from .socket_state import still_open
+
 __all__ = ["AnswerSink", "ConnectionOwner", "ServerConnection"]
 
 UNKNOWN_LENGTH = -1
@@ -153,14 +153,7 @@
 
         The loop reads the end of a connection only when its turn comes.
         """
-        if not self._connected:
-            return False
-        try:
-            return bool(self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        return self._connected and still_open(self.transport.socket)
 
     def rested(self, now: float) -> bool:
         """Whether the server may be about to close this idle connection."""
