Read once more: one type for a store's copy, one step of its return, a refused grant that calls its twin

- StoreCopy stood in both stand-ins of the store, word for word; it is one generic type beside KeptCopies.
World.return_store does what the two machines and a step each spelled out.
- GrantCalls.refused forgets a call by not_sent; the queue of the link no longer leaves out answers without an end, which its order puts last and its rule never chooses.
- The steps of attached_target.feature make a grant that arrives in one place; each asserts what it did.

Behaviour and assertions are as they were.

--- a/features/steps/attached_steps.py
+++ b/features/steps/attached_steps.py
@@ -106,10 +106,7 @@
 
 @then("a grant is sent to its process")
 def sent(context: Any) -> None:
-    answer = _grant(context)
-    _connect(context)
-    _turn(context)
-    assert b"POST /pearward/grant" in context.process.received
+    answer = _sent(context)
     assert not answer.called
 
 
@@ -117,12 +114,18 @@
     return context.grants.grant(TARGET, ROW, HOLD_S, boot_time() + CALL_SENT_S)
 
 
-@when("its connection for calls is kept")
-def kept(context: Any) -> None:
+def _sent(context: Any) -> Any:
+    """Make a grant that reaches the process, over a new connection or a kept one."""
     answer = _grant(context)
     _connect(context)
     _turn(context)
     assert b"POST /pearward/grant" in context.process.received
+    return answer
+
+
+@when("its connection for calls is kept")
+def kept(context: Any) -> None:
+    answer = _sent(context)
     context.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     assert answer.result.verdict is GrantVerdict.TAKEN
     context.process.forget()
@@ -130,6 +133,10 @@
 
 @then("a grant is sent to its process before the loop turns")
 def in_kernel(context: Any) -> None:
+    _assert_sent_at_once(context)
+
+
+def _assert_sent_at_once(context: Any) -> None:
     _grant(context)
     assert not context.reactor.tcpClients
     assert b"POST /pearward/grant" in context.process.received
@@ -156,6 +163,4 @@
 
 @then("the next one is sent on that connection")
 def next_on_it(context: Any) -> None:
-    _grant(context)
-    assert not context.reactor.tcpClients
-    assert b"POST /pearward/grant" in context.process.received
+    _assert_sent_at_once(context)
--- a/features/steps/store_entry_steps.py
+++ b/features/steps/store_entry_steps.py
@@ -15,10 +15,7 @@
 def goes_back(context: Any, seconds: float) -> None:
     world = context.world
     context.before = world.holders()
-    world.store_down = True
-    world.run(seconds)
-    world.store.go_back(context.copy)
-    world.store_down = False
+    world.return_store(context.copy, seconds)
 
 
 def _count_changes(world: Any, count: int) -> None:
--- a/packages/coordination/src/pearward_coordination/grant_calls.py
+++ b/packages/coordination/src/pearward_coordination/grant_calls.py
@@ -154,8 +154,7 @@
         """
         if call not in self._grants:
             return
-        self._grants.discard(call)
-        self._keeper.ledger.settle(call.hold)
+        self.not_sent(call)
         self._refused = {row: until for row, until in self._refused.items() if until > now}
         self._refused[call.row] = now + REFUSED_REST_S
 
--- a/packages/coordination/src/pearward_coordination/link_queue.py
+++ b/packages/coordination/src/pearward_coordination/link_queue.py
@@ -183,8 +183,7 @@
 
         One whose time has ended, or does not suffice any more, is not helped by a turn.
         """
-        begun = [t for t in sendable if t.begun and math.isfinite(t.deadline)]
-        begun.sort(key=lambda t: t.deadline)
+        begun = sorted((t for t in sendable if t.begun), key=lambda t: t.deadline)
         first: LinkTicket | None = None
         needs_s = 0.0
         for ticket in begun:
--- a/packages/devtools/src/pearward_devtools/mesh/kept_copies.py
+++ b/packages/devtools/src/pearward_devtools/mesh/kept_copies.py
@@ -2,14 +2,29 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-__all__ = ["KeptCopies"]
+__all__ = ["KeptCopies", "StoreCopy"]
 
 COPY_EVERY_S = 0.5
 COPIES_KEPT = 20
 
 _T = TypeVar("_T")
+_Item = TypeVar("_Item")
+_Event = TypeVar("_Event")
+
+
+@dataclass(frozen=True)
+class StoreCopy(Generic[_Item, _Event]):
+    """What a store had at one moment."""
+
+    items: dict[str, _Item]
+    leases: dict[int, float]
+    """Each lease with its time to live in s, which begins anew when the copy returns."""
+    revision: int
+    next_lease: int
+    history: list[_Event]
 
 
 class KeptCopies(Generic[_T]):
--- a/packages/devtools/src/pearward_devtools/mesh/store.py
+++ b/packages/devtools/src/pearward_devtools/mesh/store.py
@@ -24,7 +24,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from .kept_copies import KeptCopies
+from .kept_copies import KeptCopies, StoreCopy
 
 __all__ = ["main"]
 
@@ -83,16 +83,7 @@
     timer: Any
 
 
-@dataclass(frozen=True)
-class Copy:
-    """What the store had at one moment."""
-
-    items: dict[str, Item]
-    leases: dict[int, float]
-    """Each lease with its time to live in s, which begins anew when the copy returns."""
-    revision: int
-    next_lease: int
-    history: list[tuple[int, dict[str, Any]]]
+_Copy = StoreCopy[Item, tuple[int, dict[str, Any]]]
 
 
 class Store:
@@ -109,18 +100,18 @@
         self._next_lease = FIRST_LEASE
         self.era = 0
         """How often the store has come back from an older copy."""
-        self._copy: Copy | None = None
-        self._copies: KeptCopies[Copy] = KeptCopies()
+        self._copy: _Copy | None = None
+        self._copies: KeptCopies[_Copy] = KeptCopies()
 
     def keep_copy(self) -> None:
         """Keep a copy of everything, to come back from where no age is asked for."""
         self._copy = self._copied()
 
-    def _copied(self) -> Copy:
+    def _copied(self) -> _Copy:
         items = {key: replace(item) for key, item in self.items.items()}
         leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
         history = list(self.history)
-        return Copy(items, leases, self.revision, self._next_lease, history)
+        return StoreCopy(items, leases, self.revision, self._next_lease, history)
 
     def go_back(self, away_s: float, age_s: float | None) -> None:
         """Turn everybody away for a while, then answer from a copy."""
@@ -132,7 +123,7 @@
         self.cut_watches()
         reactor.callLater(away_s, self._return, copy)
 
-    def _return(self, copy: Copy) -> None:
+    def _return(self, copy: _Copy) -> None:
         now = reactor.seconds()
         operators = [item for key, item in self.items.items() if key.startswith(OPERATORS)]
         self.era += 1
--- a/tests/fuzz/mesh_machine.py
+++ b/tests/fuzz/mesh_machine.py
@@ -225,10 +225,7 @@
         if power:
             for node in world.nodes:
                 world.lose(node)
-        world.store_down = True
-        world.run(away_s)
-        world.store.go_back(copy)
-        world.store_down = False
+        world.return_store(copy, away_s)
         if power:
             for node in world.nodes:
                 world.start_target(node)
--- a/tests/fuzz/mesh_store.py
+++ b/tests/fuzz/mesh_store.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 
-from pearward_devtools.mesh.kept_copies import KeptCopies
+from pearward_devtools.mesh.kept_copies import KeptCopies, StoreCopy
 from pearward_protocol.etcd import KeyValue, WatchEvent
 from pearward_transport.errors import CasConflict, PlatformUnavailable
 from pearward_transport.revisions import check_followed, counted, expected_count, revision_in
@@ -28,7 +28,7 @@
 
     from .mesh_world import Node, World
 
-__all__ = ["FakeStore", "StoreClient", "StoreCopy"]
+__all__ = ["FakeStore", "StoreClient"]
 
 CALL_S = 0.004
 TIMEOUT_S = 1.5
@@ -37,16 +37,7 @@
 FIRST_LEASE = 100
 
 
-@dataclass(frozen=True)
-class StoreCopy:
-    """What the store had at one moment."""
-
-    items: dict[str, KeyValue]
-    leases: dict[int, float]
-    """Each lease with its time to live in s, which begins anew when the copy returns."""
-    revision: int
-    next_lease: int
-    history: list[WatchEvent]
+_Copy = StoreCopy[KeyValue, WatchEvent]
 
 
 class FakeStore:
@@ -63,9 +54,9 @@
         self.calls = 0
         self.era = 0
         """How often the store has come back from an older copy."""
-        self._copies: KeptCopies[StoreCopy] = KeptCopies()
+        self._copies: KeptCopies[_Copy] = KeptCopies()
 
-    def copy(self) -> StoreCopy:
+    def copy(self) -> _Copy:
         """Return a copy of everything."""
         leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
         history = list(self.history)
@@ -75,11 +66,11 @@
         """Keep a copy from time to time, as a platform does."""
         self._copies.keep(self._world.now, self.copy)
 
-    def copy_of(self, at: float) -> StoreCopy:
+    def copy_of(self, at: float) -> _Copy:
         """Return the newest copy that was kept by a time, or the oldest that there is."""
         return self._copies.of(at)
 
-    def go_back(self, copy: StoreCopy) -> None:
+    def go_back(self, copy: _Copy) -> None:
         """Come back from a copy: what was written since is gone, and numbers are given again.
 
         What operators wrote is written again; a lease of the copy begins its time anew.
--- a/tests/fuzz/mesh_world.py
+++ b/tests/fuzz/mesh_world.py
@@ -325,6 +325,13 @@
         daemon, beat = node.daemon, target.next_beat()
         self.deliver(daemon, self.now + delay_s, lambda: daemon and daemon.core.side.beat(beat))
 
+    def return_store(self, copy: Any, away_s: float) -> None:
+        """The store is away for some seconds and comes back from a copy."""
+        self.store_down = True
+        self.run(away_s)
+        self.store.go_back(copy)
+        self.store_down = False
+
     def lose(self, node: Node) -> None:
         """The instance is lost, with its daemon and its target."""
         self.end_daemon(node)
--- a/tests/fuzz/returning_store.py
+++ b/tests/fuzz/returning_store.py
@@ -140,10 +140,7 @@
             world.end_daemon(node)
             if targets_too:
                 world.end_target(node)
-        world.store_down = True
-        world.run(away_s)
-        world.store.go_back(copy)
-        world.store_down = False
+        world.return_store(copy, away_s)
         if ended:
             world.run(rng.choice((0.02, DOWN_S)))
         for node in ended:
