Log the rate limit and the end that a target states in its responses

Cause: of what a target states in its responses only the load was read, so that neither logs nor metrics could tell whether a limit is unknown to the daemon or not kept.

Change: the headers are parsed into typed facts. A limit that is named, changed or lifted is logged with the requests of the last 4 s and the age of the response's request; so are, once each, a limit that is no decimal number and a header that the platform does not define. A surplus response to another request no longer sets the reported slowness. No decision depends on any of it yet.

--- /dev/null
+++ b/features/steps/target_signal_steps.py
@@ -0,0 +1,147 @@
+"""Steps for what targets state in the headers of their responses: parsing, state and log."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from pearward_coordination.named_limit import NamedLimit
+from pearward_coordination.send_history import SendHistory
+from pearward_daemon.mesh.target_signals import TargetSignals
+from pearward_platform.headers import PlatformDialect
+
+TARGET = "i-1"
+
+
+class _RecordingLog:
+    """Keeps the lines in place of writing them."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def emit(self, event_name: str, *, failure: bool = False, **fields: Any) -> None:
+        self.lines.append((event_name, fields))
+
+
+def _headers(*fields: tuple[str, str]) -> bytes:
+    lines = [("Request-Id", "r1"), ("Server-Signature", "s"), *fields]
+    return "".join(f"{name}: {value}\r\n" for name, value in lines).encode()
+
+
+def _respond(context: Any, *fields: tuple[str, str]) -> None:
+    context.facts = PlatformDialect().response_facts(_headers(*fields))
+
+
+@when('a target responds with the rate limit "{value}"')
+def respond_with_limit(context: Any, value: str) -> None:
+    _respond(context, ("Server-Limit", value))
+
+
+@when('a target responds with the rate limit ""')
+def respond_with_empty_limit(context: Any) -> None:
+    _respond(context, ("Server-Limit", ""))
+
+
+@when('a target names the rate limits "{first}" and "{second}" in one response')
+def respond_twice(context: Any, first: str, second: str) -> None:
+    _respond(context, ("Server-Limit", first), ("Server-Limit", second))
+
+
+@then("the limit that is read is {limit}")
+def limit_read(context: Any, limit: str) -> None:
+    expected = None if limit == "none" else float(limit)
+    assert context.facts.rate_limit == expected, context.facts
+    assert bool(context.facts.unreadable_limit) is (expected is None), context.facts
+
+
+@when('a target responds with the header "{name}" and the value "{value}"')
+def respond_with(context: Any, name: str, value: str) -> None:
+    _respond(context, (name, value))
+
+
+@when('a target responds with the header "{name}" and the value ""')
+def respond_with_empty(context: Any, name: str) -> None:
+    _respond(context, (name, ""))
+
+
+@then("it leaves: {leaves}")
+def leaves(context: Any, leaves: str) -> None:
+    assert context.facts.leaving is (leaves == "yes"), context.facts
+
+
+@then('the unknown headers are "{names}"')
+def unknown_headers(context: Any, names: str) -> None:
+    assert context.facts.unknown == (names.encode(),), context.facts
+
+
+@given("a target that named a limit of {per_s:g} a second at {at:g} s")
+def named_limit(context: Any, per_s: float, at: float) -> None:
+    context.limit = NamedLimit()
+    context.limit.named(per_s, at - 0.1, at)
+
+
+@when("it responds at {at:g} s with a limit of {per_s:g} to a request sent at {sent:g} s")
+def responds_with_limit(context: Any, at: float, per_s: float, sent: float) -> None:
+    context.limit.named(per_s, sent, at)
+
+
+@when("it responds at {at:g} s without a limit to a request sent at {sent:g} s")
+def responds_without_limit(context: Any, at: float, sent: float) -> None:
+    context.limit.not_named(sent)
+
+
+@when("another incarnation of it starts")
+def other_incarnation(context: Any) -> None:
+    context.limit.target_changed()
+
+
+@then("the limit in force is {per_s:g} a second")
+def limit_in_force(context: Any, per_s: float) -> None:
+    assert context.limit.per_s == per_s, context.limit.per_s
+
+
+@then("no limit is in force")
+def no_limit(context: Any) -> None:
+    assert context.limit.per_s is None, context.limit.per_s
+
+
+def _signals(context: Any) -> TargetSignals:
+    context.log = _RecordingLog()
+    return TargetSignals(NamedLimit(), SendHistory(), context.log)
+
+
+@when("a target names 20, 20, 20, 5 and no limit in its responses")
+def names_in_turn(context: Any) -> None:
+    signals = _signals(context)
+    for number, value in enumerate(("20", "20", "20", "5", "")):
+        _respond(context, *([("Server-Limit", value)] if value else []))
+        now = 10.0 + number
+        signals.response(TARGET, context.facts, now - 0.2, now)
+        signals.response_ended(TARGET, context.facts, now - 0.2, now)
+
+
+@then('the log has the changes "{changes}"')
+def logged_changes(context: Any, changes: str) -> None:
+    found = [
+        (fields["previous_per_s"], fields["per_s"])
+        for event, fields in context.log.lines
+        if event == "rate_limit_changed"
+    ]
+    expected = [
+        tuple(None if part == "none" else float(part) for part in change.split(" to "))
+        for change in changes.split(", ")
+    ]
+    assert found == expected, found
+
+
+@when('a target sends {count:d} responses with the rate limit "{value}" and the header "{name}"')
+def sends_unreadable(context: Any, count: int, value: str, name: str) -> None:
+    signals = _signals(context)
+    _respond(context, ("Server-Limit", value), (name, "3"))
+    for number in range(count):
+        signals.response(TARGET, context.facts, 10.0 + number, 10.1 + number)
+
+
+@then('the log has one line "{first}" and one line "{second}"')
+def logged_once(context: Any, first: str, second: str) -> None:
+    events = sorted(event for event, _ in context.log.lines)
+    assert events == sorted([first, second]), events
--- /dev/null
+++ b/packages/coordination/src/pearward_coordination/named_limit.py
@@ -0,0 +1,77 @@
+"""The request rate that a target names in its responses, for as long as it names one.
+
+The load pattern: a target in need serves a fraction of its usual rate for some seconds. Responses
+to requests that were sent before it named its limit arrive for as long as these requests run, and
+some of them may have been prepared before. So a response relaxes the limit only if its request was
+sent after the limit was named last; a stricter limit applies at once. No I/O and no clock.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["LimitChange", "NamedLimit"]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A change of the limit in requests per second; None stands for no limit."""
+
+    before: float | None
+    after: float | None
+
+
+class NamedLimit:
+    """The limit that the current incarnation of a target names."""
+
+    def __init__(self) -> None:
+        self._per_s: float | None = None
+        self._confirmed_at = 0.0
+        self._known = False
+
+    # -- properties -------------------------------------------------------------
+
+    @property
+    def per_s(self) -> float | None:
+        """Requests per second; None if no limit is in force."""
+        return self._per_s
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a response of the target has shown if it names a limit."""
+        return self._known
+
+    def age_s(self, now: float) -> float:
+        """Return the seconds since a response named the limit or a stricter one."""
+        return now - self._confirmed_at
+
+    # -- changes ------------------------------------------------------------------
+
+    def response_seen(self) -> None:
+        """Record any response of the target, which would name a limit that is in force."""
+        self._known = True
+
+    def target_changed(self) -> None:
+        """Forget the limit: another incarnation of the target runs."""
+        self._per_s = None
+        self._known = False
+
+    def named(self, per_s: float, sent_at: float, now: float) -> LimitChange | None:
+        """Apply the limit of a response; return the change, or None.
+
+        *sent_at* is the time at which the request was sent to the target.
+        """
+        before = self._per_s
+        relaxes = before is not None and per_s > before
+        if relaxes and sent_at <= self._confirmed_at:
+            return None
+        self._confirmed_at = now
+        return self._change(per_s)
+
+    def not_named(self, sent_at: float) -> LimitChange | None:
+        """Apply a response without a limit; return the change, or None."""
+        if self._per_s is not None and sent_at <= self._confirmed_at:
+            return None
+        return self._change(None)
+
+    def _change(self, per_s: float | None) -> LimitChange | None:
+        before, self._per_s = self._per_s, per_s
+        return LimitChange(before, per_s) if before != per_s else None
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -273,6 +273,10 @@
             "pearward.cold", "The target counts as cold",
             lambda: float(target.slots.cold.is_cold(boot_time())),
         )  # fmt: skip
+        gauge(
+            "pearward.rate.limit", "Requests a second that the target takes; -1 without a limit",
+            lambda: -1.0 if (limit := target.slots.named_limit.per_s) is None else limit,
+        )  # fmt: skip
         gauge(
             "pearward.domains.drained", "Failure domains that are drained",
             lambda: len(self._core.drains.state.domains),
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -65,6 +65,15 @@
     encoded: bool
     """The body was encoded in transit, so that it is not as the target sent it."""
     load: ReportedLoad | None
+    rate_limit: float | None = None
+    """Requests per second that the target takes from all senders together; None if it names none,
+    or none that can be read."""
+    unreadable_limit: bytes = b""
+    """A rate limit that is not a number of requests per second; empty if there is none."""
+    leaving: bool = False
+    """The target states that it terminates shortly."""
+    unknown: tuple[bytes, ...] = ()
+    """Names of headers that this platform does not define, in lower case."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -37,6 +37,7 @@
 from .parked_requests import ParkedRequests
 from .settings import GrantMode, MeshSettings
 from .target_request import TargetRequest
+from .target_signals import TargetSignals
 from .target_slots import TargetSlots
 from .termination_detector import END_CHECK_S, TerminationDetector
 
@@ -106,6 +107,7 @@
         self._client = client
         self._grant_manager = GrantManager(settings.service, boot_time(), settings.holds)
         self._slots = TargetSlots(settings.overload, link)
+        self._signals = TargetSignals(self._slots.named_limit, self._slots.history, log)
         self._counter = KeyCounter()
         self._link = link
         self._open: set[TargetRequest] = set()
@@ -277,6 +279,7 @@
         self._delivery.target_changed()
         self._client.close()
         self._leaving_since = None
+        self._slots.named_limit.target_changed()
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
             "target_first_heartbeat", target=target_heartbeat.target, former=former,
@@ -509,14 +512,25 @@
 
     def facts(self, headers: bytes) -> ResponseFacts:
         """Parse the headers of a response of the target."""
-        facts = self._dialect.response_facts(headers)
+        return self._dialect.response_facts(headers)
+
+    def response_received(self, target: str, facts: ResponseFacts, sent_at: float) -> None:
+        """Process the head of a response of *target* itself to a request sent at *sent_at*."""
+        if target != self._grant_manager.target:
+            return
         if facts.load is not None and facts.load.slowness is not None:
             self._slowness = facts.load.slowness
-        return facts
+        self._signals.response(target, facts, sent_at, boot_time())
+
+    def response_forwarded(self, target: str, facts: ResponseFacts, sent_at: float) -> None:
+        """Process a complete response of *target* that is forwarded to the caller."""
+        if target == self._grant_manager.target:
+            self._signals.response_ended(target, facts, sent_at, boot_time())
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """Record that a request is sent to the target."""
         self._slots.cold.sent(boot_time())
+        self._slots.history.record(boot_time())
         self._log.emit(
             "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
             running=self._slots.running, waiting=self._slots.waiting, map=self.map_version,
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -61,6 +61,7 @@
         self._ticket: SlotTicket | None = None
         self._connection: ServerConnection | None = None
         self._sent = False
+        self._sent_at = 0.0
         self._response_started = False
         self._done = False
         self._buffered_head: ResponseHead | None = None
@@ -236,6 +237,7 @@
             return
         self._connection = connection
         self._sent = True
+        self._sent_at = boot_time()
         self._local_target.sent(self._head, left_ms)
         headers = self._local_target.headers(self._head, left_ms)
         data = b"".join(self._body)
@@ -310,9 +312,10 @@
 
     def accepts(self, headers: bytes) -> bool:
         """Return whether a response belongs to this request, not a surplus one to another."""
-        self._facts = self._local_target.facts(headers)
-        answered_id = self._facts.request_id
-        return not answered_id or answered_id == self._head.request_id
+        self._facts = facts = self._local_target.facts(headers)
+        if facts.request_id == self._head.request_id and not facts.other_target:
+            self._local_target.response_received(self._head.target, facts, self._sent_at)
+        return not facts.request_id or facts.request_id == self._head.request_id
 
     def response_head(self, status: int, headers: bytes, length: int) -> None:
         """Process the head of a response; an invalid response is not forwarded."""
@@ -358,6 +361,8 @@
             self._send_whole(self._buffered_head, b"".join(self._buffered_body))
         else:
             self._reply.send_data(b"", ended=True)
+        if self._facts is not None:
+            self._local_target.response_forwarded(self._head.target, self._facts, self._sent_at)
         self._finish(Outcome.SERVED, None)
 
     def exchange_failed(self, detail: str) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -4,8 +4,10 @@
 
 from pearward_coordination.cold_limit import ColdLimit
 from pearward_coordination.link_queue import LinkQueue, LongRequest
+from pearward_coordination.named_limit import NamedLimit
 from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.selection import TargetLoad
+from pearward_coordination.send_history import SendHistory
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
 from pearward_transport.clock import boot_time
 
@@ -43,6 +45,8 @@
         self._policy = policy
         self._link = link
         self._cold = ColdLimit()
+        self._named_limit = NamedLimit()
+        self._history = SendHistory()
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy))
         self._users: dict[SlotTicket, SlotUser] = {}
 
@@ -63,6 +67,16 @@
         """Limit on the request rate while the target is cold."""
         return self._cold
 
+    @property
+    def named_limit(self) -> NamedLimit:
+        """Limit on the request rate that the target names in its responses."""
+        return self._named_limit
+
+    @property
+    def history(self) -> SendHistory:
+        """Times of the requests sent to the target."""
+        return self._history
+
     def load(self) -> TargetLoad:
         """Return the load of the target and its instance's link as this daemon counts it.
 
