Failing tests: a target's rate limit and its end, stated in its responses, are not kept

Change: the stand-in of a target adds headers to its responses; features/rate_limits.feature counts, with real processes, what targets get from daemons that have forwarded the statement. The bounds are the stated ones: 1.5 times the limit and 5 requests in 4 s, from 3 s after it was named; 2 s of drain.

--- /dev/null
+++ b/features/steps/rate_limit_steps.py
@@ -0,0 +1,289 @@
+"""Steps for targets that name a rate limit or announce their end in responses, real processes."""
+
+import bisect
+import http.client
+import itertools
+import json
+import signal
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from behave import given, then, when
+
+from pearward_devtools.cluster import wait_until
+from pearward_devtools.mesh.cluster import CALLERS, HOST, MeshCluster, MeshNode
+
+KEYED, POOLED = "roster", "sheets"
+KEY = "20000"
+WORK_MS = 20
+LIMIT_HEADER, LEAVING_HEADER = "Server-Limit", "Server-Leaving"
+IN_CONTACT_S = 3.0
+"""Seconds after a limit was first named from which on it is binding."""
+WINDOW_S = 4.0
+OVERAGE = 1.5
+SLACK = 5
+TOLD_S = 0.5
+"""Seconds after a daemon has forwarded a response with a limit from which on its requests count."""
+DRAIN_S = 2.0
+LOAD_S = IN_CONTACT_S + WINDOW_S + 1.5
+"""Seconds of load after a limit was named."""
+FREEZE_S = 1.5
+DISTURBANCE_INTERVAL_S = 1.2
+CALLERS_PER_DAEMON = 4
+RESPONSE_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """One request of a caller, and what its response said of the target."""
+
+    node: str
+    sent_at: float
+    ended_at: float
+    status: int
+    target: str
+    limited: bool
+    leaving: bool
+
+
+class _Load:
+    """Callers that send requests at a steady rate to all daemons, until they are stopped."""
+
+    def __init__(self, cluster: MeshCluster, per_s: float) -> None:
+        self._cluster = cluster
+        self._numbers = itertools.count(1)
+        self._ending = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._interval_s = len(cluster.nodes) * CALLERS_PER_DAEMON / per_s
+        self.sent: dict[str, _Sent] = {}
+        """Requests by id."""
+
+    def start(self) -> None:
+        """Start the callers, spread over the interval between two requests of one caller."""
+        for service in (KEYED, POOLED):
+            for node in self._cluster.nodes * CALLERS_PER_DAEMON:
+                thread = threading.Thread(target=self._run, args=(node, service), daemon=True)
+                self._threads.append(thread)
+                thread.start()
+                time.sleep(self._interval_s / len(self._cluster.nodes) / CALLERS_PER_DAEMON / 2)
+
+    def stop(self) -> None:
+        """Stop the callers after their current requests."""
+        self._ending.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, node: MeshNode, service: str) -> None:
+        connection = http.client.HTTPConnection(f"{node.ip}:{CALLERS}", timeout=RESPONSE_TIMEOUT_S)
+        due = time.monotonic()
+        while not self._ending.is_set():
+            self._call(connection, node, service)
+            due = max(due + self._interval_s, time.monotonic())
+            time.sleep(max(0.0, due - time.monotonic()))
+        connection.close()
+
+    def _call(self, connection: http.client.HTTPConnection, node: MeshNode, service: str) -> None:
+        request_id = f"limit-{id(self):x}-{next(self._numbers)}"
+        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "1500"}
+        if service == KEYED:
+            headers["Shard-Key"] = KEY
+        sent_at = time.monotonic()
+        status, target, limited, leaving = 0, "", False, False
+        try:
+            connection.request("GET", f"/{service}/safe/x?work_ms={WORK_MS}", None, headers)
+            response = connection.getresponse()
+            response.read()
+            status = response.status
+            target = response.headers.get("Target", "")
+            limited = LIMIT_HEADER in response.headers
+            leaving = LEAVING_HEADER in response.headers
+        except (OSError, http.client.HTTPException):
+            # The daemon was killed or is frozen.
+            connection.close()
+            time.sleep(self._interval_s)
+        ended_at = time.monotonic()
+        self.sent[request_id] = _Sent(
+            node.name, sent_at, ended_at, status, target, limited, leaving
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Limited:
+    """A target that named a limit."""
+
+    node: MeshNode
+    target: str
+    per_s: float
+    named_at: float
+
+
+def _cluster(context: Any) -> MeshCluster:
+    cluster: MeshCluster = context.mesh
+    return cluster
+
+
+def _end_load(context: Any) -> None:
+    context.load.stop()
+    for node in _cluster(context).nodes:
+        _cluster(context).control_target(node, "headers")
+
+
+@given("callers of every daemon that send {per_s:d} requests a second to each service")
+def start_load(context: Any, per_s: int) -> None:
+    _cluster(context).wait_served()
+    wait_until(_cluster(context).all_pooled_served, "the pooled service")
+    context.load = _Load(_cluster(context), per_s)
+    context.load.start()
+    context.add_cleanup(_end_load, context)
+    time.sleep(1.0)
+
+
+def _runs(context: Any, node: MeshNode) -> list[dict[str, Any]]:
+    """Return the requests of the load that the target of an instance has run."""
+    ran = _cluster(context).state(node)["ran"]
+    return [run for run in ran if run["id"] in context.load.sent]
+
+
+def _owner(context: Any) -> MeshNode:
+    """Return the instance whose target owns the key of the load."""
+    reply = _cluster(context).call(
+        _cluster(context).nodes[0], f"/{KEYED}/safe/x",
+        headers={"Request-Id": f"owner-{time.monotonic()}", "Shard-Key": KEY},
+    )  # fmt: skip
+    target = reply.headers["Target"]
+    nodes = _cluster(context).nodes
+    return next(n for n in nodes if _cluster(context).state(n)["id"] == target)
+
+
+def _busiest(context: Any, service: str) -> MeshNode:
+    """Return the instance whose target ran most of the load, so that many daemons use it."""
+    nodes = [n for n in _cluster(context).nodes if n.service == service]
+    return max(nodes, key=lambda node: len(_runs(context, node)))
+
+
+def _name_limit(context: Any, node: MeshNode, per_s: float) -> _Limited:
+    _cluster(context).control_target(node, "headers", json.dumps({LIMIT_HEADER: str(per_s)}))
+    return _Limited(node, _cluster(context).state(node)["id"], per_s, time.monotonic())
+
+
+@when("a keyed target names a limit of {keyed:g} a second and a pooled one of {pooled:g} a second")
+def name_limits(context: Any, keyed: float, pooled: float) -> None:
+    pooled_node = _busiest(context, POOLED)
+    context.limited = [
+        _name_limit(context, _owner(context), keyed),
+        _name_limit(context, pooled_node, pooled),
+    ]
+    context.excused = []
+
+
+@when("the daemons beside them are killed or frozen in turn")
+def disturb_daemons(context: Any) -> None:
+    """Kill the daemons beside the limited targets and freeze them, each twice."""
+    keyed, pooled = (limited.node for limited in context.limited)
+    for killed, frozen in ((keyed, pooled), (pooled, keyed)) * 2:
+        began = time.monotonic()
+        assert frozen.daemon is not None
+        frozen.daemon.send_signal(signal.SIGSTOP)
+        _cluster(context).kill(killed)
+        time.sleep(DISTURBANCE_INTERVAL_S / 2)
+        _cluster(context).start_daemon(killed)
+        time.sleep(FREEZE_S - DISTURBANCE_INTERVAL_S / 2)
+        frozen.daemon.send_signal(signal.SIGCONT)
+        context.excused += [(node.name, began) for node in (killed, frozen)]
+        time.sleep(DISTURBANCE_INTERVAL_S)
+
+
+def _told_at(context: Any, target: str) -> dict[str, float]:
+    """Return when each daemon first forwarded a response of a target with a limit."""
+    told: dict[str, float] = {}
+    for sent in context.load.sent.values():
+        if sent.limited and sent.target == target:
+            told[sent.node] = min(sent.ended_at, told.get(sent.node, sent.ended_at))
+    return told
+
+
+def _counted(context: Any, limited: _Limited) -> list[float]:
+    """Return the times at which the target got the requests that count against its limit.
+
+    Those are the requests that began at a daemon that had forwarded the limit before, and was
+    neither killed nor frozen since.
+    """
+    told = _told_at(context, limited.target)
+    counted = []
+    for run in _runs(context, limited.node):
+        sent = context.load.sent[run["id"]]
+        since = told.get(sent.node)
+        if since is None or run["at"] < since + TOLD_S:
+            continue
+        if any(name == sent.node and began >= since for name, began in context.excused):
+            continue
+        counted.append(run["at"])
+    return sorted(counted)
+
+
+@then("neither gets more than its limit allows")
+def limits_kept(context: Any) -> None:
+    time.sleep(max(0.0, max(c.named_at for c in context.limited) + LOAD_S - time.monotonic()))
+    context.load.stop()
+    for limited in context.limited:
+        counted = _counted(context, limited)
+        assert counted, f"{limited.node.name} got no request that counts"
+        allowed = OVERAGE * limited.per_s * WINDOW_S + SLACK
+        for number, at in enumerate(counted):
+            if at < limited.named_at + IN_CONTACT_S:
+                continue
+            within = number + 1 - bisect.bisect_left(counted, at - WINDOW_S)
+            assert within <= allowed, (
+                f"{limited.node.name} got {within} requests in {WINDOW_S} s, {allowed} allowed"
+            )
+
+
+@when("they name no limit any more")
+def end_limits(context: Any) -> None:
+    time.sleep(1.5)
+    for limited in context.limited:
+        _cluster(context).control_target(limited.node, "headers")
+    context.ended_at = time.monotonic()
+
+
+@then("each gets more than its former limit within {seconds:g} s")
+def limits_lifted(context: Any, seconds: float) -> None:
+    time.sleep(seconds + 1.0)
+    context.load.stop()
+    for limited in context.limited:
+        after = context.ended_at + seconds
+        ran = [run for run in _runs(context, limited.node) if after <= run["at"] < after + 1.0]
+        assert len(ran) > limited.per_s * OVERAGE, (limited.node.name, len(ran))
+
+
+@when("a pooled target states that it leaves and the daemon beside it is killed")
+def leave_by_response(context: Any) -> None:
+    node = context.leaving = _busiest(context, POOLED)
+    body = json.dumps({LEAVING_HEADER: "1"})
+    _cluster(context).control_target(node, "headers", body)
+    time.sleep(DRAIN_S - 0.5)
+    context.excused = [(node.name, time.monotonic())]
+    _cluster(context).kill(node)
+    _cluster(context).start_daemon(node)
+    time.sleep(DRAIN_S + 1.5)
+
+
+@then("it gets no request that was sent later than the drain time after a response that said so")
+def none_after_drain(context: Any) -> None:
+    context.load.stop()
+    told: dict[str, float] = {}
+    target = _cluster(context).state(context.leaving)["id"]
+    for sent in context.load.sent.values():
+        if sent.leaving and sent.target == target:
+            told[sent.node] = min(sent.ended_at, told.get(sent.node, sent.ended_at))
+    excused = {name for name, _ in context.excused}
+    assert set(told) - excused, "no daemon forwarded a response that said so"
+    late = []
+    for run in _runs(context, context.leaving):
+        sent = context.load.sent[run["id"]]
+        since = told.get(sent.node)
+        if since is not None and sent.node not in excused and sent.sent_at > since + DRAIN_S:
+            late.append((sent.node, round(sent.sent_at - since, 3)))
+    assert not late, (len(late), late[:5])
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -9,6 +9,8 @@
 * ``GET /standin/state`` returns the held ranges and the executed requests with their headers.
 * ``POST /standin/drain`` and ``/standin/leave`` remove the target with and without a drain.
 * ``POST /standin/cold`` with ``seconds`` makes the target report itself cold for that time.
+* ``POST /standin/headers`` with header names and values adds them to all further responses to
+  requests, and replaces those added before.
 * ``POST /standin/late`` delays grants; see key_calls.
 """
 
@@ -60,6 +62,8 @@
         self.released: list[list[Any]] = []
         self.runs: list[dict[str, Any]] = []
         self.running = 0
+        self.extra_headers: dict[str, str] = {}
+        """Headers that are added to the responses to requests."""
         self.leave_acknowledged: float | None = None
         """When the daemon first acknowledged the drain of this target, on the monotonic clock."""
         self.keyed = False
@@ -258,6 +262,7 @@
             "Server-Load": f"{target.running},0,{target.slots},100",
             "Target": target.id,
         }
+        headers |= target.extra_headers
         status = 500 if spoil == "fail" else 200
         if spoil == "refuse":
             status, headers["Not-Executed"] = 503, "1"
@@ -313,6 +318,8 @@
                 target.leave()
             case b"/standin/cold":
                 target.set_cold(json.loads(request.content.read())["seconds"])
+            case b"/standin/headers":
+                target.extra_headers = json.loads(request.content.read())
             case b"/standin/late":
                 target.calls.delay_grants(json.loads(request.content.read()))
         return b"{}"
