Keep to the request rate that a target names in its responses

Cause: a target states in its responses what it can take, and nothing decides on it.

Change: the daemon beside the target, which all its requests pass, counts its sends and starts queued requests only as the limit allows: in the queue's order, by a timer where a slot is free, at most a quarter of a second of the rate at once. A request whose turn comes too late is refused at once with a Retry-After from the rate, spread so that callers do not return together. A response relaxes the limit only if its request was sent after the limit was named last. The limit for cold targets uses the same count and queue; until now it refused what could have waited, and requests with a slot as well. cold_steps.py drives the same object through its new names; its bounds are as before.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -4,10 +4,11 @@
 from unittest import mock
 
 from behave import given, then, when
+from twisted.internet.task import Clock
 
-from pearward_coordination.cold_limit import ColdLimit
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.overload.policy import OverloadPolicy
+from pearward_coordination.target_rate import TargetRate
 from pearward_daemon.mesh import target_slots
 from pearward_daemon.mesh.target_slots import TargetSlots
 
@@ -17,8 +18,8 @@
 
 @given("a target that sustains {per_s:d} requests a second while it is cold")
 def cold_target(context: Any, per_s: int) -> None:
-    context.limit = ColdLimit()
-    context.limit.set_rate(per_s)
+    context.rate = TargetRate()
+    context.rate.cold.set_rate(per_s)
     context.sent = []
     context.too_early = []
 
@@ -29,18 +30,15 @@
 
 
 def _offer(context: Any, arrivals: list[float]) -> None:
-    limit = context.limit
-    limit.set_cold_time(COLD_S, START)
+    rate = context.rate
+    rate.cold.set_cold_time(COLD_S, START)
     for now in arrivals:
-        capacity_in_s = limit.capacity_in_s(now)
+        capacity_in_s = rate.delay_s(now)
         if capacity_in_s > 0.0:
-            if (
-                now + capacity_in_s < START + COLD_S
-                and limit.capacity_in_s(now + capacity_in_s) > 1e-9
-            ):
+            if now + capacity_in_s < START + COLD_S and rate.delay_s(now + capacity_in_s) > 1e-9:
                 context.too_early.append((now, capacity_in_s))
             continue
-        limit.sent(now)
+        rate.reserve(now)
         context.sent.append(now)
 
 
@@ -74,40 +72,40 @@
 @when("it gets {count:d} requests in a second and then reports that it is cold")
 def becomes_cold(context: Any, count: int) -> None:
     for number in range(count):
-        context.limit.sent(START - 1.0 + number / count)
-    context.limit.set_cold_time(COLD_S, START)
+        context.rate.reserve(START - 1.0 + number / count)
+    context.rate.cold.set_cold_time(COLD_S, START)
 
 
 @then("it gets no request for {seconds:g} s")
 def gets_nothing_for(context: Any, seconds: float) -> None:
-    assert context.limit.capacity_in_s(START + seconds) > 0.0
+    assert context.rate.delay_s(START + seconds) > 0.0
 
 
 @when("it is suspected to be cold")
 def suspected(context: Any) -> None:
-    context.limit.suspect_cold(START)
+    context.rate.cold.suspect_cold(START)
 
 
 @when("it reports {seconds:g} s later that it is not cold")
 def reports_warm(context: Any, seconds: float) -> None:
-    context.limit.set_cold_time(0.0, START + seconds)
+    context.rate.cold.set_cold_time(0.0, START + seconds)
 
 
 @then("it counts as {what}")
 def counts_as(context: Any, what: str) -> None:
-    assert context.limit.is_cold(START + 0.6) is (what == "cold")
+    assert context.rate.cold.is_cold(START + 0.6) is (what == "cold")
 
 
 @given("a target with {slots:d} slots that sustains {per_s:d} requests a second while it is cold")
 def cold_target_with_slots(context: Any, slots: int, per_s: int) -> None:
-    context.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0))
+    context.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), Clock().callLater)
     context.slots.set_slots(slots)
-    context.slots.cold.set_rate(per_s)
+    context.slots.rate.cold.set_rate(per_s)
 
 
 @when("it reports that it is cold for 3 s")
 def reports_cold(context: Any) -> None:
-    context.slots.cold.set_cold_time(COLD_S, START)
+    context.slots.rate.cold.set_cold_time(COLD_S, START)
 
 
 @then("it reports {slots:d} slots and a capacity of {capacity:g} requests a second")
--- /dev/null
+++ b/features/steps/send_rate_steps.py
@@ -0,0 +1,256 @@
+"""Steps for the requests of a target that names a rate limit, in virtual time."""
+
+import itertools
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from pearward_coordination.link_queue import LinkQueue
+from pearward_coordination.overload.policy import OverloadPolicy
+from pearward_coordination.slots import Refused, SlotTicket
+from pearward_daemon.mesh import target_slots
+from pearward_daemon.mesh.target_slots import TargetSlots
+
+START = 100.0
+WINDOW_S = 4.0
+OBJECTIVE_S, DEADLINE_S = 0.6, 1.5
+LONG_OBJECTIVE_S = 1.4
+
+
+class _Request:
+    """A request for the target that runs for a fixed time once it is sent."""
+
+    needs_link = False
+    is_last_target = True
+
+    def __init__(self, world: "_World", rank: int = 1, objective_s: float = OBJECTIVE_S) -> None:
+        now = world.clock.seconds()
+        self._world = world
+        self.ticket = SlotTicket(rank, now + DEADLINE_S, now + objective_s, now)
+        self.offered: bool | Refused = False
+        self.sends = True
+        """Whether it is sent once it has a slot."""
+
+    def offer(self) -> None:
+        """Request a slot, and give up after the maximum wait."""
+        slots = self._world.slots
+        self.offered = slots.offer(self, self.ticket)
+        if self.offered is True:
+            self.start()
+        elif self.offered is False:
+            self._world.clock.callLater(slots.max_wait_s(self.ticket), self._wait_expired)
+
+    def start(self) -> None:
+        """Run the request."""
+        if not self.sends:
+            return
+        self.ticket.sent = True
+        self._world.sent.append((self._world.clock.seconds(), self))
+        self._world.clock.callLater(self._world.run_s, self._end)
+
+    def waited_too_long(self) -> None:
+        """Do nothing: the request is refused."""
+
+    def _end(self) -> None:
+        self._world.slots.finished(self.ticket, measured=True)
+
+    def _wait_expired(self) -> None:
+        if self.ticket.waiting:
+            self._world.slots.finished(self.ticket, measured=False)
+
+
+class _World:
+    """One target, its queue and the clock."""
+
+    def __init__(self, slots: int, run_s: float) -> None:
+        self.clock = Clock()
+        self.clock.advance(START)
+        self.run_s = run_s
+        self.sent: list[tuple[float, _Request]] = []
+        self.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), self.clock.callLater)
+        self.slots.set_slots(slots)
+
+    def arrive(self, count: int, seconds: float) -> None:
+        """Let requests arrive evenly; the queue's timers fire at their times."""
+        for number in range(count):
+            at = START + seconds * number / count
+            self._advance_to(max(at, self.clock.seconds()))
+            _Request(self).offer()
+        self._advance_to(START + seconds)
+
+    def _advance_to(self, at: float) -> None:
+        while self.clock.calls and self.clock.calls[0].getTime() <= at:
+            self.clock.advance(max(0.0, self.clock.calls[0].getTime() - self.clock.seconds()))
+        self.clock.advance(max(0.0, at - self.clock.seconds()))
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self._advance_to(self.clock.seconds() + seconds)
+
+
+@given("a target with {slots:d} slots and requests that run {run_s:g} s")
+def target(context: Any, slots: int, run_s: float) -> None:
+    context.world = _World(slots, run_s)
+    patch = mock.patch.object(target_slots, "boot_time", context.world.clock.seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("it names a limit of {per_s:g} a second")
+def names_limit(context: Any, per_s: float) -> None:
+    now = context.world.clock.seconds()
+    context.world.slots.rate.named.named(per_s, now - 0.1, now)
+
+
+@given("it is cold for {seconds:g} s and sustains {per_s:g} requests a second meanwhile")
+def is_cold(context: Any, seconds: float, per_s: float) -> None:
+    cold = context.world.slots.rate.cold
+    cold.set_rate(per_s)
+    cold.set_cold_time(seconds, context.world.clock.seconds())
+
+
+@when(
+    "it names a limit of {per_s:g} a second and {count:d} requests arrive each second"
+    " for {seconds:d} s"
+)
+def limit_and_load(context: Any, per_s: float, count: int, seconds: int) -> None:
+    names_limit(context, per_s)
+    context.world.arrive(count * seconds, seconds)
+
+
+def _times(context: Any) -> list[float]:
+    return [at for at, _ in context.world.sent]
+
+
+@then("it gets at most {most:d} requests in any 4 s")
+def at_most_in_window(context: Any, most: int) -> None:
+    times = _times(context)
+    for begin in times:
+        within = [at for at in times if begin <= at < begin + WINDOW_S]
+        assert len(within) <= most, (begin, len(within))
+
+
+@then("it gets at most {most:d} requests in the first 4 s")
+def at_most_first(context: Any, most: int) -> None:
+    found = [at for at in _times(context) if at < START + WINDOW_S]
+    assert len(found) <= most, len(found)
+
+
+@then("it gets at least {least:d} requests in these 10 s")
+def at_least(context: Any, least: int) -> None:
+    assert len(_times(context)) >= least, len(_times(context))
+
+
+@when(
+    "{count:d} requests arrive each second for {seconds:d} s and it then names a limit of"
+    " {per_s:g} a second"
+)
+def load_then_limit(context: Any, count: int, seconds: int, per_s: float) -> None:
+    context.world.arrive(count * seconds, seconds)
+    names_limit(context, per_s)
+    context.since = context.world.clock.seconds()
+
+
+@then("it gets no request for {seconds:g} s more")
+def none_for(context: Any, seconds: float) -> None:
+    for _ in range(10):
+        _Request(context.world).offer()
+    context.world.advance(seconds)
+    assert not [at for at in _times(context) if at > context.since], _times(context)[-3:]
+
+
+@when("{count:d} requests arrive while the daemon is suspended for {seconds:g} s")
+def suspended(context: Any, count: int, seconds: float) -> None:
+    world = context.world
+    for _ in range(count):
+        _Request(world).offer()
+    # The timers that are due fire only when the daemon runs again.
+    world.clock.advance(seconds)
+    for _ in range(count):
+        _Request(world).offer()
+    context.since = world.clock.seconds()
+
+
+@then("it gets at most {most:d} requests within {seconds:g} s after that")
+def at_most_after(context: Any, most: int, seconds: float) -> None:
+    context.world.advance(seconds)
+    found = [at for at in _times(context) if at >= context.since]
+    assert 0 < len(found) <= most, len(found)
+
+
+def _ranks(text: str) -> list[int]:
+    return [int(part) for part in text.replace(" and ", ", ").split(", ")]
+
+
+@when("requests of rank {ranks} arrive at once")
+def ranked(context: Any, ranks: str) -> None:
+    context.requests = [_Request(context.world, rank, LONG_OBJECTIVE_S) for rank in _ranks(ranks)]
+    for request in context.requests:
+        request.offer()
+
+
+@then("they are sent in the order of rank {ranks}")
+def sent_in_order(context: Any, ranks: str) -> None:
+    context.world.advance(1.0)
+    found = [request.ticket.rank for _, request in context.world.sent]
+    assert found == _ranks(ranks), found
+
+
+@then("the last one is sent after {seconds:g} s")
+def last_sent_after(context: Any, seconds: float) -> None:
+    context.world.advance(seconds)
+    last = _times(context)[-1] - _times(context)[0]
+    assert abs(last - seconds) < 1e-6, _times(context)
+
+
+@when("{count:d} requests arrive at once that are worth most within {objective_s:g} s")
+def arrive_at_once(context: Any, count: int, objective_s: float) -> None:
+    context.requests = [_Request(context.world, objective_s=objective_s) for _ in range(count)]
+    for request in context.requests:
+        request.offer()
+
+
+@then('all but the first are refused at once, as "{detail}"')
+def others_refused(context: Any, detail: str) -> None:
+    first, *others = [request.offered for request in context.requests]
+    assert first is True, first
+    assert all(isinstance(o, Refused) and o.detail == detail for o in others), others
+
+
+@then("the retry delays differ by up to a third, none is shorter than the wait for the next send")
+def spread(context: Any) -> None:
+    delays = [r.offered.retry_after_s for r in context.requests if isinstance(r.offered, Refused)]
+    wait_s = context.world.slots.rate.delay_s(context.world.clock.seconds())
+    assert min(delays) >= wait_s, (min(delays), wait_s)
+    assert max(delays) >= min(delays) * 4 / 3, (min(delays), max(delays))
+    gaps = [b - a for a, b in itertools.pairwise(sorted(delays))]
+    assert min(gaps) > 0.0, delays
+
+
+@when("a request gets its slot and ends before it is sent")
+def not_sent(context: Any) -> None:
+    request = _Request(context.world)
+    request.sends = False
+    request.offer()
+    assert request.offered is True
+    context.world.slots.finished(request.ticket, measured=False)
+
+
+@then("the next one is sent at once")
+def next_at_once(context: Any) -> None:
+    request = _Request(context.world)
+    request.offer()
+    assert request.offered is True
+
+
+@when("it names no limit any more")
+def names_none(context: Any) -> None:
+    context.world.slots.rate.named.not_named(context.world.clock.seconds() + 0.1)
+    context.world.slots.start_next()
+
+
+@then("all of them have been sent")
+def all_sent(context: Any) -> None:
+    assert len(context.world.sent) == len(context.requests), len(context.world.sent)
--- a/features/steps/target_signal_steps.py
+++ b/features/steps/target_signal_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from pearward_coordination.named_limit import NamedLimit
-from pearward_coordination.send_history import SendHistory
+from pearward_coordination.target_rate import TargetRate
 from pearward_daemon.mesh.target_signals import TargetSignals
 from pearward_platform.headers import PlatformDialect
 
@@ -106,7 +106,7 @@
 
 def _signals(context: Any) -> TargetSignals:
     context.log = _RecordingLog()
-    return TargetSignals(NamedLimit(), SendHistory(), context.log)
+    return TargetSignals(TargetRate(), context.log)
 
 
 @when("a target names 20, 20, 20, 5 and no limit in its responses")
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -5,6 +5,9 @@
 others, as one hot key may exceed its owner's capacity. A request that could not be answered in time
 is refused at once, while its caller still has time to retry.
 
+A target may limit the rate of its requests besides. Then requests wait for the next send in the
+same order, also while slots are free.
+
 No I/O and no clock.
 """
 
@@ -14,6 +17,7 @@
 from .overload.policy import Mechanism, OverloadPolicy
 from .overload.retry_delay import RefusedRequest, default_retry_delay_s, retry_delay_s
 from .overload.waiting import QueueAge, WaitingRequest, max_wait_s
+from .target_rate import SendGate, Unlimited
 
 __all__ = ["Refused", "SlotLimits", "SlotQueue", "SlotTicket"]
 
@@ -41,6 +45,12 @@
 requests that are held and never sent (59 instances)."""
 
 
+GOLDEN_RATIO = 0.618034
+"""Step of the sequence that spreads retries evenly, for any number of them."""
+MAX_SPREAD = 0.5
+"""Largest part by which a retry delay is extended to spread retries under a rate limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class SlotLimits:
     """Limits of one target."""
@@ -70,6 +80,8 @@
     over_key_share: bool = False
     """Whether its key had used up its share of the slots on arrival; other requests go first."""
     started: float = 0.0
+    sent: bool = False
+    """Whether the target has received the request."""
     waiting: bool = False
     finished: bool = False
 
@@ -79,6 +91,8 @@
     """The request was not run and may be retried after a delay."""
 
     retry_after_s: float
+    detail: str = ""
+    """What else than the number of slots limits the target; empty if nothing does."""
 
 
 class _MovingMean:
@@ -104,8 +118,9 @@
 class SlotQueue:
     """Slots and waiting requests of one target."""
 
-    def __init__(self, limits: SlotLimits) -> None:
+    def __init__(self, limits: SlotLimits, gate: SendGate | None = None) -> None:
         self._limits = limits
+        self._gate = gate or Unlimited()
         self._heap: list[_Entry] = []
         self._running: set[SlotTicket] = set()
         self._waiting = 0
@@ -115,6 +130,7 @@
         self._by_key: dict[int, int] = {}
         """Number of running and waiting requests by key."""
         self._number = 0
+        self._spread = 0.0
 
     # -- properties -------------------------------------------------------------
 
@@ -142,15 +158,16 @@
     def offer(self, ticket: SlotTicket, now: float) -> bool | Refused:
         """Start a request (True), let it wait (False) or refuse it."""
         ticket.over_key_share = self._exceeds_key_share(ticket)
-        if len(self._running) < self._limits.slots and not self._waiting:
+        if self._may_start(now) and not self._waiting:
             self._count_key(ticket, 1)
             self._start(ticket, now)
             return True
         wait_s = self.expected_wait(ticket, now)
         too_long = wait_s > self.max_wait_s(ticket, now) or now + wait_s > ticket.deadline
-        passed_over = ticket.idle_only and self._ahead(ticket) > 0
+        limited = self._gate.delay_s(now) > 0.0
+        passed_over = ticket.idle_only and (limited or self._ahead(ticket) > 0)
         if passed_over or too_long or self._waiting >= self._limits.queue:
-            return Refused(self.retry_after(ticket, wait_s, now))
+            return Refused(self.retry_after(ticket, wait_s, now), self._gate.reason(now))
         self._number += 1
         ticket.waiting = True
         self._waiting += 1
@@ -160,6 +177,10 @@
         heapq.heappush(self._heap, _Entry(order, ticket))
         return False
 
+    def _may_start(self, now: float) -> bool:
+        """Return whether a slot is free and the target may get a request now."""
+        return len(self._running) < self._limits.slots and self._gate.delay_s(now) <= 0.0
+
     def _exceeds_key_share(self, ticket: SlotTicket) -> bool:
         if ticket.key is None:
             return False
@@ -188,6 +209,8 @@
             self._stop_waiting(ticket)
             return
         self._running.discard(ticket)
+        if not ticket.sent:
+            self._gate.cancel(ticket.started)
         if measured:
             ran_s = now - ticket.started
             self._mean.take(ran_s)
@@ -210,9 +233,7 @@
         """Return the waiting requests that start now, and those that are too late to start."""
         started: list[SlotTicket] = []
         late: list[SlotTicket] = []
-        while self._heap and (
-            len(self._running) < self._limits.slots or not self._heap[0].ticket.waiting
-        ):
+        while self._heap and (not self._heap[0].ticket.waiting or self._may_start(now)):
             ticket = heapq.heappop(self._heap).ticket
             if not ticket.waiting:
                 continue
@@ -226,16 +247,28 @@
             started.append(ticket)
         return started, late
 
+    def next_start_in_s(self, now: float) -> float | None:
+        """Return the seconds until a waiting request may be sent; None if it waits for a slot."""
+        if not self._waiting or len(self._running) >= self._limits.slots:
+            return None
+        return self._gate.delay_s(now)
+
     def max_wait_s(self, ticket: SlotTicket, now: float) -> float:
         """Return the maximum wait for a slot in seconds."""
         policy = self._limits.policy
-        slot_s = self.service_s(now) / max(1, self._limits.slots)
+        slot_s = self._start_interval_s(now)
         standing = not policy.uses(Mechanism.BURST_WAIT) or self._age.standing(
             ticket.rank, now, slot_s
         )
         waiting_request = WaitingRequest(ticket.objective - ticket.arrived, self.running_s(ticket))
         return max_wait_s(waiting_request, standing=standing)
 
+    def _start_interval_s(self, now: float) -> float:
+        """Return the mean seconds between two starts while requests are waiting."""
+        slot_s = self.service_s(now) / max(1, self._limits.slots)
+        per_s = self._gate.per_s(now)
+        return slot_s if per_s is None else max(slot_s, 1.0 / per_s)
+
     def running_s(self, ticket: SlotTicket) -> float:
         """Return the mean running time in seconds of requests on the same route."""
         mean = self._by_route.get(ticket.route)
@@ -250,9 +283,11 @@
 
     def expected_wait(self, ticket: SlotTicket, now: float) -> float:
         """Return the seconds until a request that arrives now would start."""
+        ahead = self._ahead(ticket)
+        send_s = self._gate.delay_s(now, ahead)
         if len(self._running) < self._limits.slots:
-            return 0.0
-        return (self._ahead(ticket) + 1) * self.service_s(now) / max(1, self._limits.slots)
+            return send_s
+        return max(send_s, (ahead + 1) * self.service_s(now) / max(1, self._limits.slots))
 
     def _ahead(self, ticket: SlotTicket) -> int:
         """Return the number of waiting requests that would start before one that arrives now."""
@@ -261,6 +296,15 @@
 
     def retry_after(self, ticket: SlotTicket, wait_s: float, now: float) -> float:
         """Return the seconds after which a request that is refused now should be retried."""
+        delay_s = self._retry_delay_s(ticket, wait_s, now)
+        if self._gate.per_s(now) is None:
+            return delay_s
+        # Nothing ends early under a rate limit: retries before the next free send are in vain, and
+        # those that return at the same moment are refused again.
+        self._spread = (self._spread + GOLDEN_RATIO) % 1.0
+        return max(delay_s, wait_s) * (1.0 + MAX_SPREAD * self._spread)
+
+    def _retry_delay_s(self, ticket: SlotTicket, wait_s: float, now: float) -> float:
         if not self._limits.policy.uses(Mechanism.RETRY_WITHIN_OBJECTIVE):
             return default_retry_delay_s(wait_s)
         return retry_delay_s(
@@ -275,6 +319,7 @@
     def _start(self, ticket: SlotTicket, now: float) -> None:
         ticket.started = now
         self._running.add(ticket)
+        self._gate.reserve(now)
 
 
 def _sort_key(ticket: SlotTicket) -> tuple[bool, int, float]:
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -271,11 +271,11 @@
         gauge("pearward.slowness", "Time of the target's work over usual", lambda: target.slowness)
         gauge(
             "pearward.cold", "The target counts as cold",
-            lambda: float(target.slots.cold.is_cold(boot_time())),
+            lambda: float(target.slots.rate.cold.is_cold(boot_time())),
         )  # fmt: skip
         gauge(
             "pearward.rate.limit", "Requests a second that the target takes; -1 without a limit",
-            lambda: -1.0 if (limit := target.slots.named_limit.per_s) is None else limit,
+            lambda: -1.0 if (limit := target.slots.rate.named.per_s) is None else limit,
         )  # fmt: skip
         gauge(
             "pearward.domains.drained", "Failure domains that are drained",
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -106,8 +106,8 @@
         self._log = log
         self._client = client
         self._grant_manager = GrantManager(settings.service, boot_time(), settings.holds)
-        self._slots = TargetSlots(settings.overload, link)
-        self._signals = TargetSignals(self._slots.named_limit, self._slots.history, log)
+        self._slots = TargetSlots(settings.overload, link, reactor.callLater)
+        self._signals = TargetSignals(self._slots.rate, log)
         self._counter = KeyCounter()
         self._link = link
         self._open: set[TargetRequest] = set()
@@ -227,7 +227,7 @@
         if target_heartbeat.target != self._grant_manager.target:
             self._begin_incarnation(target_heartbeat)
         self._grant_manager.heartbeat(now, target_heartbeat.held, target_heartbeat.released)
-        self._slots.cold.set_cold_time(target_heartbeat.cold_s, now)
+        self._slots.rate.cold.set_cold_time(target_heartbeat.cold_s, now)
         self._update_state(target_heartbeat, now)
         if target_heartbeat.released and self._listener is not None:
             self._listener.keys_changed()
@@ -279,7 +279,7 @@
         self._delivery.target_changed()
         self._client.close()
         self._leaving_since = None
-        self._slots.named_limit.target_changed()
+        self._slots.rate.named.target_changed()
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
             "target_first_heartbeat", target=target_heartbeat.target, former=former,
@@ -361,7 +361,7 @@
         self._keyed = rules is not None and rules.keyed
         self._delivery.set_keyed(self._keyed)
         per_s = rules.cold_per_s if rules is not None else 0.0
-        self._slots.cold.set_rate(per_s * self._settings.cold_overage)
+        self._slots.rate.cold.set_rate(per_s * self._settings.cold_overage)
 
     def set_drained(self, since: float | None) -> None:
         """Set when the drain of the target's failure domain began; None if it is not drained.
@@ -369,7 +369,7 @@
         A target without requests may turn cold, and its heartbeat reports this only later.
         """
         if since is None and self._drained_since is not None:
-            self._slots.cold.suspect_cold(boot_time())
+            self._slots.rate.cold.suspect_cold(boot_time())
         self._drained_since = since
 
     def adopt(self, key_map: KeyMap) -> None:
@@ -520,17 +520,18 @@
             return
         if facts.load is not None and facts.load.slowness is not None:
             self._slowness = facts.load.slowness
-        self._signals.response(target, facts, sent_at, boot_time())
+        if self._signals.response(target, facts, sent_at, boot_time()):
+            self._slots.start_next()
 
     def response_forwarded(self, target: str, facts: ResponseFacts, sent_at: float) -> None:
         """Process a complete response of *target* that is forwarded to the caller."""
-        if target == self._grant_manager.target:
-            self._signals.response_ended(target, facts, sent_at, boot_time())
+        if target != self._grant_manager.target:
+            return
+        if self._signals.response_ended(target, facts, sent_at, boot_time()):
+            self._slots.start_next()
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """Record that a request is sent to the target."""
-        self._slots.cold.sent(boot_time())
-        self._slots.history.record(boot_time())
         self._log.emit(
             "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
             running=self._slots.running, waiting=self._slots.waiting, map=self.map_version,
@@ -564,7 +565,7 @@
         """Record a failed connection attempt to the target."""
         if error.refused and self._termination.refused():
             # The process that listens on this port next will have just started.
-            self._slots.cold.suspect_cold(boot_time())
+            self._slots.rate.cold.suspect_cold(boot_time())
 
     def _watch_target(self) -> None:
         """Check for silence, and probe a target that drains or had a connection fail."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -143,7 +143,9 @@
         )
         offered = self._local_target.slots.offer(self, ticket)
         if isinstance(offered, Refused):
-            self._refuse(Reason.OVERLOADED, retry_after_s=offered.retry_after_s)
+            self._refuse(
+                Reason.OVERLOADED, detail=offered.detail, retry_after_s=offered.retry_after_s
+            )
             return
         self._ticket = ticket
         if offered:
@@ -174,9 +176,11 @@
         """Refuse the request while a retry can be in time: the queue is slower than estimated."""
         self._wait_timer = None
         if not self._done and self._ticket is not None and self._ticket.waiting:
+            slots = self._local_target.slots
             self._refuse(
                 Reason.OVERLOADED,
-                retry_after_s=self._local_target.slots.retry_after_s(self._ticket),
+                detail=slots.rate.reason(boot_time()),
+                retry_after_s=slots.retry_after_s(self._ticket),
             )
 
     def start(self) -> None:
@@ -188,7 +192,7 @@
             self._ticket = None
             self.admit()
             return
-        if self._refused_as_cold() or self._refused_by_crashes():
+        if self._refused_by_crashes():
             return
         connection = self._local_target.client.take()
         if connection is not None:
@@ -196,13 +200,6 @@
         else:
             self._local_target.client.connect().addCallbacks(self._send, self._no_connection)
 
-    def _refused_as_cold(self) -> bool:
-        """Refuse the request if the target is cold and its current capacity is used up."""
-        capacity_in_s = self._local_target.slots.cold.capacity_in_s(boot_time())
-        if capacity_in_s > 0.0:
-            self._refuse(Reason.OVERLOADED, detail="target is cold", retry_after_s=capacity_in_s)
-        return capacity_in_s > 0.0
-
     def _refused_by_crashes(self) -> bool:
         """Refuse the request if it is quarantined: targets crashed while they ran its content."""
         rejection = self._local_target.quarantine_rejection(self)
@@ -227,7 +224,7 @@
             connection.abort()
             self._refuse(rejection, retry_after_s=self._local_target.retry_delay_s(rejection))
             return
-        if self._refused_as_cold() or self._refused_by_crashes():
+        if self._refused_by_crashes():
             connection.abort()
             return
         left_ms = int((self._deadline - boot_time()) * MS_PER_S)
@@ -238,6 +235,8 @@
         self._connection = connection
         self._sent = True
         self._sent_at = boot_time()
+        if self._ticket is not None:
+            self._ticket.sent = True
         self._local_target.sent(self._head, left_ms)
         headers = self._local_target.headers(self._head, left_ms)
         data = b"".join(self._body)
--- a/packages/daemon/src/pearward_daemon/mesh/target_signals.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_signals.py
@@ -1,7 +1,7 @@
 """What the local target states in its responses: its rate limit, its end, and unknown headers."""
 
-from pearward_coordination.named_limit import LimitChange, NamedLimit
-from pearward_coordination.send_history import SendHistory
+from pearward_coordination.named_limit import LimitChange
+from pearward_coordination.target_rate import TargetRate
 
 from .dialect import ResponseFacts
 from .log import DecisionLog
@@ -17,17 +17,20 @@
 class TargetSignals:
     """Applies and logs the statements in the target's responses."""
 
-    def __init__(self, limit: NamedLimit, history: SendHistory, log: DecisionLog) -> None:
-        self._limit = limit
-        self._history = history
+    def __init__(self, rate: TargetRate, log: DecisionLog) -> None:
+        self._limit = rate.named
+        self._history = rate.history
         self._log = log
         self._leaving = ""
         """The target that has stated that it leaves, if any."""
         self._logged: set[tuple[str, bytes]] = set()
         """Unknown headers and unreadable limits that have been logged; each is logged once."""
 
-    def response(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> None:
-        """Process the head of a response of *target* itself to a request sent at *sent_at*."""
+    def response(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> bool:
+        """Process the head of a response of *target* itself to a request sent at *sent_at*.
+
+        Return whether the rate limit changed.
+        """
         self._limit.response_seen()
         for name in facts.unknown:
             self._log_once("response_header_unknown", target, name)
@@ -36,23 +39,29 @@
             self._log.emit("target_leaves", target=target, how="stated in a response")
         if facts.unreadable_limit:
             self._log_once("rate_limit_unreadable", target, facts.unreadable_limit)
-            return
-        if facts.rate_limit is not None:
-            self._note(target, self._limit.named(facts.rate_limit, sent_at, now), sent_at, now)
+            return False
+        if facts.rate_limit is None:
+            return False
+        return self._note(target, self._limit.named(facts.rate_limit, sent_at, now), sent_at, now)
 
-    def response_ended(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> None:
-        """Process a complete response that is forwarded: without a limit it lifts a former one."""
-        if facts.rate_limit is None and not facts.unreadable_limit:
-            self._note(target, self._limit.not_named(sent_at), sent_at, now)
+    def response_ended(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> bool:
+        """Process a complete response that is forwarded: without a limit it lifts a former one.
 
-    def _note(self, target: str, change: LimitChange | None, sent_at: float, now: float) -> None:
+        Return whether the rate limit changed.
+        """
+        if facts.rate_limit is not None or facts.unreadable_limit:
+            return False
+        return self._note(target, self._limit.not_named(sent_at), sent_at, now)
+
+    def _note(self, target: str, change: LimitChange | None, sent_at: float, now: float) -> bool:
         if change is None:
-            return
+            return False
         self._log.emit(
             "rate_limit_changed", target=target, previous_per_s=change.before,
             per_s=change.after, sent_in_4_s=self._history.count_since(now - RECENT_S),
             response_s=round(now - sent_at, 3),
         )  # fmt: skip
+        return True
 
     def _log_once(self, event: str, target: str, value: bytes) -> None:
         key = (event, value)
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -1,14 +1,13 @@
 """Slots of the local target: decides which requests run, wait or are refused."""
 
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
-from pearward_coordination.cold_limit import ColdLimit
 from pearward_coordination.link_queue import LinkQueue, LongRequest
-from pearward_coordination.named_limit import NamedLimit
 from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.selection import TargetLoad
-from pearward_coordination.send_history import SendHistory
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
+from pearward_coordination.target_rate import TargetRate
 from pearward_transport.clock import boot_time
 
 __all__ = ["SlotUser", "TargetSlots"]
@@ -39,16 +38,21 @@
 
 
 class TargetSlots:
-    """The request queue of one target, limited by its slots, its cold state and the link."""
-
-    def __init__(self, policy: OverloadPolicy, link: LinkQueue) -> None:
+    """The request queue of one target, limited by its slots, its request rate and the link."""
+
+    def __init__(
+        self,
+        policy: OverloadPolicy,
+        link: LinkQueue,
+        call_later: Callable[[float, Callable[[], None]], Any],
+    ) -> None:
         self._policy = policy
         self._link = link
-        self._cold = ColdLimit()
-        self._named_limit = NamedLimit()
-        self._history = SendHistory()
-        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy))
+        self._call_later = call_later
+        self._rate = TargetRate()
+        self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy), self._rate)
         self._users: dict[SlotTicket, SlotUser] = {}
+        self._start_timer: Any = None
 
     # -- properties -------------------------------------------------------------
 
@@ -63,32 +67,22 @@
         return self._queue.waiting
 
     @property
-    def cold(self) -> ColdLimit:
-        """Limit on the request rate while the target is cold."""
-        return self._cold
-
-    @property
-    def named_limit(self) -> NamedLimit:
-        """Limit on the request rate that the target names in its responses."""
-        return self._named_limit
-
-    @property
-    def history(self) -> SendHistory:
-        """Times of the requests sent to the target."""
-        return self._history
+    def rate(self) -> TargetRate:
+        """Limits on the rate of requests to the target."""
+        return self._rate
 
     def load(self) -> TargetLoad:
         """Return the load of the target and its instance's link as this daemon counts it.
 
-        For a cold target the slots are reduced to the number that its permitted rate
-        fills, so that requesters prefer other targets.
+        Under a rate limit the slots are reduced to the number that the rate fills, so that
+        requesters prefer other targets.
         """
         queue = self._queue
         now = boot_time()
         slots, service_s = queue.slots, queue.service_s(now)
-        rate = self._cold.rate(now)
-        if rate is not None:
-            slots = max(1, min(slots, round(rate * service_s)))
+        per_s = self._rate.per_s(now)
+        if per_s is not None:
+            slots = max(1, min(slots, round(per_s * service_s)))
         return TargetLoad(
             queue.running, queue.waiting, slots, service_s, self._link.long_response_wait_s(now)
         )
@@ -97,8 +91,8 @@
         """Return the number of requests per second that the target can run."""
         now = boot_time()
         warm = self._queue.slots / max(self._queue.service_s(now), MIN_SERVICE_S)
-        rate = self._cold.rate(now)
-        return warm if rate is None else min(warm, rate)
+        per_s = self._rate.per_s(now)
+        return warm if per_s is None else min(warm, per_s)
 
     def set_slots(self, slots: int) -> None:
         """Set the number of requests that the target processes concurrently."""
@@ -110,13 +104,14 @@
     def offer(self, user: SlotUser, ticket: SlotTicket) -> bool | Refused:
         """Request a slot: return True if granted now, False if queued, Refused otherwise."""
         now = boot_time()
-        if (capacity_in_s := self._cold.capacity_in_s(now)) > 0.0:
-            return Refused(max(capacity_in_s, self._queue.retry_after(ticket, capacity_in_s, now)))
         if user.needs_link and (lateness_s := self._link_too_late_s(user, ticket, now)) > 0.0:
             return Refused(self._queue.retry_after(ticket, lateness_s, now))
         offered = self._queue.offer(ticket, now)
-        if not isinstance(offered, Refused):
-            self._users[ticket] = user
+        if isinstance(offered, Refused):
+            return offered
+        self._users[ticket] = user
+        if not offered:
+            self._schedule_start(now)
         return offered
 
     def _link_too_late_s(self, user: SlotUser, ticket: SlotTicket, now: float) -> float:
@@ -143,8 +138,27 @@
         now = boot_time()
         self._users.pop(ticket, None)
         self._queue.finish(ticket, now, measured=measured)
+        self.start_next()
+
+    def start_next(self) -> None:
+        """Start the waiting requests that may be sent now, as after a change of the limits."""
+        now = boot_time()
         started, late = self._queue.next_starts(now)
         for other in late:
             self._users.pop(other).waited_too_long()
         for other in started:
             self._users[other].start()
+        self._schedule_start(now)
+
+    def _schedule_start(self, now: float) -> None:
+        """Set the timer for the next request that waits for the rate, not for a slot."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+        delay_s = self._queue.next_start_in_s(now)
+        if delay_s is not None:
+            self._start_timer = self._call_later(delay_s, self._start_timer_fired)
+
+    def _start_timer_fired(self) -> None:
+        self._start_timer = None
+        self.start_next()
