Heed a target that states in its responses that it leaves, also after restarts

Cause: the end was known from heartbeats and calls only; and the daemon beside the target forgets it in a restart, after which it began the drain time anew.

Change: a response announces the end as a heartbeat does, whichever comes first. Each daemon that forwards such a response remembers the target, whatever the daemon beside it publishes later, and sends it nothing after part of the drain time; targets without keys are passed over at once. A target that drains at the first heartbeat that a daemon gets is refused work: its drain may be over. The departure of the local target is a class of its own.

--- a/features/steps/target_signal_steps.py
+++ b/features/steps/target_signal_steps.py
@@ -1,15 +1,21 @@
 """Steps for what targets state in the headers of their responses: parsing, state and log."""
 
+from random import Random
 from typing import Any
 
 from behave import given, then, when
 
+from pearward_coordination.directory import Directory
 from pearward_coordination.named_limit import NamedLimit
 from pearward_coordination.target_rate import TargetRate
+from pearward_daemon.mesh.target_departure import UNKNOWN_START, TargetDeparture
 from pearward_daemon.mesh.target_signals import TargetSignals
 from pearward_platform.headers import PlatformDialect
+from pearward_state.members import Member, TargetState
 
 TARGET = "i-1"
+START = 100.0
+DRAIN_S = 2.0
 
 
 class _RecordingLog:
@@ -145,3 +151,48 @@
 def logged_once(context: Any, first: str, second: str) -> None:
     events = sorted(event for event, _ in context.log.lines)
     assert events == sorted([first, second]), events
+
+
+@given("a daemon whose target drains from its {which} heartbeat on")
+def drains(context: Any, which: str) -> None:
+    context.departure = TargetDeparture(DRAIN_S, _RecordingLog())
+    since = UNKNOWN_START if which == "first" else START
+    context.departure.announce(TARGET, "draining", since)
+
+
+@then("the target gets no request")
+def gets_none(context: Any) -> None:
+    assert context.departure.refuses_work(START)
+
+
+@then("the target gets requests for less than the drain time of {drain_s:g} s")
+def gets_in_transit(context: Any, drain_s: float) -> None:
+    assert drain_s == DRAIN_S
+    assert not context.departure.refuses_work(START + 0.5)
+    assert context.departure.refuses_work(START + drain_s)
+
+
+def _member(name: str, incarnation: str) -> Member:
+    return Member(
+        instance=name, failure_domain="a", peer_address=f"{name}:1", incarnation=incarnation,
+        service="sheets", target=f"i-{name}", slots=12, state=TargetState.READY,
+    )  # fmt: skip
+
+
+@given("a requester that has forwarded a response of a target that leaves")
+def requester(context: Any) -> None:
+    context.directory = Directory("a")
+    context.directory.entries_read([_member("one", "p1"), _member("two", "p2")], START)
+    context.directory.note_leaving("i-one", START)
+
+
+@when("the daemon beside the target is restarted and publishes the target as ready")
+def restarted(context: Any) -> None:
+    context.directory.entry_removed("one", START + 1.0)
+    context.directory.entry_written(_member("one", "p3"))
+
+
+@then("the requester chooses another target")
+def chooses_other(context: Any) -> None:
+    found = context.directory.candidates("sheets", START + 3.0, 0.0, frozenset(), Random(1))
+    assert [candidate.target for candidate in found] == ["i-two"], found
--- a/features/target_signals.feature
+++ b/features/target_signals.feature
@@ -73,3 +73,18 @@
   Scenario: What cannot be read is logged once
     When a target sends 100 responses with the rate limit "often" and the header "Server-Mood"
     Then the log has one line "rate_limit_unreadable" and one line "response_header_unknown"
+
+  # -- a target that leaves ------------------------------------------------------------------
+
+  Scenario: A target that drains when its daemon is started gets no request: its time may be over
+    Given a daemon whose target drains from its first heartbeat on
+    Then the target gets no request
+
+  Scenario: A target that begins to drain gets requests in transit for part of the drain time
+    Given a daemon whose target drains from its second heartbeat on
+    Then the target gets requests for less than the drain time of 2 s
+
+  Scenario: Requesters remember a target that leaves although its daemon was restarted
+    Given a requester that has forwarded a response of a target that leaves
+    When the daemon beside the target is restarted and publishes the target as ready
+    Then the requester chooses another target
--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -36,6 +36,10 @@
 ALIVE_S = 2.0
 """Seconds after a response or report of a member for which it counts as alive."""
 NEVER = float("-inf")
+LEAVING_RETENTION_S = 300.0
+"""Seconds after which a target that leaves has ended; a later one may have its id."""
+MAX_LEAVING = 1024
+"""Maximum number of targets on record that have stated that they leave; the oldest go first."""
 UNREACHABLE_S = 0.7
 """Seconds for which a daemon that was unreachable gets no requests if others are reachable."""
 
@@ -83,6 +87,9 @@
         self._by_instance: dict[str, _Known] = {}
         self._by_target: dict[str, _Known] = {}
         self._store_since: float | None = None
+        self._leaving: dict[str, float] = {}
+        """Targets that have stated in a response that they leave, with the time of the first one.
+        Kept apart from the members, as the statement outlives the daemon beside the target."""
         self._drained: Mapping[str, float] = {}
         """Failure domains whose targets get no new work, with the time of the drain's start."""
 
@@ -158,8 +165,20 @@
         if known is not None:
             known.refuses_work = True
 
+    def note_leaving(self, target: str, now: float) -> bool:
+        """Record that a target leaves, as it states in a response; return whether this is new."""
+        if target in self._leaving:
+            return False
+        if len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[target] = now
+        return True
+
     def expire(self, now: float) -> None:
-        """Remove members whose entries have been missing for the retention time."""
+        """Remove members whose entries have been missing for the retention time, and old notes."""
+        for target, since in tuple(self._leaving.items()):
+            if now - since > LEAVING_RETENTION_S:
+                del self._leaving[target]
         for instance in tuple(self._lapsed):
             known = self._by_instance.get(instance)
             if known is not None and self._missing_s(known, now) > LAPSED_RETENTION_S:
@@ -246,6 +265,10 @@
         }
         return bool(domains) and domains <= self._drained.keys()
 
+    def leaving_since(self, target: str) -> float | None:
+        """Return when a target first stated in a response that it leaves, or None."""
+        return self._leaving.get(target)
+
     def lapsed_since(self, target: str) -> float | None:
         """Return when a target's entry lapsed, or None if it has one or is unknown."""
         known = self._by_target.get(target)
@@ -293,7 +316,7 @@
 
         def usable(known: _Known) -> bool:
             drained = self.is_drained(known.member.failure_domain)
-            return not drained and known.unreachable_until <= now and _accepts(known, tried)
+            return not drained and known.unreachable_until <= now and self._accepts(known, tried)
 
         near_count = NEAR_SAMPLES if self._sample_candidates else len(group.near)
         far_count = FAR_SAMPLES if self._sample_candidates else len(group.far)
@@ -303,13 +326,13 @@
             if known is not None and known not in found and usable(known):
                 found.append(known)
         if not found:
-            found = [known for known in group.near + group.far if _accepts(known, tried)]
+            found = [known for known in group.near + group.far if self._accepts(known, tried)]
         return [self._candidate(known, unix_now) for known in found]
 
     def has_candidate(self, service: str, tried: frozenset[str]) -> bool:
         """Return whether a service has a target that accepts requests and is not in *tried*."""
         group = self._group(service)
-        return any(_accepts(known, tried) for known in group.near + group.far)
+        return any(self._accepts(known, tried) for known in group.near + group.far)
 
     def _group(self, service: str) -> _Group:
         group = self._groups.get(service)
@@ -333,10 +356,9 @@
             local=member.instance == self._instance,
         )
 
-
-def _accepts(known: _Known, tried: frozenset[str]) -> bool:
-    """Return whether a target is not known to refuse requests and is not in *tried*."""
-    member = known.member
-    if known.refuses_work or member.state is TargetState.DRAINING:
-        return False
-    return member.target not in tried
+    def _accepts(self, known: _Known, tried: frozenset[str]) -> bool:
+        """Return whether a target is not known to refuse requests and is not in *tried*."""
+        member = known.member
+        if known.refuses_work or member.state is TargetState.DRAINING:
+            return False
+        return member.target not in tried and member.target not in self._leaving
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -33,6 +33,7 @@
 from .log import DecisionLog
 from .routed_request import RoutedRequest
 from .settings import MeshSettings
+from .target_departure import DRAIN_FRACTION
 
 __all__ = ["MeshIngress", "Placement", "RequestMetrics"]
 
@@ -316,7 +317,7 @@
 
     def _placement(self, target: str, map_version: int) -> Placement | None:
         member = self.directory.member_of(target)
-        if member is None or self._is_drained(target):
+        if member is None or self._is_drained(target) or self._has_left(target):
             return None
         local = member.instance == self._settings.instance
         return Placement(self.directory, target, member.peer_address, local, map_version)
@@ -326,6 +327,14 @@
         since = self.directory.drained_since(target)
         return since is not None and boot_time() > since + self._settings.keyed_drain_s
 
+    def _has_left(self, target: str) -> bool:
+        """Return whether a target that leaves, as this daemon has forwarded, gets no more requests.
+
+        The daemon beside the target applies this as well, but forgets it in a restart.
+        """
+        since = self.directory.leaving_since(target)
+        return since is not None and boot_time() > since + self._settings.drain_s * DRAIN_FRACTION
+
     def is_wholly_drained(self, service: str) -> bool:
         """Return whether all failure domains with targets of a service are drained."""
         return self.directory.is_wholly_drained(service)
@@ -381,6 +390,11 @@
         """Record the load that a target's response reported."""
         self.directory.note_load(target, load, boot_time())
 
+    def target_leaves(self, target: str) -> None:
+        """Record that a response, which is about to be forwarded, states that its target leaves."""
+        if self.directory.note_leaving(target, boot_time()):
+            self.log.emit("target_leaves", target=target, how="stated in a forwarded response")
+
     def exchange_completed(self, route: Route, size: int) -> None:
         """Record the size in bytes of a request and its response on a route."""
         kilobytes = size / BYTES_PER_KB
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -36,6 +36,7 @@
 from .log import DecisionLog
 from .parked_requests import ParkedRequests
 from .settings import GrantMode, MeshSettings
+from .target_departure import UNKNOWN_START, TargetDeparture
 from .target_request import TargetRequest
 from .target_signals import TargetSignals
 from .target_slots import TargetSlots
@@ -46,8 +47,6 @@
 HEARTBEAT_TIMEOUT_S = 4.0
 """Seconds without a heartbeat after which a target is published as draining. Heartbeats may be
 late by seconds; a terminated target is detected sooner by its connections."""
-DRAIN_FRACTION = 0.6
-"""Fraction of the drain time in which a draining target still accepts requests in transit."""
 MOVED_RETRY_S = 0.05
 """Seconds after which a caller should retry a request that was refused as moved."""
 COLD_ESTIMATE_TOLERANCE_S = 1.0
@@ -119,7 +118,7 @@
         self._info: TargetInfo | None = None
         self._keyed = False
         self._drained_since: float | None = None
-        self._leaving_since: float | None = None
+        self._departure = TargetDeparture(settings.drain_s, log)
         self._silent = False
         self._stopping = False
         self._refusing = False
@@ -232,7 +231,7 @@
         if target_heartbeat.released and self._listener is not None:
             self._listener.keys_changed()
         response = self._delivery.respond(
-            now, at_once=bool(target_heartbeat.released) or self._leaving_since is not None
+            now, at_once=bool(target_heartbeat.released) or self._departure.announced
         )
         self.update_grants()
         return response
@@ -259,9 +258,7 @@
         """Mark the target as draining: it announced its end and sends no more heartbeats."""
         if self._info is None or leave.target != target_id(self._info.target):
             return
-        self._log.emit("target_leaves", target=self._info.target, how="termination announced")
-        if self._leaving_since is None:
-            self._leaving_since = boot_time()
+        self._departure.announce(self._info.target, "termination announced", boot_time())
         self._publish_state()
 
     def _begin_incarnation(self, target_heartbeat: TargetHeartbeat) -> None:
@@ -278,7 +275,7 @@
                 self._reported_ended.append(former)
         self._delivery.target_changed()
         self._client.close()
-        self._leaving_since = None
+        self._departure.forget()
         self._slots.rate.named.target_changed()
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
@@ -288,9 +285,10 @@
 
     def _update_state(self, target_heartbeat: TargetHeartbeat, now: float) -> None:
         """Publish the state of the target if a heartbeat changed it."""
-        if target_heartbeat.state is TargetState.DRAINING and self._leaving_since is None:
-            self._log.emit("target_leaves", target=target_heartbeat.target, how="draining")
-            self._leaving_since = now
+        if target_heartbeat.state is TargetState.DRAINING:
+            # Without an earlier heartbeat nothing shows when the drain began.
+            since = now if self._info is not None else UNKNOWN_START
+            self._departure.announce(target_heartbeat.target, "draining", since)
         cold_until = unix_time() + target_heartbeat.cold_s if target_heartbeat.cold_s > 0.0 else 0.0
         if self._info is not None and self._info.target == target_heartbeat.target:
             cold_until = _stable_estimate(self._info.cold_until, cold_until)
@@ -300,7 +298,7 @@
 
     def _state(self) -> TargetState:
         given_up = self._stopping and not self._keyed
-        leaving = self._leaving_since is not None or self._silent or given_up
+        leaving = self._departure.announced or self._silent or given_up
         return TargetState.DRAINING if leaving else TargetState.READY
 
     def _publish(self, info: TargetInfo | None) -> None:
@@ -455,8 +453,7 @@
         now = boot_time()
         if self._is_drained_for(head, now):
             return Reason.MOVED
-        leaving = self._leaving_since
-        if leaving is not None and now > leaving + self._settings.drain_s * DRAIN_FRACTION:
+        if self._departure.refuses_work(now):
             return Reason.DRAINING
         if not self._keyed or not head.key:
             return None
@@ -520,8 +517,11 @@
             return
         if facts.load is not None and facts.load.slowness is not None:
             self._slowness = facts.load.slowness
-        if self._signals.response(target, facts, sent_at, boot_time()):
+        now = boot_time()
+        if self._signals.response(target, facts, sent_at, now):
             self._slots.start_next()
+        if facts.leaving and self._departure.announce(target, "stated in a response", now):
+            self._publish_state()
 
     def response_forwarded(self, target: str, facts: ResponseFacts, sent_at: float) -> None:
         """Process a complete response of *target* that is forwarded to the caller."""
@@ -583,9 +583,8 @@
             )
             self._silent = True
             self._publish_state()
-        leaving = self._leaving_since
-        overdue = leaving is not None and now > leaving + self._settings.drain_s
-        self._termination.check(suspected=overdue or self._guard.target_suspected)
+        suspected = self._departure.is_overdue(now) or self._guard.target_suspected
+        self._termination.check(suspected=suspected)
 
     def _target_listening(self) -> None:
         """Record that the target's port accepts connections: the target is running."""
@@ -597,11 +596,10 @@
         A draining target serves until its drain time has expired; ending sooner is a crash.
         """
         now = boot_time()
-        leaving = self._leaving_since
-        if leaving is None or now < leaving + self._settings.drain_s:
-            self._guard.target_crashed(target, shown_by, now, unix_time())
-        else:
+        if self._departure.is_overdue(now):
             self._guard.target_left(now)
+        else:
+            self._guard.target_crashed(target, shown_by, now, unix_time())
 
     def _target_ended(self) -> None:
         if self._info is None:
@@ -609,7 +607,7 @@
         target = self._grant_manager.target
         self._record_end(target, "its port refuses")
         self._log.emit("target_ended", target=target, evidence="its port refuses")
-        self._leaving_since = None
+        self._departure.forget()
         self._grant_manager.target_ended()
         self._reported_ended.append(target)
         self._publish(None)
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -389,6 +389,8 @@
             return
         if head.load is not None:
             self._ingress.load_reported(self._placement.target, head.load)
+        if head.target_leaves:
+            self._ingress.target_leaves(self._placement.target)
         self._record_idle_probe(found=head.reason is not Reason.OVERLOADED)
         if head.outcome is not Outcome.SERVED:
             self._refused(head)
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -330,6 +330,7 @@
             version=self._local_target.map_version,
             body_length=length,
             load=self._local_target.slots.load(),
+            target_leaves=self._facts.leaving,
         )
         if length <= BUFFERED_RESPONSE:
             # Also with an unknown length (-1): the part that fits is buffered.
--- a/packages/daemon/src/pearward_daemon/mesh/target_signals.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_signals.py
@@ -1,4 +1,4 @@
-"""What the local target states in its responses: its rate limit, its end, and unknown headers."""
+"""What the local target states in its responses: its rate limit, and unknown headers."""
 
 from pearward_coordination.named_limit import LimitChange
 from pearward_coordination.target_rate import TargetRate
@@ -21,8 +21,6 @@
         self._limit = rate.named
         self._history = rate.history
         self._log = log
-        self._leaving = ""
-        """The target that has stated that it leaves, if any."""
         self._logged: set[tuple[str, bytes]] = set()
         """Unknown headers and unreadable limits that have been logged; each is logged once."""
 
@@ -34,9 +32,6 @@
         self._limit.response_seen()
         for name in facts.unknown:
             self._log_once("response_header_unknown", target, name)
-        if facts.leaving and target != self._leaving:
-            self._leaving = target
-            self._log.emit("target_leaves", target=target, how="stated in a response")
         if facts.unreadable_limit:
             self._log_once("rate_limit_unreadable", target, facts.unreadable_limit)
             return False
--- a/packages/protocol/src/pearward_protocol/heads.py
+++ b/packages/protocol/src/pearward_protocol/heads.py
@@ -105,6 +105,8 @@
     body_length: int = -1
     load: TargetLoad | None = None
     """Load of the target that the request was sent to, even if the daemon responded for it."""
+    target_leaves: bool = False
+    """Whether the target states in this response that it terminates shortly."""
 
 
 def encode_hello(hello: Hello) -> bytes:
@@ -209,6 +211,8 @@
         message.slots = head.load.slots
         message.serviceUs = int(head.load.service_s * _US_PER_S)
         message.linkMs = int(head.load.link_s * _MS_PER_S)
+    if head.target_leaves:
+        message.targetLeaves = True
     if head.reason is not None:
         message.reason = head.reason.value
         message.retryAfterMs = head.retry_after_ms
@@ -230,6 +234,7 @@
                     version=message.version,
                     body_length=message.bodyLength,
                     load=_load(message),
+                    target_leaves=message.targetLeaves,
                 )
             return ResponseHead(
                 message.status,
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -49,6 +49,7 @@
   slots @10 :UInt16;
   serviceUs @11 :UInt32;
   linkMs @12 :UInt32;
+  targetLeaves @13 :Bool;
 }
 
 struct HeldRow {
