Send a target few requests after a restart until a response shows its limit

What callers would see: a target in need gets a full set of requests at each restart of the daemon beside it, and falls further behind.

Cause: the limit is known only from responses.

Change: a daemon that finds a running target uses two slots until the first response; a target whose start it saw is not held back. No call to the store and no field between daemons is needed, and it holds while the store is away.

Result: features/send_rate.feature: 2 of 12 requests sent before the first response; with the slots not held back, as before, both examples fail (12 sent). 16 of 16 scenarios pass.

--- a/features/send_rate.feature
+++ b/features/send_rate.feature
@@ -71,3 +71,15 @@
     When requests of rank 1, 1 and 1 arrive at once
     And it names no limit any more
     Then all of them have been sent
+
+  Scenario Outline: A restarted daemon sends few requests until a response shows if there is a limit: <limit>
+    Given a daemon that was started beside a target with 12 slots and requests that run 0.1 s
+    When 12 requests arrive at once
+    Then at most 2 of them are sent before the first response
+    When the first response names <limit>
+    Then <sent> of them have been sent
+
+    Examples:
+      | limit      | sent |
+      | no limit   | 12   |
+      | 1 a second | 2    |
--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -70,6 +70,7 @@
         self.run_s = run_s
         self.sent: list[tuple[float, _Request]] = []
         self.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), self.clock.callLater)
+        self.slots.rate.named.target_changed(known=True)
         self.slots.set_slots(slots)
 
     def arrive(self, count: int, seconds: float) -> None:
@@ -248,9 +249,46 @@
 @when("it names no limit any more")
 def names_none(context: Any) -> None:
     context.world.slots.rate.named.not_named(context.world.clock.seconds() + 0.1)
-    context.world.slots.start_next()
+    context.world.slots.limit_changed()
 
 
 @then("all of them have been sent")
 def all_sent(context: Any) -> None:
     assert len(context.world.sent) == len(context.requests), len(context.world.sent)
+
+
+@given(
+    "a daemon that was started beside a target with {slots:d} slots and requests that run"
+    " {run_s:g} s"
+)
+def restarted_daemon(context: Any, slots: int, run_s: float) -> None:
+    target(context, slots, run_s)
+    context.world.slots.rate.named.target_changed(known=False)
+    context.world.slots.set_slots(slots)
+
+
+@when("{count:d} requests arrive at once")
+def arrive(context: Any, count: int) -> None:
+    context.requests = [_Request(context.world, 1, LONG_OBJECTIVE_S) for _ in range(count)]
+    for request in context.requests:
+        request.offer()
+
+
+@then("at most {most:d} of them are sent before the first response")
+def few_sent(context: Any, most: int) -> None:
+    assert 0 < len(context.world.sent) <= most, len(context.world.sent)
+
+
+@when("the first response names {limit}")
+def first_response(context: Any, limit: str) -> None:
+    slots = context.world.slots
+    assert slots.rate.named.response_seen()
+    if limit != "no limit":
+        names_limit(context, float(limit.split()[0]))
+    slots.limit_changed()
+    context.world.advance(0.0)
+
+
+@then("{count:d} of them have been sent")
+def sent_count(context: Any, count: int) -> None:
+    assert len(context.world.sent) == count, len(context.world.sent)
--- a/features/steps/target_signal_steps.py
+++ b/features/steps/target_signal_steps.py
@@ -97,7 +97,7 @@
 
 @when("another incarnation of it starts")
 def other_incarnation(context: Any) -> None:
-    context.limit.target_changed()
+    context.limit.target_changed(known=True)
 
 
 @then("the limit in force is {per_s:g} a second")
--- a/packages/coordination/src/pearward_coordination/named_limit.py
+++ b/packages/coordination/src/pearward_coordination/named_limit.py
@@ -45,14 +45,22 @@
 
     # -- changes ------------------------------------------------------------------
 
-    def response_seen(self) -> None:
-        """Record any response of the target, which would name a limit that is in force."""
-        self._known = True
+    def response_seen(self) -> bool:
+        """Record a response of the target, which names a limit if one is in force.
 
-    def target_changed(self) -> None:
-        """Forget the limit: another incarnation of the target runs."""
+        Return whether it was unknown until now if there is a limit.
+        """
+        was_known, self._known = self._known, True
+        return not was_known
+
+    def target_changed(self, *, known: bool) -> None:
+        """Forget the limit, as another incarnation of the target runs.
+
+        *known* states that it was started a moment ago and has named no limit yet. It is unset for
+        a target that was running before this daemon.
+        """
         self._per_s = None
-        self._known = False
+        self._known = known
 
     def named(self, per_s: float, sent_at: float, now: float) -> LimitChange | None:
         """Apply the limit of a response; return the change, or None.
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -276,7 +276,7 @@
         self._delivery.target_changed()
         self._client.close()
         self._departure.forget()
-        self._slots.rate.named.target_changed()
+        self._slots.rate.named.target_changed(known=bool(former))
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
             "target_first_heartbeat", target=target_heartbeat.target, former=former,
@@ -519,7 +519,7 @@
             self._slowness = facts.load.slowness
         now = boot_time()
         if self._signals.response(target, facts, sent_at, now):
-            self._slots.start_next()
+            self._slots.limit_changed()
         if facts.leaving and self._departure.announce(target, "stated in a response", now):
             self._publish_state()
 
@@ -528,7 +528,7 @@
         if target != self._grant_manager.target:
             return
         if self._signals.response_ended(target, facts, sent_at, boot_time()):
-            self._slots.start_next()
+            self._slots.limit_changed()
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """Record that a request is sent to the target."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_signals.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_signals.py
@@ -27,17 +27,18 @@
     def response(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> bool:
         """Process the head of a response of *target* itself to a request sent at *sent_at*.
 
-        Return whether the rate limit changed.
+        Return whether the rate limit changed or was unknown until now.
         """
-        self._limit.response_seen()
+        revealed = self._limit.response_seen()
         for name in facts.unknown:
             self._log_once("response_header_unknown", target, name)
         if facts.unreadable_limit:
             self._log_once("rate_limit_unreadable", target, facts.unreadable_limit)
-            return False
+            return revealed
         if facts.rate_limit is None:
-            return False
-        return self._note(target, self._limit.named(facts.rate_limit, sent_at, now), sent_at, now)
+            return revealed
+        change = self._limit.named(facts.rate_limit, sent_at, now)
+        return self._note(target, change, sent_at, now) or revealed
 
     def response_ended(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> bool:
         """Process a complete response that is forwarded: without a limit it lifts a former one.
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -15,6 +15,9 @@
 DEFAULT_SLOTS = 8
 QUEUE_PER_SLOT = 8
 """Maximum number of queued requests per slot; at usual speeds the maximum wait allows far fewer."""
+UNKNOWN_LIMIT_SLOTS = 2
+"""Slots in use until a response has shown if the target limits its rate. A daemon that is restarted
+beside a target in need does not know the limit, and all slots may be more than it allows."""
 MIN_SERVICE_S = 0.005
 """Minimum running time in s that is used to compute a target's capacity."""
 
@@ -52,6 +55,7 @@
         self._rate = TargetRate()
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy), self._rate)
         self._users: dict[SlotTicket, SlotUser] = {}
+        self._slots = DEFAULT_SLOTS
         self._start_timer: Any = None
 
     # -- properties -------------------------------------------------------------
@@ -90,14 +94,25 @@
     def capacity(self) -> float:
         """Return the number of requests per second that the target can run."""
         now = boot_time()
-        warm = self._queue.slots / max(self._queue.service_s(now), MIN_SERVICE_S)
+        warm = self._slots / max(self._queue.service_s(now), MIN_SERVICE_S)
         per_s = self._rate.per_s(now)
         return warm if per_s is None else min(warm, per_s)
 
     def set_slots(self, slots: int) -> None:
         """Set the number of requests that the target processes concurrently."""
-        slots = max(1, slots)
-        self._queue.set_limits(SlotLimits(slots, slots * QUEUE_PER_SLOT, self._policy))
+        self._slots = max(1, slots)
+        self._apply_slots()
+
+    def limit_changed(self) -> None:
+        """Apply a rate limit that changed, or is known now, to the waiting requests."""
+        self._apply_slots()
+        self.start_next()
+
+    def _apply_slots(self) -> None:
+        slots = self._slots
+        if not self._rate.named.is_known:
+            slots = min(slots, UNKNOWN_LIMIT_SLOTS)
+        self._queue.set_limits(SlotLimits(slots, self._slots * QUEUE_PER_SLOT, self._policy))
 
     # -- requests ------------------------------------------------------------------
 
@@ -141,7 +156,7 @@
         self.start_next()
 
     def start_next(self) -> None:
-        """Start the waiting requests that may be sent now, as after a change of the limits."""
+        """Start the waiting requests that may be sent now."""
         now = boot_time()
         started, late = self._queue.next_starts(now)
         for other in late:
