Try a target again whose rate limit may have ended

What callers see: a target of a service without keys that named a limit gets no request any more when the limit has ended, and the others do its work (0 of 80 requests a second in 4 s, stand-ins, 120 a second for three targets).

Cause: a limit is reported as fewer slots, and the report is kept until the next one, which comes only with a response. The end of a limit shows only in a response as well.

Change: fewer slots are expected for 2 s after a report, then the largest number that the target has reported. Targets without a limit report the same number always, so nothing changes for them. The stand-in of a target can be told to complete only so many requests a second.

--- a/features/steps/target_signal_steps.py
+++ b/features/steps/target_signal_steps.py
@@ -7,6 +7,7 @@
 
 from pearward_coordination.directory import Directory
 from pearward_coordination.named_limit import NamedLimit
+from pearward_coordination.selection import Candidate, LoadView, TargetLoad, choose_target
 from pearward_coordination.target_rate import TargetRate
 from pearward_daemon.mesh.target_departure import UNKNOWN_START, TargetDeparture
 from pearward_daemon.mesh.target_signals import TargetSignals
@@ -196,3 +197,29 @@
 def chooses_other(context: Any) -> None:
     found = context.directory.candidates("sheets", START + 3.0, 0.0, frozenset(), Random(1))
     assert [candidate.target for candidate in found] == ["i-two"], found
+
+
+@given("two targets with {slots:d} slots, one of which reports 1 slot since it names a limit")
+def limited_and_other(context: Any, slots: int) -> None:
+    context.views = {name: LoadView() for name in ("limited", "other")}
+    for view in context.views.values():
+        view.reported(TargetLoad(0, 0, slots, 0.1), START - 5.0)
+    context.views["limited"].reported(TargetLoad(0, 0, 1, 0.1), START)
+    context.views["other"].reported(TargetLoad(0, 0, slots, 0.1), START)
+
+
+def _choices(context: Any, after_s: float) -> set[str]:
+    candidates = [Candidate(name, True, view) for name, view in context.views.items()]
+    rng = Random(1)
+    chosen = (choose_target(candidates, START + after_s, rng) for _ in range(50))
+    return {candidate.target for candidate in chosen if candidate is not None}
+
+
+@then("a requester chooses the other one {after_s:g} s after that")
+def chooses_the_other(context: Any, after_s: float) -> None:
+    assert _choices(context, after_s) == {"other"}
+
+
+@then("a requester chooses either one {after_s:g} s after that")
+def chooses_either(context: Any, after_s: float) -> None:
+    assert _choices(context, after_s) == {"limited", "other"}
--- a/features/target_signals.feature
+++ b/features/target_signals.feature
@@ -88,3 +88,10 @@
     Given a requester that has forwarded a response of a target that leaves
     When the daemon beside the target is restarted and publishes the target as ready
     Then the requester chooses another target
+
+  # -- the choice among targets --------------------------------------------------------------
+
+  Scenario: Requesters avoid a target while it is known to limit its rate, and try it again later
+    Given two targets with 12 slots, one of which reports 1 slot since it names a limit
+    Then a requester chooses the other one 1 s after that
+    And a requester chooses either one 3 s after that
--- a/packages/coordination/src/pearward_coordination/selection.py
+++ b/packages/coordination/src/pearward_coordination/selection.py
@@ -33,6 +33,8 @@
 
 LOAD_HALF_LIFE_S = 1.0
 """Half-life in seconds of a load that is not reported again; queues of targets empty faster."""
+LIMIT_VALID_S = 2.0
+"""Seconds after a report for which slots that a rate limit reduced are expected to be reduced."""
 CROSS_DOMAIN_S = 0.012
 """Seconds of expected latency accepted to stay in the own failure domain, before the cost of bytes:
 a round trip takes 3 ms, and request heads use bytes as well."""
@@ -92,6 +94,8 @@
 
     load: TargetLoad | None = None
     """The latest report."""
+    most_slots: int = 0
+    """Largest number of slots reported so far; fewer are reported under a rate limit."""
     reported_at: float = 0.0
     in_flight: int = 0
     """Own requests without a response."""
@@ -103,9 +107,22 @@
     def reported(self, load: TargetLoad, now: float) -> None:
         """Record a report that came with a reply."""
         self.load = load
+        self.most_slots = max(self.most_slots, load.slots)
         self.reported_at = now
         self.in_flight_at_report = self.in_flight
 
+    def slots(self, now: float) -> int:
+        """Return the number of slots that the target is expected to have now.
+
+        A rate limit that has ended shows only in a response, so that a target that gets no
+        requests because of its limit is tried again.
+        """
+        if self.load is None:
+            return DEFAULT_SLOTS
+        if now - self.reported_at < LIMIT_VALID_S:
+            return self.load.slots
+        return max(self.load.slots, self.most_slots)
+
     def failed(self, now: float) -> None:
         """Record a failed or missing reply."""
         self.failures = self.recent_failures(now) + 1.0
@@ -188,7 +205,7 @@
     """
     view = candidate.view
     load = view.load or TargetLoad(0, 0, DEFAULT_SLOTS, mean_run_s)
-    slots = max(1, load.slots)
+    slots = max(1, view.slots(now))
     busy = view.busy(now) + 1.0
     crowding = max(0.0, busy / slots - CROWDED_SHARE)
     queue = max(0.0, busy - slots) / slots
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -11,6 +11,8 @@
 * ``POST /standin/cold`` with ``seconds`` makes the target report itself cold for that time.
 * ``POST /standin/headers`` with header names and values adds them to all further responses to
   requests, and replaces those added before.
+* ``POST /standin/sustain`` with ``per_s`` makes it complete at most that many requests a second;
+  further ones are delayed, each behind all others. 0 ends this.
 * ``POST /standin/late`` delays grants; see key_calls.
 """
 
@@ -62,6 +64,10 @@
         self.released: list[list[Any]] = []
         self.runs: list[dict[str, Any]] = []
         self.running = 0
+        self.sustained_per_s = 0.0
+        """Requests per second that it can complete; 0 if only its slots limit it."""
+        self._free_at = 0.0
+        """Time at which all work in progress is completed, if the sustained rate limits it."""
         self.extra_headers: dict[str, str] = {}
         """Headers that are added to the responses to requests."""
         self.leave_acknowledged: float | None = None
@@ -76,6 +82,14 @@
         """Report the target as cold for some seconds, from the next heartbeat on."""
         self._cold_until = time.monotonic() + seconds
 
+    def delay_s(self, work_s: float) -> float:
+        """Return the seconds until a request that starts now is completed."""
+        if not self.sustained_per_s:
+            return work_s
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + 1.0 / self.sustained_per_s
+        return max(work_s, self._free_at - now)
+
     def work_started(self, key: int) -> None:
         """Count a request for a key as running."""
         self.running += 1
@@ -225,7 +239,8 @@
         request.working = True
         arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
         work_s = int(arguments.get("work_ms", "0")) / 1000
-        timer = reactor.callLater(work_s, self._send_response, request, request_id, arguments)
+        delay_s = target.delay_s(work_s)
+        timer = reactor.callLater(delay_s, self._send_response, request, request_id, arguments)
 
         def on_disconnect(failure: Any) -> None:
             self._work_ended(request)
@@ -320,6 +335,8 @@
                 target.set_cold(json.loads(request.content.read())["seconds"])
             case b"/standin/headers":
                 target.extra_headers = json.loads(request.content.read())
+            case b"/standin/sustain":
+                target.sustained_per_s = json.loads(request.content.read())["per_s"]
             case b"/standin/late":
                 target.calls.delay_grants(json.loads(request.content.read()))
         return b"{}"
