Plan an owner's keys by the rate limit that it names

What callers see: requests for the keys of a target in need wait for sends that its limit does not allow, as it keeps more keys than it can serve.

Cause: the planner takes a reported capacity below 0.4 of the mean for a measuring error. A limit is exact. (Targets that are cold were excepted already.)

Change: a report says that its capacity is a rate limit; such a capacity is planned with as it is, and does not lower the mean of the others. Refusals under a limit are logged with the limit and its age, and delayed and refused requests are counted.

--- a/features/send_rate.feature
+++ b/features/send_rate.feature
@@ -83,3 +83,13 @@
       | limit      | sent |
       | no limit   | 12   |
       | 1 a second | 2    |
+
+  Scenario Outline: The planner gives an owner keys for its limit, and no fewer than usual for a slow one
+    Given owners that run 50 requests a second on average
+    Then one that reports <capacity> a second, <source>, is planned with <planned> a second
+
+    Examples:
+      | capacity | source       | planned |
+      | 4        | limited      | 4       |
+      | 4        | measured     | 20      |
+      | 500      | measured     | 125     |
--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from twisted.internet.task import Clock
 
+from pearward_coordination.keyplan import planned_capacity
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.slots import Refused, SlotTicket
@@ -292,3 +293,14 @@
 @then("{count:d} of them have been sent")
 def sent_count(context: Any, count: int) -> None:
     assert len(context.world.sent) == count, len(context.world.sent)
+
+
+@given("owners that run {mean:g} requests a second on average")
+def owners(context: Any, mean: float) -> None:
+    context.mean = mean
+
+
+@then("one that reports {capacity:g} a second, {source}, is planned with {planned:g} a second")
+def planned(context: Any, capacity: float, source: str, planned: float) -> None:
+    found = planned_capacity(capacity, context.mean, limited=source == "limited")
+    assert found == planned, found
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -29,9 +29,14 @@
     "first_map",
     "has_surged",
     "plan_moves",
+    "planned_capacity",
     "without_targets",
 ]
 
+MIN_RELATIVE_SPEED, MAX_RELATIVE_SPEED = 0.4, 2.5
+"""Range of a target's speed relative to the mean of its service; measured speeds are clamped to
+it. Real targets run at 0.6 to 1.6, and slow ones at less for some seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlannedLoad:
@@ -78,6 +83,16 @@
     tenth."""
 
 
+def planned_capacity(capacity: float, mean: float, *, limited: bool) -> float:
+    """Return the requests per second to plan with for an owner that reports *capacity*.
+
+    A measured speed is clamped to a range about the *mean* of the service. A rate limit is exact:
+    an owner with one gets keys for no more than it allows, and the others take over the rest.
+    """
+    least = 0.0 if limited else mean * MIN_RELATIVE_SPEED
+    return min(max(capacity, least), mean * MAX_RELATIVE_SPEED)
+
+
 def first_map(service: str, owners: Sequence[KeyOwner], era: int = 0) -> KeyMap:
     """Return the first map: consecutive keys by capacity, numbered in an era of the store."""
     number = next_number(0, era)
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -203,6 +203,8 @@
     confirmed: tuple[HeldRow, ...]
     counts: tuple[KeyCount, ...]
     """Number of requests by key since the last report."""
+    limited: bool = False
+    """Whether the capacity is a rate limit in force, not a measured speed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coordination/src/pearward_coordination/send_history.py
+++ b/packages/coordination/src/pearward_coordination/send_history.py
@@ -13,6 +13,9 @@
 MAX_COUNTED = 2048
 """Maximum number of sends kept; no target runs as many within a window."""
 
+CLOCK_STEP_S = 1e-6
+"""Shorter delays in seconds count as none: a timer for them may fire at the same time again."""
+
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
@@ -64,5 +67,5 @@
         """Return the seconds until one more request may be sent, with *ahead* others before it."""
         windows, place = divmod(ahead, limit.burst)
         index = len(self._sent) - limit.burst + place
-        free_at = self._sent[index] + limit.window_s if index >= 0 else now
-        return max(0.0, free_at - now) + windows * limit.window_s
+        wait_s = self._sent[index] + limit.window_s - now if index >= 0 else 0.0
+        return (wait_s if wait_s > CLOCK_STEP_S else 0.0) + windows * limit.window_s
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -277,6 +277,14 @@
             "pearward.rate.limit", "Requests a second that the target takes; -1 without a limit",
             lambda: -1.0 if (limit := target.slots.rate.named.per_s) is None else limit,
         )  # fmt: skip
+        gauge(
+            "pearward.rate.delayed", "Requests that waited for the target's rate limit",
+            lambda: target.slots.delayed_by_rate,
+        )  # fmt: skip
+        gauge(
+            "pearward.rate.refused", "Requests that were refused at once by the rate limit",
+            lambda: target.slots.refused_by_rate,
+        )  # fmt: skip
         gauge(
             "pearward.domains.drained", "Failure domains that are drained",
             lambda: len(self._core.drains.state.domains),
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -24,6 +24,7 @@
     PlanLimits,
     first_map,
     plan_moves,
+    planned_capacity,
     without_targets,
 )
 from pearward_coordination.load_watch import LoadWatch
@@ -58,9 +59,6 @@
 """Maximum utilisation of the remaining owners at which they take over the keys of a target whose
 daemon is stopped. Moving the keys away and back makes them unavailable for 1 s in all, not moving
 them for 2.5 s; above this utilisation the requests of all owners would queue."""
-MIN_RELATIVE_SPEED, MAX_RELATIVE_SPEED = 0.4, 2.5
-"""Range of a target's speed relative to the mean of its service; measured speeds are clamped to
-it. Real targets run at 0.6 to 1.6, and slow ones at less for some seconds."""
 WITNESS_TIMEOUT_S = 6.0
 """Seconds without a member entry after which an instance is replaced as a witness."""
 MEMBER_SCAN_INTERVAL_S = 1.0
@@ -356,9 +354,8 @@
                 continue
             if report.draining:
                 continue
-            # The capacity of a cold target is a configured limit, not a measured speed.
-            least = 0.0 if member.cold_until > unix_time() else mean * MIN_RELATIVE_SPEED
-            capacity = min(max(report.capacity, least), mean * MAX_RELATIVE_SPEED)
+            limited = report.limited or member.cold_until > unix_time()
+            capacity = planned_capacity(report.capacity, mean, limited=limited)
             # Grants under a map that the store may have lost are no evidence.
             reported = era_of(report.version) == era_of(self._maps.version(name))
             confirmed = report.confirmed if reported else ()
@@ -372,8 +369,10 @@
         return found[0], now - found[1]
 
     def _mean_capacity(self, service: _Service, now: float) -> float:
-        fresh = [r.capacity for r, at in service.reports.values() if now - at <= MAX_REPORT_AGE_S]
-        return sum(fresh) / len(fresh) if fresh else 0.0
+        """Return the mean measured capacity of the owners, or of all if each limits its rate."""
+        fresh = [r for r, at in service.reports.values() if now - at <= MAX_REPORT_AGE_S]
+        measured = [r.capacity for r in fresh if not r.limited] or [r.capacity for r in fresh]
+        return sum(measured) / len(measured) if measured else 0.0
 
     # -- plans -----------------------------------------------------------------------------
 
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -421,6 +421,7 @@
             ended=tuple(self._reported_ended[-16:]),
             confirmed=tuple(self._grant_manager.confirmed()),
             counts=self._counter.take(),
+            limited=self._slots.rate.per_s(boot_time()) is not None,
         )
 
     def set_former_incarnations(self, targets: list[str]) -> None:
@@ -556,9 +557,19 @@
             outcome=outcome.value, reason=reason.value if reason else "", detail=detail,
             ms=round(took_s * 1000), running=self._slots.running,
             waiting=self._slots.waiting, link_s=round(self._link.backlog_s(boot_time()), 3),
-            map=self.map_version, content=content,
+            map=self.map_version, content=content, **self._limit_fields(),
         )  # fmt: skip
 
+    def _limit_fields(self) -> dict[str, float]:
+        """Return the named rate limit and its age for a log line; nothing if there is none."""
+        named = self._slots.rate.named
+        if named.per_s is None:
+            return {}
+        return {
+            "limit_per_s": named.per_s,
+            "limit_age_s": round(named.age_s(boot_time()), 3),
+        }
+
     # -- the target's end ----------------------------------------------------------
 
     def unreachable(self, error: ServerUnreachable) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -57,6 +57,8 @@
         self._users: dict[SlotTicket, SlotUser] = {}
         self._slots = DEFAULT_SLOTS
         self._start_timer: Any = None
+        self._delayed = 0
+        self._refused = 0
 
     # -- properties -------------------------------------------------------------
 
@@ -75,6 +77,16 @@
         """Limits on the rate of requests to the target."""
         return self._rate
 
+    @property
+    def delayed_by_rate(self) -> int:
+        """Number of requests that waited for the rate limit although a slot was free."""
+        return self._delayed
+
+    @property
+    def refused_by_rate(self) -> int:
+        """Number of requests that were refused at once while a rate limit was in force."""
+        return self._refused
+
     def load(self) -> TargetLoad:
         """Return the load of the target and its instance's link as this daemon counts it.
 
@@ -123,9 +135,11 @@
             return Refused(self._queue.retry_after(ticket, lateness_s, now))
         offered = self._queue.offer(ticket, now)
         if isinstance(offered, Refused):
+            self._refused += bool(offered.detail)
             return offered
         self._users[ticket] = user
         if not offered:
+            self._delayed += self._queue.running < self._queue.slots
             self._schedule_start(now)
         return offered
 
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -169,6 +169,7 @@
       ended @51 :List(Text);
       confirmed @52 :List(HeldRow);
       counts @53 :List(KeyCount);
+      limited @81 :Bool;
     }
     askKeys :group {
       service @54 :Text;
