Soak and state machine: targets that name rate limits

Cause: neither the soak nor a state machine had a target that states anything in its responses, which is why they could not find that nothing decides on it.

The state machine 'rate limits' changes limits, suspends and restarts the daemon, and counts sends.

The check finds 3 requests a second at a limit of 1.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -10,6 +10,7 @@
       | ownership                                  |
       | streams                                    |
       | retries                                    |
+      | rate limits                                |
       | table                                      |
       | ownership on a users' platform             |
       | ownership by calls                         |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,15 @@
     When a soak with seed 14 runs for 14 s with a store restored from older copies
     Then no guarantee is violated and requests were served
 
+  Scenario: A short soak with targets that name rate limits
+    When a soak with seed 15 runs for 16 s with targets that name rate limits
+    Then no guarantee is violated and requests were served
+
+  Scenario: More requests than a target's rate limit allows are found
+    Given a target that named a limit of 1 a second for 10 s and got 3 requests a second
+    Then its limit counts as broken
+    And it does not if the daemon that forwarded the limit was restarted since
+
   Scenario: A seed always plans the same faults
     Then seed 5 plans the same faults twice, and seed 6 plans others
 
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -18,6 +18,7 @@
     ReturningStoreMachine,
 )
 from tests.fuzz.ownership_machine import OwnershipMachine
+from tests.fuzz.rate_machine import RateMachine
 from tests.fuzz.retry_machine import RetryMachine
 from tests.fuzz.stream_machine import StreamMachine
 from tests.fuzz.table_machine import TableMachine
@@ -26,6 +27,7 @@
     "ownership": (OwnershipMachine, 25, 20),
     "streams": (StreamMachine, 120, 40),
     "retries": (RetryMachine, 120, 40),
+    "rate limits": (RateMachine, 120, 30),
     "table": (TableMachine, 120, 40),
     "ownership on a users' platform": (MeshMachine, 60, 25),
     "ownership by calls": (CallMeshMachine, 60, 25),
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,9 +10,12 @@
     DaemonKill,
     Disturbance,
     Leave,
+    NodeFault,
+    RateLimit,
     ResponseRecord,
     Run,
     find_violations,
+    over_limit,
 )
 
 REFUSED = 503
@@ -38,6 +41,40 @@
     context.violations, context.served = play(seed, seconds, returns=True)
 
 
+@when("a soak with seed {seed:d} runs for {seconds:d} s with targets that name rate limits")
+def play_limits(context: Any, seed: int, seconds: int) -> None:
+    context.violations, context.served = play(seed, seconds, limits=True)
+
+
+@given(
+    "a target that named a limit of {per_s:g} a second for {seconds:d} s and got {got:d} requests"
+    " a second"
+)
+def limited_records(context: Any, per_s: float, seconds: int, got: int) -> None:
+    context.limit = RateLimit("t1", per_s, 10.0, 10.0 + seconds)
+    times = [10.0 + number / got for number in range(seconds * got)]
+    context.responses = [
+        ResponseRecord(f"q{number}", "n1", True, 200, True, True, at, at + 0.05, "t1")
+        for number, at in enumerate(times)
+    ]
+    context.runs = [
+        Run(f"q{number}", "t1", "sheets", "/sheets/safe/x", "", 0, at)
+        for number, at in enumerate(times)
+    ]
+
+
+@then("its limit counts as broken")
+def limit_broken(context: Any) -> None:
+    found = over_limit(context.responses, context.runs, [context.limit], [])
+    assert len(found) == 1, found
+
+
+@then("it does not if the daemon that forwarded the limit was restarted since")
+def limit_excused(context: Any) -> None:
+    faults = [NodeFault("n1", 10.5)]
+    assert not over_limit(context.responses, context.runs, [context.limit], faults)
+
+
 @then("no guarantee is violated and requests were served")
 def no_guarantee_violated(context: Any) -> None:
     assert not context.violations, context.violations[:5]
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -27,7 +27,17 @@
 
 from ..cluster import wait_until
 from .cluster import CALLERS, HOST, MeshCluster, MeshNode
-from .soak_checks import DaemonKill, Disturbance, Leave, ResponseRecord, Run, find_violations
+from .soak_checks import (
+    DaemonKill,
+    Disturbance,
+    Leave,
+    NodeFault,
+    RateLimit,
+    ResponseRecord,
+    Run,
+    find_violations,
+    over_limit,
+)
 from .target import CRASHED
 
 __all__ = ["SoakFault", "plan", "play"]
@@ -50,11 +60,20 @@
 """Faults of targets that take their keys by calls, with the weight of two other faults."""
 CRASH_FAULTS = ("request-crash",) * 4
 """Requests that crash the targets that run them, with the weight of four other faults."""
+LIMIT_FAULTS = ("target-limit",) * 4
+"""Targets that name a rate limit, with the weight of four other faults."""
+LIMITS_PER_S = (0.4, 1.0, 2.0, 5.0)
+LIMIT_DURATION_FACTOR = 4.0
+"""Factor for the duration of a rate limit, which must be kept three seconds after it was named."""
 CRASH_INTERVAL_S = 0.15
 """Interval between crashing requests of the same content, sent to the daemons in turn."""
 CRASH_WORK_MS = 30
 CRASH_DURATION_FACTOR = 4.0
 """Factor for the duration of a crashing request's fault, since three targets have to crash."""
+DURATION_FACTORS = {
+    CRASH_FAULTS[0]: CRASH_DURATION_FACTOR,
+    LIMIT_FAULTS[0]: LIMIT_DURATION_FACTOR,
+}
 RESTART_DELAY_S = 1.0
 """Delay before a target that was crashed by a request is restarted."""
 GRANT_DELAYS = [[0.5], [2.5], [0.0, 2.0], [1.0, 4.0], [3.0], [0.2]] * 2
@@ -89,6 +108,7 @@
     by_call: bool = False,
     crashes: bool = False,
     returns: bool = False,
+    limits: bool = False,
 ) -> list[SoakFault]:
     """Return the faults of a seed, sorted by time."""
     rng = random.Random(seed)
@@ -99,6 +119,8 @@
         kinds += CRASH_FAULTS
     if returns:
         kinds += RESTORE_FAULTS
+    if limits:
+        kinds += LIMIT_FAULTS
     last = max(FAULT_FREE_S, seconds - FAULT_FREE_S - MAX_FAULT_S)
     faults = [
         SoakFault(
@@ -110,8 +132,7 @@
         for _ in range(max(1, int(seconds * FAULTS_PER_S)))
     ]
     stretched = [
-        replace(f, duration_s=f.duration_s * CRASH_DURATION_FACTOR) if f.kind in CRASH_FAULTS else f
-        for f in faults
+        replace(f, duration_s=f.duration_s * DURATION_FACTORS.get(f.kind, 1.0)) for f in faults
     ]
     return sorted(stretched, key=lambda f: f.at_s)
 
@@ -161,7 +182,7 @@
         if keyed:
             headers["Shard-Key"] = str(rng.randrange(KEYS) * 65_536 // KEYS)
         sent_at = time.monotonic()
-        status, header_received, whole = 0, False, False
+        status, header_received, whole, limited_target = 0, False, False, ""
         try:
             connection.request("GET" if repeatable else "POST", path + query, None, headers)
             response = connection.getresponse()
@@ -170,6 +191,8 @@
             status = response.status
             signature_valid = response.headers.get("Server-Signature") == f"signed.{request_id}"
             own_id = response.headers.get("Request-Id") == request_id
+            if "Server-Limit" in response.headers:
+                limited_target = response.headers.get("Target", "")
             whole = signature_valid and own_id and body == b"x" * size
         except (OSError, http.client.HTTPException):
             # No response or a truncated one, as when the daemon is killed.
@@ -184,6 +207,7 @@
                 whole,
                 sent_at,
                 time.monotonic(),
+                limited_target,
             )
         )
 
@@ -197,6 +221,8 @@
         self._store: dict[str, object] = {}
         self.kills: list[DaemonKill] = []
         self.disturbances: list[Disturbance] = []
+        self.limits: list[RateLimit] = []
+        self.node_faults: list[NodeFault] = []
         self._crashed_at: dict[int, float] = {}
         """Time at which a crashed target's process was found ended, by process id."""
         self.overdue: list[str] = []
@@ -205,14 +231,18 @@
     def start_fault(self, fault: SoakFault) -> Callable[[], None]:
         """Start a fault and return a function that ends it."""
         scope, _, action = fault.kind.partition("-")
-        if scope in ("target", "link", "return") or action in ("kill", "pause"):
+        disturbs = scope in ("target", "link", "return") or action in ("kill", "pause")
+        if disturbs and action != "limit":
             now = time.monotonic()
             self.disturbances.append(Disturbance(now, now + fault.duration_s))
         node = self._cluster.nodes[fault.node]
         other = self._cluster.nodes[fault.other]
+        self._note_excuses(scope, action, node, other)
         match scope:
             case "daemon":
                 return self._daemon(action, node)
+            case "target" if action == "limit":
+                return self._limit(fault, node)
             case "target":
                 return self._target(action, node)
             case "link":
@@ -226,6 +256,37 @@
             case _:
                 return self._store_fault(action, other, whole=fault.node % 2 == 0)
 
+    def _note_excuses(self, scope: str, action: str, node: MeshNode, other: MeshNode) -> None:
+        """Record the daemons whose requests a fault excuses from rate limits."""
+        nodes: list[MeshNode] = []
+        if scope == "daemon":
+            nodes = [node]
+        elif scope == "link":
+            nodes = [node, other]
+        elif scope == "return" and action != "store":
+            nodes = self._cluster.nodes
+        self.node_faults += [NodeFault(each.name, time.monotonic()) for each in nodes]
+
+    def _limit(self, fault: SoakFault, node: MeshNode) -> Callable[[], None]:
+        """Let a target name a rate limit."""
+        process = node.target
+        per_s = LIMITS_PER_S[fault.other % len(LIMITS_PER_S)]
+        try:
+            self._cluster.control_target(node, "headers", json.dumps({"Server-Limit": str(per_s)}))
+            target = self._cluster.state(node)["id"]
+        except OSError:
+            # The target does not run, or is paused.
+            return lambda: None
+        began = time.monotonic()
+
+        def ended() -> None:
+            self.limits.append(RateLimit(target, per_s, began, time.monotonic()))
+            if node.target is process:
+                with contextlib.suppress(OSError):
+                    self._cluster.control_target(node, "headers")
+
+        return ended
+
     def _daemon(self, action: str, node: MeshNode) -> Callable[[], None]:
         process = node.daemon
         if process is None or process.poll() is not None:
@@ -382,6 +443,7 @@
     by_call: bool = False,
     crashes: bool = False,
     returns: bool = False,
+    limits: bool = False,
 ) -> tuple[list[str], int]:
     """Run one seed; return a line for each violated guarantee, and the number served."""
     grants = "call" if by_call else "heartbeat"
@@ -392,8 +454,9 @@
         cluster.start()
         callers.start()
         planned_faults = plan(
-            seed, seconds, len(cluster.nodes), by_call=by_call, crashes=crashes, returns=returns
-        )
+            seed, seconds, len(cluster.nodes), by_call=by_call, crashes=crashes, returns=returns,
+            limits=limits,
+        )  # fmt: skip
         _play_faults(planned_faults, faults, seconds)
         callers.stop()
         time.sleep(RESTART_DELAY_S)
@@ -403,6 +466,7 @@
         violations += find_violations(
             callers.responses, runs, leaves, faults.kills, faults.disturbances
         )
+        violations += over_limit(callers.responses, runs, faults.limits, faults.node_faults)
         violations += faults.overdue
     finally:
         if violations and keep is not None:
@@ -477,6 +541,7 @@
 @click.option("--by-call", is_flag=True, help="Targets take their keys by calls.")
 @click.option("--crashes", is_flag=True, help="Some requests crash the targets that run them.")
 @click.option("--returns", is_flag=True, help="The store is restored from older copies.")
+@click.option("--limits", is_flag=True, help="Targets name limits on the rate of their requests.")
 def main(
     seed: int,
     seeds: int,
@@ -485,12 +550,13 @@
     by_call: bool,
     crashes: bool,
     returns: bool,
+    limits: bool,
 ) -> None:
     """Run seeds and report those with violated guarantees."""
     failed = 0
     for number in range(seed, seed + seeds):
         violations, served = play(
-            number, seconds, keep, by_call=by_call, crashes=crashes, returns=returns
+            number, seconds, keep, by_call=by_call, crashes=crashes, returns=returns, limits=limits
         )
         failed += bool(violations)
         click.echo(f"seed {number}: {'BROKEN' if violations else 'held'}, {served} served")
--- a/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
@@ -7,7 +7,17 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-__all__ = ["DaemonKill", "Disturbance", "Leave", "ResponseRecord", "Run", "find_violations"]
+__all__ = [
+    "DaemonKill",
+    "Disturbance",
+    "Leave",
+    "NodeFault",
+    "RateLimit",
+    "ResponseRecord",
+    "Run",
+    "find_violations",
+    "over_limit",
+]
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request has not run and will not run."""
@@ -27,6 +37,13 @@
 """Seconds after the last of these crashes in which the request may still reach targets."""
 MAX_LATE_RUNS = 3
 """Targets that the request may reach after that time."""
+LIMIT_CONTACT_S = 3.0
+"""Seconds after a target has named a rate limit from which on it must be kept."""
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE, LIMIT_SLACK = 1.5, 5
+"""Factor on the requests that a limit allows in a window, and requests allowed besides."""
+LIMIT_TOLD_S = 0.5
+"""Seconds after a daemon has forwarded a limit from which on requests that began there count."""
 DRAIN_SLACK_S = 0.3
 """Transit time from the daemon to the target, on a loaded machine."""
 
@@ -47,6 +64,26 @@
     """Whether signature, request id and body are those that the target sent."""
     sent_at: float
     ended_at: float
+    limited_target: str = ""
+    """Target that named a rate limit in this response; empty if none did."""
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A rate limit that a target named for some time."""
+
+    target: str
+    per_s: float
+    began: float
+    ended: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeFault:
+    """A restart, pause or cut of a daemon, which excuses requests that begin there."""
+
+    node: str
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,3 +259,47 @@
         and a.header_received
         and not any(d.may_have_truncated(a) for d in disturbances)
     ]
+
+
+def over_limit(
+    responses: Sequence[ResponseRecord],
+    runs: Sequence[Run],
+    limits: Iterable[RateLimit],
+    faults: Sequence[NodeFault],
+) -> list[str]:
+    """Return a line for each target that got more requests than the limit that it named.
+
+    Only requests count that began at a daemon which had forwarded the limit, and which has not been
+    restarted, paused or cut off since.
+    """
+    sent = {response.id: response for response in responses}
+    found: list[str] = []
+    for limit in limits:
+        told = _told_at(responses, limit)
+        counted: list[float] = []
+        for run in runs:
+            response = sent.get(run.id)
+            if response is None or run.target != limit.target or run.at > limit.ended:
+                continue
+            since = told.get(response.node)
+            if since is None or run.at < since + LIMIT_TOLD_S:
+                continue
+            if any(fault.node == response.node and fault.at >= since for fault in faults):
+                continue
+            counted.append(run.at)
+        most = LIMIT_OVERAGE * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for at in counted:
+            within = sum(1 for other in counted if at - LIMIT_WINDOW_S < other <= at)
+            if at >= limit.began + LIMIT_CONTACT_S and within > most:
+                found.append(f"{limit.target} got {within} requests, {most} allowed by its limit")
+                break
+    return found
+
+
+def _told_at(responses: Sequence[ResponseRecord], limit: RateLimit) -> dict[str, float]:
+    """Return when each daemon first forwarded a response with the limit."""
+    told: dict[str, float] = {}
+    for response in responses:
+        if response.limited_target == limit.target and response.ended_at >= limit.began:
+            told[response.node] = min(response.ended_at, told.get(response.node, response.ended_at))
+    return told
