Forget a rate limit that no response has named for ten seconds

What callers would see: a target whose keys were all moved away because of its limit gets none back, and the others carry its load for good. Found by a scenario of features/rate_limits.feature, whose limited owner got 0 requests after its limit had ended.

Cause: only a response shows that a limit has ended, and a target without requests sends none.

Change: such a limit is unknown after 10 s, as after a restart: the usual capacity is reported, and two slots are used until a response shows if there is a limit still.

--- a/features/send_rate.feature
+++ b/features/send_rate.feature
@@ -93,3 +93,15 @@
       | 4        | limited      | 4       |
       | 4        | measured     | 20      |
       | 500      | measured     | 125     |
+
+  # A target whose keys were all moved away gets no request, so that none of its responses can show
+  # that its limit has ended.
+  Scenario: A limit that no response has named for 10 s is unknown, not in force for ever
+    Given a target with 12 slots and requests that run 0.1 s
+    And it names a limit of 1 a second
+    When 9 s pass without a request
+    Then its capacity is 1 a second
+    When 2 s pass without a request
+    Then its capacity is more than 40 a second
+    When 12 requests arrive at once
+    Then at most 2 of them are sent before the first response
--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -304,3 +304,21 @@
 def planned(context: Any, capacity: float, source: str, planned: float) -> None:
     found = planned_capacity(capacity, context.mean, limited=source == "limited")
     assert found == planned, found
+
+
+@when("{seconds:g} s pass without a request")
+def pass_without_request(context: Any, seconds: float) -> None:
+    world = context.world
+    world.advance(seconds)
+    world.slots.rate.named.expire(world.clock.seconds())
+    world.slots.limit_changed()
+
+
+@then("its capacity is {per_s:g} a second")
+def capacity_is(context: Any, per_s: float) -> None:
+    assert context.world.slots.capacity() == per_s, context.world.slots.capacity()
+
+
+@then("its capacity is more than {per_s:g} a second")
+def capacity_above(context: Any, per_s: float) -> None:
+    assert context.world.slots.capacity() > per_s, context.world.slots.capacity()
--- a/packages/coordination/src/pearward_coordination/named_limit.py
+++ b/packages/coordination/src/pearward_coordination/named_limit.py
@@ -10,6 +10,10 @@
 
 __all__ = ["LimitChange", "NamedLimit"]
 
+RETENTION_S = 10.0
+"""Seconds without a response that names the limit after which it is unknown whether it is still in
+force. A target that gets no requests cannot state the end of its limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class LimitChange:
@@ -62,6 +66,13 @@
         self._per_s = None
         self._known = known
 
+    def expire(self, now: float) -> LimitChange | None:
+        """Forget a limit that was named too long ago; return the change, or None."""
+        if self._per_s is None or self.age_s(now) <= RETENTION_S:
+            return None
+        self._known = False
+        return self._change(None)
+
     def named(self, per_s: float, sent_at: float, now: float) -> LimitChange | None:
         """Apply the limit of a response; return the change, or None.
 
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -202,6 +202,7 @@
             self._begin_incarnation(target_heartbeat)
         self._grant_manager.heartbeat(now, target_heartbeat.held, target_heartbeat.released)
         self._slots.rate.cold.set_cold_time(target_heartbeat.cold_s, now)
+        self._signals.expire(target_heartbeat.target, now)
         self._slots.limit_changed()
         self._update_state(target_heartbeat, now)
         if target_heartbeat.released and self._listener is not None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_signals.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_signals.py
@@ -49,6 +49,18 @@
             return False
         return self._note(target, self._limit.not_named(sent_at), sent_at, now)
 
+    def expire(self, target: str, now: float) -> bool:
+        """Forget a limit that no response has named for long; return whether there was one."""
+        age_s = self._limit.age_s(now)
+        change = self._limit.expire(now)
+        if change is None:
+            return False
+        self._log.emit(
+            "rate_limit_expired", target=target, previous_per_s=change.before,
+            age_s=round(age_s, 3),
+        )  # fmt: skip
+        return True
+
     def _note(self, target: str, change: LimitChange | None, sent_at: float, now: float) -> bool:
         if change is None:
             return False
