Soak: a rate limit is counted until the target names another one or none

Cause, by the logs of both: two faults named limits at the same target. The end of one took the header away while the span of the other went on; the daemon logged that the limit had ended (rate_limit_changed, 0.4 and 2 to none) and the target got its usual load again. The check was wrong, not the daemon.

Change: a target names one limit at a time; a span ends as another limit, or none, replaces it. The bound is the same.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -72,3 +72,13 @@
       | seed | cause                                                                               |
       | 21   | a long response was truncated as its owner's daemon was killed; the check was wrong |
       | 42   | a long response was truncated on a stalled link; the check was wrong                |
+
+  @long
+  Scenario Outline: Regression with rate limits: seed <seed>, <cause>
+    When a soak with seed <seed> runs for 18 s with targets that name rate limits
+    Then no guarantee is violated and requests were served
+
+    Examples:
+      | seed | cause                                                                                   |
+      | 121  | the check counted against a limit that a later one had replaced; the check was wrong    |
+      | 148  | the check counted against a limit that a later one had replaced; the check was wrong    |
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -12,6 +12,7 @@
 import http.client
 import itertools
 import json
+import math
 import random
 import shutil
 import signal
@@ -222,6 +223,8 @@
         self.kills: list[DaemonKill] = []
         self.disturbances: list[Disturbance] = []
         self.limits: list[LimitedTarget] = []
+        self._named: dict[str, LimitedTarget] = {}
+        """Limits that targets name at present, by instance."""
         self.node_faults: list[NodeFault] = []
         self._crashed_at: dict[int, float] = {}
         """Time at which a crashed target's process was found ended, by process id."""
@@ -268,8 +271,7 @@
         self.node_faults += [NodeFault(each.name, time.monotonic()) for each in nodes]
 
     def _limit(self, fault: SoakFault, node: MeshNode) -> Callable[[], None]:
-        """Let a target name a rate limit."""
-        process = node.target
+        """Let a target name a rate limit, in place of one that it names already."""
         per_s = LIMITS_PER_S[fault.other % len(LIMITS_PER_S)]
         try:
             self._cluster.control_target(node, "headers", json.dumps({"Server-Limit": str(per_s)}))
@@ -277,16 +279,23 @@
         except OSError:
             # The target does not run, or is paused.
             return lambda: None
-        began = time.monotonic()
+        self._end_limit(node)
+        named = self._named[node.name] = LimitedTarget(target, per_s, time.monotonic(), math.inf)
 
         def ended() -> None:
-            self.limits.append(LimitedTarget(target, per_s, began, time.monotonic()))
-            if node.target is process:
+            if self._named.get(node.name) is named:
+                self._end_limit(node)
                 with contextlib.suppress(OSError):
                     self._cluster.control_target(node, "headers")
 
         return ended
 
+    def _end_limit(self, node: MeshNode) -> None:
+        """Record the end of the limit that a target names, if it names one."""
+        named = self._named.pop(node.name, None)
+        if named is not None:
+            self.limits.append(replace(named, ended=time.monotonic()))
+
     def _daemon(self, action: str, node: MeshNode) -> Callable[[], None]:
         process = node.daemon
         if process is None or process.poll() is not None:
