--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -250,7 +250,7 @@
 @when("it names no limit any more")
 def names_none(context: Any) -> None:
     context.world.slots.rate.named.not_named(context.world.clock.seconds() + 0.1)
-    context.world.slots.limit_changed()
+    context.world.slots.apply_limits()
 
 
 @then("all of them have been sent")
@@ -286,7 +286,7 @@
     assert slots.rate.named.response_seen()
     if limit != "no limit":
         names_limit(context, float(limit.split()[0]))
-    slots.limit_changed()
+    slots.apply_limits()
     context.world.advance(0.0)
 
 
@@ -311,7 +311,7 @@
     world = context.world
     world.advance(seconds)
     world.slots.rate.named.expire(world.clock.seconds())
-    world.slots.limit_changed()
+    world.slots.apply_limits()
 
 
 @then("its capacity is {per_s:g} a second")
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -203,7 +203,7 @@
         self._grant_manager.heartbeat(now, target_heartbeat.held, target_heartbeat.released)
         self._slots.rate.cold.set_cold_time(target_heartbeat.cold_s, now)
         self._signals.expire(target_heartbeat.target, now)
-        self._slots.limit_changed()
+        self._slots.apply_limits()
         self._update_state(target_heartbeat, now)
         if target_heartbeat.released and self._listener is not None:
             self._listener.keys_changed()
@@ -497,7 +497,7 @@
             self._slowness = facts.load.slowness
         now = boot_time()
         if self._signals.response(target, facts, sent_at, now):
-            self._slots.limit_changed()
+            self._slots.apply_limits()
         if facts.leaving and self._departure.announce(target, "stated in a response", now):
             self._publish_state()
 
@@ -506,7 +506,7 @@
         if target != self._grant_manager.target:
             return
         if self._signals.response_ended(target, facts, sent_at, boot_time()):
-            self._slots.limit_changed()
+            self._slots.apply_limits()
 
     def sent(self, head: RequestHead, left_ms: int) -> None:
         """Record that a request is sent to the target."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -115,8 +115,8 @@
         self._slots = max(1, slots)
         self._apply_slots()
 
-    def limit_changed(self) -> None:
-        """Apply a rate limit that changed, or is known now, to the waiting requests."""
+    def apply_limits(self) -> None:
+        """Apply the present rate limits to the slots in use and to the waiting requests."""
         self._apply_slots()
         self.start_next()
 
--- a/tests/fuzz/rate_machine.py
+++ b/tests/fuzz/rate_machine.py
@@ -137,7 +137,7 @@
         self.slots.rate.named.named(per_s, now + TOLERANCE, now)
         self._known, self._limit = True, per_s
         self.sent = []
-        self.slots.limit_changed()
+        self.slots.apply_limits()
 
     @rule()
     def name_none(self) -> None:
@@ -146,7 +146,7 @@
         self.slots.rate.named.not_named(self.clock.seconds() + TOLERANCE)
         self._known, self._limit = True, None
         self.sent = []
-        self.slots.limit_changed()
+        self.slots.apply_limits()
 
     @rule()
     def restart_daemon(self) -> None:
