--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -1,23 +1,23 @@
 @mesh
 Feature: Targets that name the request rate that they can serve
 
-  # Guards against a target in need that names its limit in its responses and still gets its usual
+  # Guards against an overloaded target that advertises its limit in its responses and still gets its usual
   # load, because no daemon applies the limit.
-  Scenario: A target gets no more requests than the rate that it names
+  Scenario: A target gets no more requests than the rate that it advertises
     Given callers of every daemon that send 80 requests a second to each service
-    When a keyed target names a limit of 8 a second and a pooled one of 5 a second
+    When a keyed target advertises a limit of 8 a second and a pooled one of 5 a second
     Then neither gets more than its limit allows
 
   Scenario: A limit is kept while daemons are killed and frozen
     Given callers of every daemon that send 80 requests a second to each service
-    When a keyed target names a limit of 4 a second and a pooled one of 3 a second
+    When a keyed target advertises a limit of 4 a second and a pooled one of 3 a second
     And the daemons beside them are killed or frozen in turn
     Then neither gets more than its limit allows
 
   Scenario: A limit ends when the target names it no longer
     Given callers of every daemon that send 80 requests a second to each service
-    When a keyed target names a limit of 8 a second and a pooled one of 5 a second
-    And they name no limit any more
+    When a keyed target advertises a limit of 8 a second and a pooled one of 5 a second
+    And they advertise no limit any more
     Then callers of both services are served more than the former limits within 2 s
     And the pooled target itself gets more than its former limit
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,12 +16,12 @@
     When a soak with seed 14 runs for 14 s with a store restored from older copies
     Then no guarantee is violated and requests were served
 
-  Scenario: A short soak with targets that name rate limits
-    When a soak with seed 15 runs for 16 s with targets that name rate limits
+  Scenario: A short soak with targets that advertise rate limits
+    When a soak with seed 15 runs for 16 s with targets that advertise rate limits
     Then no guarantee is violated and requests were served
 
   Scenario: More requests than a target's rate limit allows are found
-    Given a target that named a limit of 1 a second for 10 s and got 3 requests a second
+    Given a target that advertised a limit of 1 a second for 10 s and got 3 requests a second
     Then its limit counts as broken
     And it does not if the daemon that forwarded the limit was restarted since
 
@@ -75,7 +75,7 @@
 
   @long
   Scenario Outline: Regression with rate limits: seed <seed>, <cause>
-    When a soak with seed <seed> runs for 18 s with targets that name rate limits
+    When a soak with seed <seed> runs for 18 s with targets that advertise rate limits
     Then no guarantee is violated and requests were served
 
     Examples:
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -99,7 +99,7 @@
 @given("a target with {slots:d} slots that sustains {per_s:d} requests a second while it is cold")
 def cold_target_with_slots(context: Any, slots: int, per_s: int) -> None:
     context.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), Clock().callLater)
-    context.slots.rate.named.target_changed(known=True)
+    context.slots.rate.advertised.target_changed(known=True)
     context.slots.set_slots(slots)
     context.slots.rate.cold.set_rate(per_s)
 
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,4 +1,4 @@
-"""Steps for targets that name a rate limit or announce their end in responses, real processes."""
+"""Steps for targets that advertise a rate limit or their end in responses, with real processes."""
 
 import http.client
 import itertools
@@ -114,7 +114,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Limited:
-    """A target that named a limit."""
+    """A target that advertised a limit."""
 
     node: MeshNode
     target: str
@@ -173,7 +173,10 @@
     return _Limited(node, _cluster(context).state(node)["id"], per_s, time.monotonic())
 
 
-@when("a keyed target names a limit of {keyed:g} a second and a pooled one of {pooled:g} a second")
+@when(
+    "a keyed target advertises a limit of {keyed:g} a second"
+    " and a pooled one of {pooled:g} a second"
+)
 def name_limits(context: Any, keyed: float, pooled: float) -> None:
     pooled_node = _busiest(context, POOLED)
     context.limited = [
@@ -201,7 +204,7 @@
 
 
 def _responses(context: Any) -> list[ResponseRecord]:
-    """Return the responses to the load, with the targets that named a limit in them."""
+    """Return the responses to the load, with the targets that advertised a limit in them."""
     return [
         ResponseRecord(
             request_id, sent.node, True, sent.status, bool(sent.status), True, sent.sent_at,
@@ -229,7 +232,7 @@
         assert not violations, violations
 
 
-@when("they name no limit any more")
+@when("they advertise no limit any more")
 def end_limits(context: Any) -> None:
     time.sleep(1.5)
     for limited in context.limited:
--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the requests of a target that names a rate limit, in virtual time."""
+"""Steps for the requests of a target that advertises a rate limit, in virtual time."""
 
 import itertools
 from typing import Any
@@ -71,7 +71,7 @@
         self.run_s = run_s
         self.sent: list[tuple[float, _Request]] = []
         self.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), self.clock.callLater)
-        self.slots.rate.named.target_changed(known=True)
+        self.slots.rate.advertised.target_changed(known=True)
         self.slots.set_slots(slots)
 
     def arrive(self, count: int, seconds: float) -> None:
@@ -100,10 +100,10 @@
     context.add_cleanup(patch.stop)
 
 
-@given("it names a limit of {per_s:g} a second")
+@given("it advertises a limit of {per_s:g} a second")
 def names_limit(context: Any, per_s: float) -> None:
     now = context.world.clock.seconds()
-    context.world.slots.rate.named.named(per_s, now - 0.1, now)
+    context.world.slots.rate.advertised.advertised(per_s, now - 0.1, now)
 
 
 @given("it is cold for {seconds:g} s and sustains {per_s:g} requests a second meanwhile")
@@ -114,7 +114,7 @@
 
 
 @when(
-    "it names a limit of {per_s:g} a second and {count:d} requests arrive each second"
+    "it advertises a limit of {per_s:g} a second and {count:d} requests arrive each second"
     " for {seconds:d} s"
 )
 def limit_and_load(context: Any, per_s: float, count: int, seconds: int) -> None:
@@ -146,7 +146,7 @@
 
 
 @when(
-    "{count:d} requests arrive each second for {seconds:d} s and it then names a limit of"
+    "{count:d} requests arrive each second for {seconds:d} s and it then advertises a limit of"
     " {per_s:g} a second"
 )
 def load_then_limit(context: Any, count: int, seconds: int, per_s: float) -> None:
@@ -247,9 +247,9 @@
     assert request.offered is True
 
 
-@when("it names no limit any more")
+@when("it advertises no limit any more")
 def names_none(context: Any) -> None:
-    context.world.slots.rate.named.not_named(context.world.clock.seconds() + 0.1)
+    context.world.slots.rate.advertised.not_advertised(context.world.clock.seconds() + 0.1)
     context.world.slots.apply_limits()
 
 
@@ -264,7 +264,7 @@
 )
 def restarted_daemon(context: Any, slots: int, run_s: float) -> None:
     target(context, slots, run_s)
-    context.world.slots.rate.named.target_changed(known=False)
+    context.world.slots.rate.advertised.target_changed(known=False)
     context.world.slots.set_slots(slots)
 
 
@@ -283,7 +283,7 @@
 @when("the first response names {limit}")
 def first_response(context: Any, limit: str) -> None:
     slots = context.world.slots
-    assert slots.rate.named.response_seen()
+    assert slots.rate.advertised.response_seen()
     if limit != "no limit":
         names_limit(context, float(limit.split()[0]))
     slots.apply_limits()
@@ -310,7 +310,7 @@
 def pass_without_request(context: Any, seconds: float) -> None:
     world = context.world
     world.advance(seconds)
-    world.slots.rate.named.expire(world.clock.seconds())
+    world.slots.rate.advertised.expire(world.clock.seconds())
     world.slots.apply_limits()
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -41,14 +41,14 @@
     context.violations, context.served = play(seed, seconds, returns=True)
 
 
-@when("a soak with seed {seed:d} runs for {seconds:d} s with targets that name rate limits")
+@when("a soak with seed {seed:d} runs for {seconds:d} s with targets that advertise rate limits")
 def play_limits(context: Any, seed: int, seconds: int) -> None:
     context.violations, context.served = play(seed, seconds, limits=True)
 
 
 @given(
-    "a target that named a limit of {per_s:g} a second for {seconds:d} s and got {got:d} requests"
-    " a second"
+    "a target that advertised a limit of {per_s:g} a second for {seconds:d} s"
+    " and got {got:d} requests a second"
 )
 def limited_records(context: Any, per_s: float, seconds: int, got: int) -> None:
     context.limit = LimitedTarget("t1", per_s, 10.0, 10.0 + seconds)
--- a/features/steps/target_signal_steps.py
+++ b/features/steps/target_signal_steps.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
+from pearward_coordination.advertised_limit import AdvertisedLimit
 from pearward_coordination.directory import Directory
-from pearward_coordination.named_limit import NamedLimit
 from pearward_coordination.selection import Candidate, LoadView, TargetLoad, choose_target
 from pearward_coordination.target_rate import TargetRate
 from pearward_daemon.mesh.target_departure import UNKNOWN_START, TargetDeparture
@@ -48,7 +48,7 @@
     _respond(context, ("Server-Limit", ""))
 
 
-@when('a target names the rate limits "{first}" and "{second}" in one response')
+@when('a target advertises the rate limits "{first}" and "{second}" in one response')
 def respond_twice(context: Any, first: str, second: str) -> None:
     _respond(context, ("Server-Limit", first), ("Server-Limit", second))
 
@@ -80,20 +80,20 @@
     assert context.facts.unknown == (names.encode(),), context.facts
 
 
-@given("a target that named a limit of {per_s:g} a second at {at:g} s")
-def named_limit(context: Any, per_s: float, at: float) -> None:
-    context.limit = NamedLimit()
-    context.limit.named(per_s, at - 0.1, at)
+@given("a target that advertised a limit of {per_s:g} a second at {at:g} s")
+def advertised_limit(context: Any, per_s: float, at: float) -> None:
+    context.limit = AdvertisedLimit()
+    context.limit.advertised(per_s, at - 0.1, at)
 
 
 @when("it responds at {at:g} s with a limit of {per_s:g} to a request sent at {sent:g} s")
 def responds_with_limit(context: Any, at: float, per_s: float, sent: float) -> None:
-    context.limit.named(per_s, sent, at)
+    context.limit.advertised(per_s, sent, at)
 
 
 @when("it responds at {at:g} s without a limit to a request sent at {sent:g} s")
 def responds_without_limit(context: Any, at: float, sent: float) -> None:
-    context.limit.not_named(sent)
+    context.limit.not_advertised(sent)
 
 
 @when("another incarnation of it starts")
@@ -116,7 +116,7 @@
     return TargetSignals(TargetRate(), context.log)
 
 
-@when("a target names 20, 20, 20, 5 and no limit in its responses")
+@when("a target advertises 20, 20, 20, 5 and no limit in its responses")
 def names_in_turn(context: Any) -> None:
     signals = _signals(context)
     for number, value in enumerate(("20", "20", "20", "5", "")):
@@ -199,7 +199,7 @@
     assert [candidate.target for candidate in found] == ["i-two"], found
 
 
-@given("two targets with {slots:d} slots, one of which reports 1 slot since it names a limit")
+@given("two targets with {slots:d} slots, one of which reports 1 slot since it advertises a limit")
 def limited_and_other(context: Any, slots: int) -> None:
     context.views = {name: LoadView() for name in ("limited", "other")}
     for view in context.views.values():
--- a/features/target_signals.feature
+++ b/features/target_signals.feature
@@ -23,7 +23,7 @@
       | 111111111111111111111111111111111 | none  |
 
   Scenario: A rate limit that is sent twice is not read
-    When a target names the rate limits "5" and "6" in one response
+    When a target advertises the rate limits "5" and "6" in one response
     Then the limit that is read is none
 
   Scenario Outline: Only one value states that a target leaves: <value>
@@ -44,30 +44,30 @@
   # -- the limit in force --------------------------------------------------------------------
 
   Scenario: A stricter limit applies at once, whenever its request was sent
-    Given a target that named a limit of 20 a second at 10 s
+    Given a target that advertised a limit of 20 a second at 10 s
     When it responds at 11 s with a limit of 5 to a request sent at 9 s
     Then the limit in force is 5 a second
 
   Scenario: A response to a request that was sent before the limit was named does not relax it
-    Given a target that named a limit of 5 a second at 10 s
+    Given a target that advertised a limit of 5 a second at 10 s
     When it responds at 11 s with a limit of 20 to a request sent at 9 s
     And it responds at 11 s without a limit to a request sent at 9 s
     Then the limit in force is 5 a second
 
   Scenario: A response to a request that was sent after the limit was named ends it
-    Given a target that named a limit of 5 a second at 10 s
+    Given a target that advertised a limit of 5 a second at 10 s
     When it responds at 11 s without a limit to a request sent at 10.5 s
     Then no limit is in force
 
   Scenario: Another incarnation of the target has no limit
-    Given a target that named a limit of 5 a second at 10 s
+    Given a target that advertised a limit of 5 a second at 10 s
     When another incarnation of it starts
     Then no limit is in force
 
   # -- the log -------------------------------------------------------------------------------
 
   Scenario: A limit is logged when it is named, changed and lifted, not with each response
-    When a target names 20, 20, 20, 5 and no limit in its responses
+    When a target advertises 20, 20, 20, 5 and no limit in its responses
     Then the log has the changes "none to 20, 20 to 5, 5 to none"
 
   Scenario: What cannot be read is logged once
@@ -92,6 +92,6 @@
   # -- the choice among targets --------------------------------------------------------------
 
   Scenario: Requesters avoid a target while it is known to limit its rate, and try it again later
-    Given two targets with 12 slots, one of which reports 1 slot since it names a limit
+    Given two targets with 12 slots, one of which reports 1 slot since it advertises a limit
     Then a requester chooses the other one 1 s after that
     And a requester chooses either one 3 s after that
--- a/packages/coordination/src/pearward_coordination/named_limit.py
+++ b/packages/coordination/src/pearward_coordination/advertised_limit.py
@@ -1,18 +1,19 @@
-"""The request rate that a target names in its responses, for as long as it names one.
+"""The request rate that a target advertises in its responses, for as long as it does so.
 
-The load pattern: a target in need serves a fraction of its usual rate for some seconds. Responses
-to requests that were sent before it named its limit arrive for as long as these requests run, and
-some of them may have been prepared before. So a response relaxes the limit only if its request was
-sent after the limit was named last; a stricter limit applies at once. No I/O and no clock.
+The load pattern: an overloaded target serves a fraction of its usual rate for some seconds.
+Responses to requests that were sent before it advertised its limit arrive for as long as these
+requests run, and some of them may have been prepared before. So a response relaxes the limit only
+if its request was sent after the limit was last advertised; a stricter limit applies at once. No
+I/O and no clock.
 """
 
 from dataclasses import dataclass
 
-__all__ = ["LimitChange", "NamedLimit"]
+__all__ = ["AdvertisedLimit", "LimitChange"]
 
 RETENTION_S = 10.0
-"""Seconds without a response that names the limit after which it is unknown whether it is still in
-force. A target that gets no requests cannot state the end of its limit."""
+"""Seconds without a response that advertises the limit after which it is unknown whether it is
+still in force. A target that gets no requests cannot state the end of its limit."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,8 +24,8 @@
     after: float | None
 
 
-class NamedLimit:
-    """The limit that the current incarnation of a target names."""
+class AdvertisedLimit:
+    """The limit that the current incarnation of a target advertises."""
 
     def __init__(self) -> None:
         self._per_s: float | None = None
@@ -40,17 +41,17 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether a response of the target has shown if it names a limit."""
+        """Whether a response of the target has shown if it advertises a limit."""
         return self._known
 
     def age_s(self, now: float) -> float:
-        """Return the seconds since a response named the limit or a stricter one."""
+        """Return the seconds since a response advertised the limit or a stricter one."""
         return now - self._confirmed_at
 
     # -- changes ------------------------------------------------------------------
 
     def response_seen(self) -> bool:
-        """Record a response of the target, which names a limit if one is in force.
+        """Record a response of the target, which advertises a limit if one is in force.
 
         Return whether it was unknown until now if there is a limit.
         """
@@ -60,20 +61,20 @@
     def target_changed(self, *, known: bool) -> None:
         """Forget the limit, as another incarnation of the target runs.
 
-        *known* states that it was started a moment ago and has named no limit yet. It is unset for
-        a target that was running before this daemon.
+        *known* states that it was started a moment ago and has advertised no limit yet. It is unset
+        for a target that was running before this daemon.
         """
         self._per_s = None
         self._known = known
 
     def expire(self, now: float) -> LimitChange | None:
-        """Forget a limit that was named too long ago; return the change, or None."""
+        """Forget a limit that was advertised too long ago; return the change, or None."""
         if self._per_s is None or self.age_s(now) <= RETENTION_S:
             return None
         self._known = False
         return self._change(None)
 
-    def named(self, per_s: float, sent_at: float, now: float) -> LimitChange | None:
+    def advertised(self, per_s: float, sent_at: float, now: float) -> LimitChange | None:
         """Apply the limit of a response; return the change, or None.
 
         *sent_at* is the time at which the request was sent to the target.
@@ -85,7 +86,7 @@
         self._confirmed_at = now
         return self._change(per_s)
 
-    def not_named(self, sent_at: float) -> LimitChange | None:
+    def not_advertised(self, sent_at: float) -> LimitChange | None:
         """Apply a response without a limit; return the change, or None."""
         if self._per_s is not None and sent_at <= self._confirmed_at:
             return None
--- a/packages/coordination/src/pearward_coordination/target_rate.py
+++ b/packages/coordination/src/pearward_coordination/target_rate.py
@@ -1,25 +1,25 @@
 """The rate at which requests may be sent to the local target, from all that limits it.
 
 Two sources limit the rate: operators, for targets that are cold, and the target itself, which may
-name a limit in its responses. Both use one count of the requests that were sent. No I/O and no
+advertise a limit in its responses. Both use one count of the requests that were sent. No I/O and no
 clock.
 """
 
 from typing import Protocol
 
+from .advertised_limit import AdvertisedLimit
 from .cold_limit import ColdLimit
-from .named_limit import NamedLimit
 from .send_history import RateLimit, SendHistory
 
 __all__ = ["SendGate", "TargetRate", "Unlimited"]
 
-NAMED_BURST_S = 0.25
-"""Seconds of a named limit that may be sent at once. Short, as a target in need is served best by
-an even rate, and a queued request has to wait no longer than this for the next send."""
+ADVERTISED_BURST_S = 0.25
+"""Seconds of an advertised limit that may be sent at once. Short, as an overloaded target is served
+best by an even rate, and a queued request has to wait no longer than this for the next send."""
 MIN_PER_S = 0.2
-"""Rate in requests per second under a named limit of 0 or little more. Only a response can show
-that the limit has ended, so that some requests must still be sent."""
-COLD, NAMED = "target is cold", "target limits its rate"
+"""Rate in requests per second under an advertised limit of 0 or little more. Only a response can
+show that the limit has ended, so that some requests must still be sent."""
+COLD, ADVERTISED = "target is cold", "target limits its rate"
 
 
 class SendGate(Protocol):
@@ -68,7 +68,7 @@
 
     def __init__(self) -> None:
         self._cold = ColdLimit()
-        self._named = NamedLimit()
+        self._advertised = AdvertisedLimit()
         self._history = SendHistory()
 
     # -- properties -------------------------------------------------------------
@@ -79,9 +79,9 @@
         return self._cold
 
     @property
-    def named(self) -> NamedLimit:
-        """Limit that the target names in its responses."""
-        return self._named
+    def advertised(self) -> AdvertisedLimit:
+        """Limit that the target advertises in its responses."""
+        return self._advertised
 
     @property
     def history(self) -> SendHistory:
@@ -108,8 +108,8 @@
         found = []
         if (cold := self._cold.limit(now)) is not None:
             found.append((cold, COLD))
-        if (per_s := self._named.per_s) is not None:
-            found.append((RateLimit(max(MIN_PER_S, per_s), NAMED_BURST_S), NAMED))
+        if (per_s := self._advertised.per_s) is not None:
+            found.append((RateLimit(max(MIN_PER_S, per_s), ADVERTISED_BURST_S), ADVERTISED))
         return found
 
     # -- changes ------------------------------------------------------------------
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -275,7 +275,7 @@
         )  # fmt: skip
         gauge(
             "pearward.rate.limit", "Requests a second that the target takes; -1 without a limit",
-            lambda: -1.0 if (limit := target.slots.rate.named.per_s) is None else limit,
+            lambda: -1.0 if (limit := target.slots.rate.advertised.per_s) is None else limit,
         )  # fmt: skip
         gauge(
             "pearward.rate.delayed", "Requests that waited for the target's rate limit",
--- a/packages/daemon/src/pearward_daemon/mesh/dialect.py
+++ b/packages/daemon/src/pearward_daemon/mesh/dialect.py
@@ -203,7 +203,7 @@
         """Return the header lines of a response that pearward generates itself."""
 
     def configuration(self, document: bytes) -> RoutingTable:
-        """Parse a configuration document; raises InvalidRecord that names the fault."""
+        """Parse a configuration document; raises InvalidRecord that advertises the fault."""
 
     def check_drain(self, entry: bytes) -> None:
         """Validate an entry that drains a failure domain; raises InvalidRecord."""
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -253,7 +253,7 @@
         self._delivery.target_changed()
         self._client.close()
         self._departure.forget()
-        self._slots.rate.named.target_changed(known=bool(former))
+        self._slots.rate.advertised.target_changed(known=bool(former))
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
             "target_first_heartbeat", target=target_heartbeat.target, former=former,
@@ -538,13 +538,13 @@
         )  # fmt: skip
 
     def _limit_fields(self) -> dict[str, float]:
-        """Return the named rate limit and its age for a log line; nothing if there is none."""
-        named = self._slots.rate.named
-        if named.per_s is None:
+        """Return the advertised rate limit and its age for a log line; nothing if there is none."""
+        advertised = self._slots.rate.advertised
+        if advertised.per_s is None:
             return {}
         return {
-            "limit_per_s": named.per_s,
-            "limit_age_s": round(named.age_s(boot_time()), 3),
+            "limit_per_s": advertised.per_s,
+            "limit_age_s": round(advertised.age_s(boot_time()), 3),
         }
 
     # -- the target's end ----------------------------------------------------------
--- a/packages/daemon/src/pearward_daemon/mesh/target_signals.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_signals.py
@@ -1,6 +1,6 @@
 """What the local target states in its responses: its rate limit, and unknown headers."""
 
-from pearward_coordination.named_limit import LimitChange
+from pearward_coordination.advertised_limit import LimitChange
 from pearward_coordination.target_rate import TargetRate
 
 from .dialect import ResponseFacts
@@ -18,7 +18,7 @@
     """Applies and logs the statements in the target's responses."""
 
     def __init__(self, rate: TargetRate, log: DecisionLog) -> None:
-        self._limit = rate.named
+        self._limit = rate.advertised
         self._history = rate.history
         self._log = log
         self._logged: set[tuple[str, bytes]] = set()
@@ -37,7 +37,7 @@
             return revealed
         if facts.rate_limit is None:
             return revealed
-        change = self._limit.named(facts.rate_limit, sent_at, now)
+        change = self._limit.advertised(facts.rate_limit, sent_at, now)
         return self._note(target, change, sent_at, now) or revealed
 
     def response_ended(self, target: str, facts: ResponseFacts, sent_at: float, now: float) -> bool:
@@ -47,10 +47,10 @@
         """
         if facts.rate_limit is not None or facts.unreadable_limit:
             return False
-        return self._note(target, self._limit.not_named(sent_at), sent_at, now)
+        return self._note(target, self._limit.not_advertised(sent_at), sent_at, now)
 
     def expire(self, target: str, now: float) -> bool:
-        """Forget a limit that no response has named for long; return whether there was one."""
+        """Forget a limit that no response has advertised for long; return whether there was one."""
         age_s = self._limit.age_s(now)
         change = self._limit.expire(now)
         if change is None:
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -17,7 +17,7 @@
 """Maximum number of queued requests per slot; at usual speeds the maximum wait allows far fewer."""
 UNKNOWN_LIMIT_SLOTS = 2
 """Slots in use until a response has shown if the target limits its rate. A daemon that is restarted
-beside a target in need does not know the limit, and all slots may be more than it allows."""
+beside an overloaded target does not know the limit, and all slots may be more than it allows."""
 MIN_SERVICE_S = 0.005
 """Minimum running time in s that is used to compute a target's capacity."""
 
@@ -122,7 +122,7 @@
 
     def _apply_slots(self) -> None:
         slots = self._slots
-        if not self._rate.named.is_known:
+        if not self._rate.advertised.is_known:
             slots = min(slots, UNKNOWN_LIMIT_SLOTS)
         self._queue.set_limits(SlotLimits(slots, self._slots * QUEUE_PER_SLOT, self._policy))
 
--- a/packages/devtools/src/pearward_devtools/mesh/soak.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak.py
@@ -62,7 +62,7 @@
 CRASH_FAULTS = ("request-crash",) * 4
 """Requests that crash the targets that run them, with the weight of four other faults."""
 LIMIT_FAULTS = ("target-limit",) * 4
-"""Targets that name a rate limit, with the weight of four other faults."""
+"""Targets that advertise a rate limit, with the weight of four other faults."""
 LIMITS_PER_S = (0.4, 1.0, 2.0, 5.0)
 LIMIT_DURATION_FACTOR = 4.0
 """Factor for the duration of a rate limit, which must be kept three seconds after it was named."""
@@ -271,7 +271,7 @@
         self.node_faults += [NodeFault(each.name, time.monotonic()) for each in nodes]
 
     def _limit(self, fault: SoakFault, node: MeshNode) -> Callable[[], None]:
-        """Let a target name a rate limit, in place of one that it names already."""
+        """Let a target advertise a rate limit, in place of one that it advertises already."""
         per_s = LIMITS_PER_S[fault.other % len(LIMITS_PER_S)]
         try:
             self._cluster.control_target(node, "headers", json.dumps({"Server-Limit": str(per_s)}))
@@ -550,7 +550,9 @@
 @click.option("--by-call", is_flag=True, help="Targets take their keys by calls.")
 @click.option("--crashes", is_flag=True, help="Some requests crash the targets that run them.")
 @click.option("--returns", is_flag=True, help="The store is restored from older copies.")
-@click.option("--limits", is_flag=True, help="Targets name limits on the rate of their requests.")
+@click.option(
+    "--limits", is_flag=True, help="Targets advertise limits on the rate of their requests."
+)
 def main(
     seed: int,
     seeds: int,
--- a/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
+++ b/packages/devtools/src/pearward_devtools/mesh/soak_checks.py
@@ -38,7 +38,7 @@
 MAX_LATE_RUNS = 3
 """Targets that the request may reach after that time."""
 LIMIT_CONTACT_S = 3.0
-"""Seconds after a target has named a rate limit from which on it must be kept."""
+"""Seconds after a target has advertised a rate limit from which on it must be kept."""
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE, LIMIT_SLACK = 1.5, 5
 """Factor on the requests that a limit allows in a window, and requests allowed besides."""
@@ -65,12 +65,12 @@
     sent_at: float
     ended_at: float
     limited_target: str = ""
-    """Target that named a rate limit in this response; empty if none did."""
+    """Target that advertised a rate limit in this response; empty if none did."""
 
 
 @dataclass(frozen=True, slots=True)
 class LimitedTarget:
-    """A target that named a rate limit for some time."""
+    """A target that advertised a rate limit for some time."""
 
     target: str
     per_s: float
--- a/tests/fuzz/rate_machine.py
+++ b/tests/fuzz/rate_machine.py
@@ -14,7 +14,7 @@
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.overload.policy import OverloadPolicy
 from pearward_coordination.slots import Refused, SlotTicket
-from pearward_coordination.target_rate import MIN_PER_S, NAMED_BURST_S
+from pearward_coordination.target_rate import ADVERTISED_BURST_S, MIN_PER_S
 from pearward_daemon.mesh import target_slots
 from pearward_daemon.mesh.target_slots import UNKNOWN_LIMIT_SLOTS, TargetSlots
 
@@ -95,7 +95,7 @@
 
     def _restart(self, *, known: bool) -> None:
         self.slots = TargetSlots(OverloadPolicy(), LinkQueue(1000.0), self.clock.callLater)
-        self.slots.rate.named.target_changed(known=known)
+        self.slots.rate.advertised.target_changed(known=known)
         self.slots.set_slots(SLOTS)
         self._known = known
         self._requests = []
@@ -131,19 +131,19 @@
 
     @rule(per_s=st.sampled_from([0.0, 0.4, 1.0, 2.5, 8.0, 26.1, 600.0]))
     def name_limit(self, per_s: float) -> None:
-        """Let a response to a request that was sent just now name a limit."""
+        """Let a response to a request that was sent just now advertise a limit."""
         now = self.clock.seconds()
-        self.slots.rate.named.response_seen()
-        self.slots.rate.named.named(per_s, now + TOLERANCE, now)
+        self.slots.rate.advertised.response_seen()
+        self.slots.rate.advertised.advertised(per_s, now + TOLERANCE, now)
         self._known, self._limit = True, per_s
         self.sent = []
         self.slots.apply_limits()
 
     @rule()
     def name_none(self) -> None:
-        """Let a response to a request that was sent just now name no limit."""
-        self.slots.rate.named.response_seen()
-        self.slots.rate.named.not_named(self.clock.seconds() + TOLERANCE)
+        """Let a response to a request that was sent just now advertise no limit."""
+        self.slots.rate.advertised.response_seen()
+        self.slots.rate.advertised.not_advertised(self.clock.seconds() + TOLERANCE)
         self._known, self._limit = True, None
         self.sent = []
         self.slots.apply_limits()
@@ -159,7 +159,7 @@
         if not self._known or self._limit is None:
             return
         per_s = max(MIN_PER_S, self._limit)
-        burst = max(1.0, per_s * NAMED_BURST_S + 1.0)
+        burst = max(1.0, per_s * ADVERTISED_BURST_S + 1.0)
         for first, begin in enumerate(self.sent):
             for last in range(first, len(self.sent)):
                 span_s = self.sent[last] - begin
