Test: the last runs of a path are the last in time, not in the order of files

Cause, by the kept logs: from the new configuration on every daemon answered 200 from the new service, 75 probes a second. The step looks at the last three runs of all targets, and took them in the order in which the folder lists the targets' logs. On these records it ends in 40 of the 120 orders of the five files.

Change: the runs are sorted by time; what the step asserts is the same.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -54,13 +54,13 @@
 
 
 def _runs(context: Any) -> list[dict[str, Any]]:
-    """Return the runs that all targets, running or ended, have logged."""
+    """Return the runs that all targets, running or ended, have logged, in the order of time."""
     runs = []
     for log in _cluster(context).logs.glob("*-target.log"):
         for line in log.read_text(encoding="utf-8").splitlines():
             if line.startswith("{"):
                 runs.append(json.loads(line))
-    return runs
+    return sorted(runs, key=lambda run: float(run.get("at", 0.0)))
 
 
 def _arrivals(context: Any, path: str) -> list[dict[str, Any]]:
