After a last reading: one rule for a target that leaves, one loop in the steps

Cause: the end of a leaving target's drain time was computed in two places, beside the target and where requests begin; every offer to a full queue asked for the rate's delay, also where nothing depends on it; three steps of send_rate had the same loop; some names of steps still said 'named'.

Change: refuses_work() of target_departure serves both; the delay is asked for only if a request is to pass over busy targets; _offer() in the steps. No bound, pattern or assertion changed.

--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -30,7 +30,7 @@
 LIMIT_HEADER, LEAVING_HEADER = "Server-Limit", "Server-Leaving"
 DRAIN_S = 2.0
 LOAD_S = LIMIT_CONTACT_S + LIMIT_WINDOW_S + 1.5
-"""Seconds of load after a limit was named."""
+"""Seconds of load after a limit was advertised."""
 FREEZE_S = 1.5
 DISTURBANCE_INTERVAL_S = 1.2
 CALLERS_PER_DAEMON = 4
@@ -119,7 +119,7 @@
     node: MeshNode
     target: str
     per_s: float
-    named_at: float
+    advertised_at: float
 
 
 def _cluster(context: Any) -> MeshCluster:
@@ -168,7 +168,7 @@
     return max(nodes, key=lambda node: len(_runs(context, node)))
 
 
-def _name_limit(context: Any, node: MeshNode, per_s: float) -> _Limited:
+def _advertise_limit(context: Any, node: MeshNode, per_s: float) -> _Limited:
     _cluster(context).control_target(node, "headers", json.dumps({LIMIT_HEADER: str(per_s)}))
     return _Limited(node, _cluster(context).state(node)["id"], per_s, time.monotonic())
 
@@ -177,11 +177,11 @@
     "a keyed target advertises a limit of {keyed:g} a second"
     " and a pooled one of {pooled:g} a second"
 )
-def name_limits(context: Any, keyed: float, pooled: float) -> None:
+def advertise_limits(context: Any, keyed: float, pooled: float) -> None:
     pooled_node = _busiest(context, POOLED)
     context.limited = [
-        _name_limit(context, _owner(context), keyed),
-        _name_limit(context, pooled_node, pooled),
+        _advertise_limit(context, _owner(context), keyed),
+        _advertise_limit(context, pooled_node, pooled),
     ]
     context.excused = []
 
@@ -216,7 +216,7 @@
 
 @then("neither gets more than its limit allows")
 def limits_kept(context: Any) -> None:
-    time.sleep(max(0.0, max(c.named_at for c in context.limited) + LOAD_S - time.monotonic()))
+    time.sleep(max(0.0, max(c.advertised_at for c in context.limited) + LOAD_S - time.monotonic()))
     context.load.stop()
     responses = _responses(context)
     faults = [NodeFault(name, at) for name, at in context.excused]
@@ -227,7 +227,7 @@
             Run(run["id"], target, limited.node.service, run["path"], run["key"], 0, run["at"])
             for run in _runs(context, limited.node)
         ]
-        limit = LimitedTarget(target, limited.per_s, limited.named_at, time.monotonic())
+        limit = LimitedTarget(target, limited.per_s, limited.advertised_at, time.monotonic())
         violations = over_limit(responses, runs, [limit], faults)
         assert not violations, violations
 
@@ -242,7 +242,7 @@
 
 @then("callers of both services are served more than the former limits within {seconds:g} s")
 def served_more(context: Any, seconds: float) -> None:
-    """Check the callers, as the key may have another owner since the limit was named."""
+    """Check the callers, as the key may have another owner since the limit was advertised."""
     context.since = context.ended_at + seconds
     time.sleep(max(0.0, context.since + 1.0 - time.monotonic()))
     context.load.stop()
--- a/features/steps/send_rate_steps.py
+++ b/features/steps/send_rate_steps.py
@@ -101,7 +101,7 @@
 
 
 @given("it advertises a limit of {per_s:g} a second")
-def names_limit(context: Any, per_s: float) -> None:
+def advertise_limit(context: Any, per_s: float) -> None:
     now = context.world.clock.seconds()
     context.world.slots.rate.advertised.advertised(per_s, now - 0.1, now)
 
@@ -118,7 +118,7 @@
     " for {seconds:d} s"
 )
 def limit_and_load(context: Any, per_s: float, count: int, seconds: int) -> None:
-    names_limit(context, per_s)
+    advertise_limit(context, per_s)
     context.world.arrive(count * seconds, seconds)
 
 
@@ -151,7 +151,7 @@
 )
 def load_then_limit(context: Any, count: int, seconds: int, per_s: float) -> None:
     context.world.arrive(count * seconds, seconds)
-    names_limit(context, per_s)
+    advertise_limit(context, per_s)
     context.since = context.world.clock.seconds()
 
 
@@ -186,11 +186,16 @@
     return [int(part) for part in text.replace(" and ", ", ").split(", ")]
 
 
+def _offer(context: Any, requests: list[_Request]) -> None:
+    """Let requests arrive at once."""
+    context.requests = requests
+    for request in requests:
+        request.offer()
+
+
 @when("requests of rank {ranks} arrive at once")
 def ranked(context: Any, ranks: str) -> None:
-    context.requests = [_Request(context.world, rank, LONG_OBJECTIVE_S) for rank in _ranks(ranks)]
-    for request in context.requests:
-        request.offer()
+    _offer(context, [_Request(context.world, rank, LONG_OBJECTIVE_S) for rank in _ranks(ranks)])
 
 
 @then("they are sent in the order of rank {ranks}")
@@ -209,9 +214,7 @@
 
 @when("{count:d} requests arrive at once that are worth most within {objective_s:g} s")
 def arrive_at_once(context: Any, count: int, objective_s: float) -> None:
-    context.requests = [_Request(context.world, objective_s=objective_s) for _ in range(count)]
-    for request in context.requests:
-        request.offer()
+    _offer(context, [_Request(context.world, objective_s=objective_s) for _ in range(count)])
 
 
 @then('all but the first are refused at once, as "{detail}"')
@@ -248,7 +251,7 @@
 
 
 @when("it advertises no limit any more")
-def names_none(context: Any) -> None:
+def advertise_none(context: Any) -> None:
     context.world.slots.rate.advertised.not_advertised(context.world.clock.seconds() + 0.1)
     context.world.slots.apply_limits()
 
@@ -270,9 +273,7 @@
 
 @when("{count:d} requests arrive at once")
 def arrive(context: Any, count: int) -> None:
-    context.requests = [_Request(context.world, 1, LONG_OBJECTIVE_S) for _ in range(count)]
-    for request in context.requests:
-        request.offer()
+    _offer(context, [_Request(context.world, 1, LONG_OBJECTIVE_S) for _ in range(count)])
 
 
 @then("at most {most:d} of them are sent before the first response")
@@ -285,7 +286,7 @@
     slots = context.world.slots
     assert slots.rate.advertised.response_seen()
     if limit != "no limit":
-        names_limit(context, float(limit.split()[0]))
+        advertise_limit(context, float(limit.split()[0]))
     slots.apply_limits()
     context.world.advance(0.0)
 
--- a/packages/coordination/src/pearward_coordination/slots.py
+++ b/packages/coordination/src/pearward_coordination/slots.py
@@ -164,8 +164,9 @@
             return True
         wait_s = self.expected_wait(ticket, now)
         too_long = wait_s > self.max_wait_s(ticket, now) or now + wait_s > ticket.deadline
-        limited = self._gate.delay_s(now) > 0.0
-        passed_over = ticket.idle_only and (limited or self._ahead(ticket) > 0)
+        passed_over = ticket.idle_only and (
+            self._gate.delay_s(now) > 0.0 or self._ahead(ticket) > 0
+        )
         if passed_over or too_long or self._waiting >= self._limits.queue:
             return Refused(self.retry_after(ticket, wait_s, now), self._gate.reason(now))
         self._number += 1
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -33,7 +33,7 @@
 from .log import DecisionLog
 from .routed_request import RoutedRequest
 from .settings import MeshSettings
-from .target_departure import DRAIN_FRACTION
+from .target_departure import refuses_work
 
 __all__ = ["MeshIngress", "Placement", "RequestMetrics"]
 
@@ -333,7 +333,7 @@
         The daemon beside the target applies this as well, but forgets it in a restart.
         """
         since = self.directory.leaving_since(target)
-        return since is not None and boot_time() > since + self._settings.drain_s * DRAIN_FRACTION
+        return refuses_work(since, self._settings.drain_s, boot_time())
 
     def is_wholly_drained(self, service: str) -> bool:
         """Return whether all failure domains with targets of a service are drained."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_departure.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_departure.py
@@ -4,7 +4,7 @@
 
 from .log import DecisionLog
 
-__all__ = ["DRAIN_FRACTION", "TargetDeparture"]
+__all__ = ["UNKNOWN_START", "TargetDeparture", "refuses_work"]
 
 DRAIN_FRACTION = 0.6
 """Fraction of the drain time in which a target that leaves still accepts requests in transit."""
@@ -12,6 +12,11 @@
 """Start of a drain that began before this daemon was started: its time may be over."""
 
 
+def refuses_work(since: float | None, drain_s: float, now: float) -> bool:
+    """Return whether a target that leaves *since* a time in s, or not (None), gets no requests."""
+    return since is not None and now > since + drain_s * DRAIN_FRACTION
+
+
 class TargetDeparture:
     """Whether the local target has announced that it leaves, in any way, and since when."""
 
@@ -39,7 +44,7 @@
 
     def refuses_work(self, now: float) -> bool:
         """Return whether the target gets no more requests."""
-        return self._since is not None and now > self._since + self._drain_s * DRAIN_FRACTION
+        return refuses_work(self._since, self._drain_s, now)
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the drain time has expired, so that the target may end at any moment."""
