A new coordinator gives no shards back to a member that leaves

Callers saw: 1 of 2,609 requests lost its connection while every daemon was replaced in turn: a daemon in a planned stop was given 64 shards after it had released all, ran a request and exited under it.

Cause: a coordinator computed each member's state anew from the heartbeats that it had itself, and read the absence of one as "does not leave". After a move of the role, one late or lost heartbeat made a draining member active again. The record, the only memory that outlives a coordinator, could not tell a planned stop from a drain that ends.

Change: a draining member becomes active only by its own heartbeat that says that it can own shards. A planned stop is reported as such and is final in the record for its incarnation. Records name planned stops in a list of their own: rows of members keep the nine fields that daemons of an earlier version require, and these ignore the list.

--- a/features/cell_record.feature
+++ b/features/cell_record.feature
@@ -32,3 +32,24 @@
     Given a coordinator of a cell of 3 members that waits 8 s for a successor
     When an operator reports that the first member has ended
     Then the first member's shards are given to the others
+
+  # A coordinator that had no heartbeat of a member read its absence as the end of the drain.
+  Scenario Outline: A member that gives up its shards gets none back from a new coordinator: <reason>
+    Given a cell of 4 members of which the first gives up its shards, as <reason>
+    When a new coordinator plans before the first member has reported to it
+    Then the first member gets no shards
+    When the first member still reports that <reason>
+    Then the first member gets no shards
+    When the first member reports that it can serve
+    Then the first member gets <then> shards
+
+    Examples:
+      | reason                          | then |
+      | it is in a planned stop         | no   |
+      | it reaches no other daemon      | its  |
+      | its server does not respond     | its  |
+
+  Scenario: A daemon of an earlier version reads a record that names planned stops, and the reverse
+    Given a cell of 4 members of which the first gives up its shards, as it is in a planned stop
+    Then each stored member has the fields that an earlier version requires
+    And the record without the list of planned stops has a draining member that may return
--- a/features/steps/cell_record_steps.py
+++ b/features/steps/cell_record_steps.py
@@ -1,5 +1,6 @@
 """Steps for the record of a cell, planned without a daemon."""
 
+import json
 from dataclasses import replace
 from typing import Any
 
@@ -13,6 +14,15 @@
 from pearward_state.table import Kind, ServerRow, ServiceRow, ServiceTable
 
 SERVICE = "premview"
+STORED_FIELDS = 9
+"""Number of fields of a stored member that daemons of every version require."""
+REPORTS = {
+    "it can serve": {},
+    "it is in a planned stop": {"draining": True, "stopping": True},
+    "it reaches no other daemon": {"draining": True},
+    "its server does not respond": {"healthy": False},
+}
+"""Fields of the heartbeat with which a member reports its state."""
 
 
 def member_names(count: int) -> list[str]:
@@ -173,3 +183,81 @@
 @then("it stays retired while a shard names it")
 def stays_retired(context: Any) -> None:
     assert _states(context.planned)[context.names[0]] is MemberState.RETIRED
+
+
+def _report_of_member(context: Any, coordinator: Coordinator, name: str, **state: Any) -> None:
+    joiner = _joiner(name)
+    peer = PeerId(name, joiner.peer)
+    version = context.record.version
+    heartbeat = Heartbeat(
+        SERVICE, joiner.instance, joiner.server, joiner.failure_domain, joiner.caller,
+        version, version, version, 1, False, True, 0, (),
+    )  # fmt: skip
+    coordinator.peer_seen(peer)
+    coordinator.on_heartbeat(peer, replace(heartbeat, **state), version, context.now)
+
+
+def _plan_until_stable(context: Any, coordinator: Coordinator, **first_state: bool) -> None:
+    """Plan records, with reports of all members, until no change is needed."""
+    planned: CellRecord | None = context.record
+    while planned is not None:
+        context.record = planned
+        context.now += 0.1
+        for name in context.names[1:]:
+            _report_of_member(context, coordinator, name)
+        if first_state or context.first_reports:
+            _report_of_member(context, coordinator, context.names[0], **first_state)
+        planned = coordinator.plan(context.record, context.cell_table, "w", context.now)
+
+
+def _new_coordinator(context: Any) -> Coordinator:
+    return Coordinator(SERVICE, LeaseTiming(), context.now)
+
+
+@given("a cell of {count:d} members of which the first gives up its shards, as {reason}")
+def first_gives_up(context: Any, count: int, reason: str) -> None:
+    _form_cell(context, count)
+    row = replace(context.cell_table.service, wait_return_s=0.0)
+    context.cell_table = replace(context.cell_table, service=row)
+    context.now = 10.0
+    context.first_reports = True
+    _plan_until_stable(context, _new_coordinator(context), **REPORTS[reason])
+    assert _states(context.record)[context.names[0]] is MemberState.DRAINING
+    first_gets(context, "no")
+
+
+@when("a new coordinator plans before the first member has reported to it")
+def new_coordinator_plans(context: Any) -> None:
+    context.now += 0.1
+    context.coordinator = _new_coordinator(context)
+    context.first_reports = False
+    _plan_until_stable(context, context.coordinator)
+
+
+@when("the first member still reports that {report}")
+@when("the first member reports that {report}")
+def first_reports(context: Any, report: str) -> None:
+    context.first_reports = True
+    _plan_until_stable(context, context.coordinator, **REPORTS[report])
+
+
+@then("the first member gets {which} shards")
+def first_gets(context: Any, which: str) -> None:
+    owned = len(context.record.owned_by(context.names[0]))
+    expected = {"no": 0, "its": len(context.record.shards) // len(context.names)}[which]
+    assert owned == expected, (owned, _states(context.record))
+
+
+@then("each stored member has the fields that an earlier version requires")
+def stored_fields(context: Any) -> None:
+    rows = json.loads(context.record.to_bytes())["members"]
+    assert [len(row) for row in rows] == [STORED_FIELDS] * len(rows), rows
+    assert CellRecord.from_bytes(context.record.to_bytes()) == context.record
+
+
+@then("the record without the list of planned stops has a draining member that may return")
+def read_earlier_record(context: Any) -> None:
+    raw = json.loads(context.record.to_bytes())
+    del raw["stopping"]
+    first = CellRecord.from_bytes(json.dumps(raw).encode()).members[0]
+    assert first.state is MemberState.DRAINING and not first.stopping
--- a/packages/coordination/src/pearward_coordination/agent.py
+++ b/packages/coordination/src/pearward_coordination/agent.py
@@ -237,6 +237,7 @@
             healthy=self._healthy,
             running=ownership.running,
             silent=self._witness.silent(record, now) if record is not None else (),
+            stopping=self._draining,
         )
 
     # -- owner --------------------------------------------------------------
--- a/packages/coordination/src/pearward_coordination/assignment.py
+++ b/packages/coordination/src/pearward_coordination/assignment.py
@@ -46,6 +46,11 @@
     ended: frozenset[str] = frozenset()
     """Incarnations that certainly can no longer act: no release is needed for their shards."""
     draining: frozenset[str] = frozenset()
+    """Incarnations that report that they are to give up their shards, or cannot serve them."""
+    stopping: frozenset[str] = frozenset()
+    """Incarnations that report a planned stop."""
+    available: frozenset[str] = frozenset()
+    """Incarnations that report that they can own shards."""
     settled: Mapping[str, int] = field(default_factory=dict)
     """By incarnation: version whose shards assigned to the member are all being served."""
     released: Mapping[str, int] = field(default_factory=dict)
@@ -160,7 +165,9 @@
         reporting = {joiner.incarnation for joiner in self._view.joiners}
         for name in reporting - self._view.lost - self._view.ended:
             member = self._members.get(name)
-            if member is not None and member.state is MemberState.RETIRED:
+            if member is None or member.stopping:
+                continue
+            if member.state is MemberState.RETIRED:
                 self._members[name] = replace(member, state=MemberState.ACTIVE)
                 self._changed = True
 
@@ -173,22 +180,28 @@
                 self._retire(member, "")
 
     def drain_members(self) -> None:
-        """Set the members that are to give up their shards to DRAINING, all others to ACTIVE."""
+        """Set the state of each member that takes part to DRAINING or ACTIVE."""
         for member in list(self._members.values()):
             if member.state is MemberState.RETIRED:
                 continue
-            row = self._view.table.servers.get(member.server)
-            leaving = (
-                row is None
-                or row.drain
-                or self._view.table.removed
-                or member.incarnation in self._view.draining
-            )
-            state = MemberState.DRAINING if leaving else MemberState.ACTIVE
-            if state is not member.state:
-                self._members[member.incarnation] = replace(member, state=state)
+            stopping = member.stopping or member.incarnation in self._view.stopping
+            state = MemberState.DRAINING if stopping else self._state_of(member)
+            if state is not member.state or stopping is not member.stopping:
+                self._members[member.incarnation] = replace(member, state=state, stopping=stopping)
                 self._changed = True
 
+    def _state_of(self, member: Member) -> MemberState:
+        """Return the state of a member that is not in a planned stop.
+
+        A member that was draining becomes active only by its own report. Without one it may
+        still be draining: its reports to a new coordinator may be late or lost.
+        """
+        row = self._view.table.servers.get(member.server)
+        name = member.incarnation
+        if row is None or row.drain or self._view.table.removed or name in self._view.draining:
+            return MemberState.DRAINING
+        return MemberState.ACTIVE if name in self._view.available else member.state
+
     def drop_settled_predecessors(self) -> None:
         """Drop predecessors that have certainly ended or whose successor serves the shard."""
         for index, earlier in list(self._predecessors.items()):
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -167,6 +167,8 @@
             lost=self._lost(record, table, fresh, now) - ended,
             ended=ended,
             draining=self._draining(table, fresh, now),
+            stopping=frozenset(n for n, r in fresh.items() if r.heartbeat.stopping),
+            available=frozenset(n for n, r in fresh.items() if _is_available(r.heartbeat)),
             settled={name: r.heartbeat.settled for name, r in fresh.items()},
             released={name: r.heartbeat.released for name, r in fresh.items()},
         )
@@ -212,8 +214,7 @@
             for name, r in sorted(fresh.items())
             if not self._takes_part(record, name)
             and name not in self._ended_seen
-            and r.heartbeat.healthy
-            and not r.heartbeat.draining
+            and _is_available(r.heartbeat)
             and self._at_address.get(r.peer.address) == name
         )
 
@@ -304,6 +305,11 @@
         return frozenset(leaving)
 
 
+def _is_available(heartbeat: Heartbeat) -> bool:
+    """Return whether the sender can own shards."""
+    return heartbeat.healthy and not heartbeat.draining
+
+
 def _has_silent_members(record: CellRecord, fresh: Mapping[str, object]) -> bool:
     """Return whether *record* has active or draining members that do not report."""
     return any(
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -128,6 +128,8 @@
     """Number of requests that run at the server now."""
     silent: tuple[str, ...]
     """Incarnations for which the sender is a witness and that have sent it no renewal lately."""
+    stopping: bool = False
+    """Whether the sender is in a planned stop, which is never cancelled; *draining* is set too."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/coordinator_log.py
+++ b/packages/daemon/src/pearward_daemon/coordinator_log.py
@@ -62,6 +62,7 @@
             "incarnation": member.incarnation,
             "server": member.server,
             "state": member.state.value,
+            "stopping": member.stopping,
             "shards": owned[index],
             "unreleased_shards": awaited[index],
             "witnesses": list(member.witnesses),
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -130,6 +130,7 @@
       healthy @30 :Bool;
       running @31 :UInt32;
       silent @32 :List(Text);
+      stopping @82 :Bool;
     }
     heartbeatReply :group {
       cell @33 :Text;
--- a/packages/state/src/pearward_state/records.py
+++ b/packages/state/src/pearward_state/records.py
@@ -71,9 +71,13 @@
     former_witnesses: tuple[str, ...] = ()
     """The witnesses before a change; a majority of them is also required until the owner has
     confirmed the new set."""
+    stopping: bool = False
+    """Whether the daemon is in a planned stop. Final for the incarnation, unlike the other reasons
+    for the state DRAINING."""
 
 
-_MEMBER_FIELDS = tuple(f.name for f in fields(Member))
+_MEMBER_FIELDS = tuple(f.name for f in fields(Member) if f.name != "stopping")
+"""Fields of a stored row. Readers require exactly these, so that later fields are stored apart."""
 
 
 @dataclass(frozen=True)
@@ -128,7 +132,8 @@
         """Decode a stored record; raises InvalidRecord."""
         try:
             raw = json.loads(data)
-            members = tuple(_member_from_row(row) for row in raw["members"])
+            stopping = frozenset(raw.get("stopping", ()))
+            members = tuple(_member_from_row(row, stopping) for row in raw["members"])
             predecessors = {int(k, 16): tuple(v) for k, v in raw["predecessors"].items()}
             return cls(
                 cell=raw["cell"],
@@ -158,6 +163,7 @@
             "owners": _pack(self.shards.owners),
             "epochs": _pack(self.shards.epochs),
             "predecessors": {f"{k:x}": v for k, v in self.shards.predecessors.items()},
+            "stopping": [m.incarnation for m in self.members if m.stopping],
         }
         return json.dumps(raw, separators=(",", ":")).encode()
 
@@ -185,10 +191,10 @@
     return numbers
 
 
-def _member_from_row(row: list[object]) -> Member:
+def _member_from_row(row: list[object], stopping: frozenset[str]) -> Member:
     """Return the member for a stored row, the list of its field values."""
     data = dict(zip(_MEMBER_FIELDS, row, strict=True))
     data["state"] = MemberState(str(data["state"]))
     data["witnesses"] = tuple(data["witnesses"])  # type: ignore[arg-type]
     data["former_witnesses"] = tuple(data["former_witnesses"])  # type: ignore[arg-type]
-    return Member(**data)  # type: ignore[arg-type]
+    return Member(**data, stopping=data["incarnation"] in stopping)  # type: ignore[arg-type]
