A late first heartbeat to a new coordinator is no vote for a loss

Callers: in a cell of three, an owner whose link to one witness is cut could lose all its shards when the coordinator's role moved, for the time of a lease and a handover.

Cause: an owner that is one of its own witnesses counts as a vote for its loss where it does not report, and a coordinator counted that before any heartbeat could have reached it. Found by the search for the cause of "a new coordinator gives shards back": the absence of a heartbeat taken for a statement.

Change: that vote counts only once the coordinator has waited for heartbeats for as long as one is current (four intervals). The votes of other witnesses count at once as before.

--- a/features/cell_record.feature
+++ b/features/cell_record.feature
@@ -49,6 +49,15 @@
       | it reaches no other daemon      | its  |
       | its server does not respond     | its  |
 
+  # In a cell of three an owner is one of its own witnesses, and a coordinator that had not had its
+  # heartbeat yet counted that as one of the two votes by which the owner was lost.
+  Scenario: A member whose first heartbeat to a new coordinator is late is not declared lost
+    Given a cell of 3 members, and one of the first member's witnesses receives nothing from it
+    When a new coordinator plans for 0.9 seconds without a heartbeat of the first member
+    Then the first member gets its shards
+    When that coordinator plans for 0.5 seconds more
+    Then the first member gets no shards
+
   Scenario: A daemon of an earlier version reads a record that names planned stops, and the reverse
     Given a cell of 4 members of which the first gives up its shards, as it is in a planned stop
     Then each stored member has the fields that an earlier version requires
--- a/features/steps/cell_record_steps.py
+++ b/features/steps/cell_record_steps.py
@@ -241,6 +241,36 @@
     _plan_until_stable(context, context.coordinator, **REPORTS[report])
 
 
+@given(
+    "a cell of {count:d} members, and one of the first member's witnesses receives nothing from it"
+)
+def one_witness_receives_nothing(context: Any, count: int) -> None:
+    _form_cell(context, count)
+    row = replace(context.cell_table.service, wait_return_s=0.0)
+    context.cell_table = replace(context.cell_table, service=row)
+    context.now = 10.0
+    first = _members(context.record)[context.names[0]]
+    assert sorted(first.witnesses) == context.names, first
+    context.first_reports = True
+    _plan_until_stable(context, _new_coordinator(context))
+    context.coordinator = _new_coordinator(context)
+    context.first_reports = False
+
+
+@when("a new coordinator plans for {seconds:g} seconds without a heartbeat of the first member")
+@when("that coordinator plans for {seconds:g} seconds more")
+def plan_without_first(context: Any, seconds: float) -> None:
+    first, second, *others = context.names
+    until = context.now + seconds
+    while context.now < until:
+        context.now += 0.05
+        _report_of_member(context, context.coordinator, second, silent=(first,))
+        for name in others:
+            _report_of_member(context, context.coordinator, name)
+        planned = context.coordinator.plan(context.record, context.cell_table, "w", context.now)
+        context.record = planned or context.record
+
+
 @then("the first member gets {which} shards")
 def first_gets(context: Any, which: str) -> None:
     owned = len(context.record.owned_by(context.names[0]))
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -271,23 +271,29 @@
         lost: set[str] = set()
         for member in record.members:
             name = member.incarnation
-            if not self._missed(name, member.witnesses, fresh):
+            if not self._missed(name, member.witnesses, fresh, now):
                 self._lost_since.pop(name, None)
                 continue
             if now - self._lost_since.setdefault(name, now) >= wait:
                 lost.add(name)
         return frozenset(lost)
 
-    def _missed(self, name: str, witnesses: tuple[str, ...], fresh: dict[str, _Report]) -> bool:
+    def _missed(
+        self, name: str, witnesses: tuple[str, ...], fresh: dict[str, _Report], now: float
+    ) -> bool:
         """Return whether a majority of *witnesses* reports *name* as silent."""
         votes = 0
         for witness in witnesses:
             if witness == name:
-                votes += name not in fresh
+                votes += name not in fresh and self._has_awaited_reports(now)
             elif witness in fresh and name in fresh[witness].heartbeat.silent:
                 votes += 1
         return bool(witnesses) and votes >= majority(len(witnesses))
 
+    def _has_awaited_reports(self, now: float) -> bool:
+        """Return whether each member has had time to report to this coordinator."""
+        return now - self._started_at >= REPORT_MAX_AGE_HEARTBEATS * self._timing.heartbeat_s
+
     def _draining(
         self, table: ServiceTable, fresh: dict[str, _Report], now: float
     ) -> frozenset[str]:
