A coordinator that was replaced writes no record any more

Cause: a write of the record was compared with the record's revision alone. A former coordinator that learned of the newer record from its own daemon or from a member's heartbeat read it without a look at the role, and its next write succeeded; no conflict showed that it was replaced, until the check of the role that comes every 2 s.

Change: the store accepts a coordinator's record only while the role's key is unchanged since it took the role (one transaction with two comparisons). A refused write, and a newer record that another daemon has written, lead to a check of the role before the next plan. A failed check is logged.

An owner's own release is still written without the role, as its daemon need not hold it.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -66,3 +66,20 @@
     Given a daemon that has taken the role
     When it takes the role again, and its earlier term as coordinator ends afterwards
     Then it coordinates, with as many watches on the store as one coordinator has
+
+  # Two coordinators planned in turn for as long as the interval of the role check: each read the
+  # other's record after a conflict or from a member, and its next write succeeded.
+  Scenario: A coordinator that was replaced writes no record
+    Given a coordinator of a cell of 4 daemons that has read the record
+    When another daemon takes the role
+    And every daemon reports, and the second one that it is in a planned stop
+    Then the record in the store is the one that it read
+    And it has given up the role to "10.0.0.9:1"
+
+  Scenario: A coordinator that reads another daemon's record checks the role before it plans
+    Given a coordinator of a cell of 4 daemons that has read the record
+    When another daemon takes the role
+    And another coordinator writes a record without the first daemon
+    And that record reaches this coordinator's daemon from a peer
+    And the coordinator ticks once
+    Then it has given up the role to "10.0.0.9:1"
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -90,11 +90,12 @@
     context.store.put(f"table/{SERVICE}", _table(count).to_bytes())
     context.daemon = _Daemon()
     context.me = PeerId("i0", "10.0.0.0:1")
+    context.successors = []
     role = f'{{"incarnation": "{context.me.incarnation}", "address": "{context.me.address}"}}'
     context.store.put(f"coordinator/{SERVICE}", role.encode())
     context.cell_coordinator = CellCoordinator(
         Clock(), context.store, context.daemon, context.me, SERVICE, SERVICE, LeaseTiming(),
-        1, lambda successor: None,
+        1, context.successors.append,
     )  # fmt: skip
     context.cell_coordinator.start()
     context.cell_coordinator.tick()
@@ -123,19 +124,22 @@
     context.daemon.record_written(context.without_first, context.without_first.to_bytes())
 
 
-def _heartbeat(context: Any, number: int, adopted: int, silent: tuple[str, ...] = ()) -> Heartbeat:
+def _heartbeat(
+    context: Any, number: int, adopted: int, silent: tuple[str, ...] = (), *, stopping: bool = False
+) -> Heartbeat:
     member = _member(number, len(context.first_record.members))
     return Heartbeat(
         SERVICE, member.instance, member.server, member.failure_domain, member.caller,
-        adopted, adopted, adopted, 1, False, True, 0, silent,
+        adopted, adopted, adopted, 1, stopping, True, 0, silent, stopping,
     )  # fmt: skip
 
 
-def _report(context: Any, number: int, adopted: int) -> None:
+def _report(context: Any, number: int, adopted: int, *, stopping: bool = False) -> None:
     member = _member(number, len(context.first_record.members))
     peer = PeerId(member.incarnation, member.peer)
     context.cell_coordinator.core.peer_seen(peer)
-    context.cell_coordinator.on_heartbeat(peer, _heartbeat(context, number, adopted))
+    heartbeat = _heartbeat(context, number, adopted, stopping=stopping)
+    context.cell_coordinator.on_heartbeat(peer, heartbeat)
 
 
 @when("only its own daemon reports for {seconds:g} seconds, and reports that it hears no other")
@@ -183,6 +187,29 @@
     assert record.version > context.without_first.version
 
 
+@when("another daemon takes the role")
+def role_taken_by_other(context: Any) -> None:
+    context.store.put(ROLE_KEY, HOLDERS["another one holds the role"])
+
+
+@when("every daemon reports, and the second one that it is in a planned stop")
+def all_report_one_stopping(context: Any) -> None:
+    version = context.first_record.version
+    for number in range(len(context.first_record.members)):
+        _report(context, number, version, stopping=number == 1)
+    ticks(context)
+
+
+@when("the coordinator ticks once")
+def ticks(context: Any) -> None:
+    context.cell_coordinator.tick()
+
+
+@then('it has given up the role to "{address}"')
+def gave_up_role(context: Any, address: str) -> None:
+    assert context.successors == [address], context.successors
+
+
 # -- election ----------------------------------------------------------------------
 
 
@@ -196,8 +223,9 @@
 @given("a daemon that looks for the coordinator of its cell, and {holder}")
 def election(context: Any, holder: str) -> None:
     context.store = MemoryStore()
-    if holder in HOLDERS:
-        context.store.put(ROLE_KEY, HOLDERS[holder])
+    context.holder = HOLDERS.get(holder)
+    if context.holder:
+        context.store.put(ROLE_KEY, context.holder)
     context.taken_leases = []
     me = PeerId("i0", "10.0.0.0:1")
     context.election = CoordinatorElection(
@@ -214,13 +242,16 @@
 @when("it gets no reply for {seconds:d} seconds while it {hears}")
 def no_reply(context: Any, seconds: int, hears: str) -> None:
     for step in range(int(seconds / STEP_S)):
-        with patch(
-            "pearward_daemon.coordinator_election.boot_time", return_value=1000.0 + step * STEP_S
-        ):
+        with _election_time(1000.0 + step * STEP_S):
             if not context.taken_leases:
                 context.election.tick(0, 0.0, may_replace=hears != "hears no other")
 
 
+def _election_time(now: float) -> Any:
+    """Return a context manager that sets the time of the election."""
+    return patch("pearward_daemon.coordinator_election.boot_time", return_value=now)
+
+
 @then("it takes the role")
 def takes(context: Any) -> None:
     assert context.taken_leases
@@ -229,13 +260,14 @@
 @then("it does not take the role")
 def does_not_take(context: Any) -> None:
     assert not context.taken_leases
-    assert context.store.value(ROLE_KEY) == HOLDERS["another one holds the role"]
+    if context.holder:
+        assert context.store.value(ROLE_KEY) == HOLDERS["another one holds the role"]
 
 
 # -- a daemon's control plane --------------------------------------------------------
 
 
-def _control(context: Any) -> ControlPlane:
+def control_plane(context: Any) -> ControlPlane:
     """Return a control plane without an event loop and without connections."""
     settings = Settings.from_mapping(VALID)
     me = PeerId("i1", settings.peer_address)
@@ -255,7 +287,7 @@
 
 @given('a daemon that follows the coordinator at "{address}"')
 def follows(context: Any, address: str) -> None:
-    _control(context).agent.set_coordinator(address)
+    control_plane(context).agent.set_coordinator(address)
 
 
 @when('a late reply of the daemon at "{address}" says that it does not coordinate')
@@ -284,7 +316,7 @@
 
 @given("a daemon that has taken the role")
 def has_role(context: Any) -> None:
-    control = _control(context)
+    control = control_plane(context)
     role = {"incarnation": control.incarnation, "address": "127.9.0.1:7401"}
     service = VALID["server"]["service"]
     context.store.put(f"coordinator/{service}", json.dumps(role).encode())
--- a/packages/daemon/src/pearward_daemon/cell_coordinator.py
+++ b/packages/daemon/src/pearward_daemon/cell_coordinator.py
@@ -1,7 +1,8 @@
 """The coordinator's role in a cell: reads and writes at the platform's store.
 
-The role is a key with a platform lease. Safety does not depend on the role, since the cell's
-record is replaced by compare-and-swap; the role only limits writers and watchers to one.
+The role is a key with a platform lease. Each write of the record requires that the key is unchanged
+since this daemon took the role, so that a coordinator that was replaced cannot write any more.
+Safety does not depend on that, since the record is replaced by compare-and-swap.
 """
 
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 from pearward_coordination.coordinator import Coordinator
 from pearward_coordination.lease import LeaseTiming
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
-from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_protocol.etcd import KeyRevision, KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
 from pearward_state.records import CellRecord, Instance
 from pearward_state.table import ServiceTable
@@ -83,6 +84,8 @@
         self._core = Coordinator(cell, timing, boot_time())
         self._record: CellRecord | None = None
         self._revision = 0
+        self._role = KeyRevision(f"coordinator/{cell}", 0)
+        """The role's key, with its revision from when this daemon took the role."""
         self._table: ServiceTable | None = None
         self._writes = 0
         self._writing = False
@@ -165,6 +168,9 @@
         """Read the record and the table, with retries until the platform responds."""
         while not self._stopped and not self._loaded:
             try:
+                await self._read_role()
+                if self._stopped:
+                    return
                 await self._read_record()
                 await self._read_table()
                 self._loaded = True
@@ -172,6 +178,15 @@
                 eliot.log_message("pearward:platform-call-failed", call="load", error=str(error))
                 await sleep(self._reactor, READ_RETRY_S)
 
+    async def _read_role(self) -> None:
+        """Read the revision of the role's key; give up the role if another daemon holds it."""
+        pair = await self._platform.get(self._role.key)
+        holder = role_holder(pair)
+        if holder is None or holder.incarnation != self._me.incarnation:
+            self._give_up_role(holder.address if holder is not None else "")
+            return
+        self._role = KeyRevision(self._role.key, holder.revision)
+
     async def _read_record(self) -> None:
         pair = await self._platform.get(self.key)
         if pair is None:
@@ -220,7 +235,10 @@
             self._writing = False
 
     async def _reread_record(self) -> None:
-        """Read the record, and log it if its version has changed."""
+        """Read the record; if another daemon has written it, check the role before the next plan.
+
+        The write may be that of a newer coordinator, or an owner's own release.
+        """
         before = self._record.version if self._record is not None else 0
         try:
             await self._read_record()
@@ -232,6 +250,7 @@
         version = self._record.version if self._record is not None else 0
         if version != before:
             eliot.log_message("pearward:record-read", cell=self._cell, version=version)
+            await self._check_role()
 
     def _plan(self, now: float) -> None:
         """Write a new record if the reports received require one."""
@@ -249,10 +268,11 @@
         """Replace the record; if the reply is lost, read the record back."""
         value = planned.to_bytes()
         try:
-            await self._platform.swap(self.key, self._revision, value)
+            await self._platform.swap(self.key, self._revision, value, guard=self._role)
             await self._confirm_write(planned)
         except CasConflict:
-            # An earlier write of this daemon took effect, or another coordinator has written.
+            # An earlier write of this daemon took effect, another daemon has written, or this one
+            # does not hold the role any more.
             await self._confirm_write(planned)
         except PlatformUnavailable as error:
             eliot.log_message(
@@ -274,17 +294,18 @@
         record = self._record
         if record is None or record.write_id == planned.write_id:
             self._log.record_written(planned)
-        elif record.version >= planned.version:
+        else:
             await self._check_role()
 
     async def _check_role(self) -> None:
         """Give up the role if the platform's store names another holder."""
         try:
-            pair = await self._platform.get(f"coordinator/{self._cell}")
-        except PlatformUnavailable:
+            pair = await self._platform.get(self._role.key)
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform-call-failed", call="check role", error=str(error))
             return
         holder = role_holder(pair)
-        if holder is None or holder.incarnation != self._me.incarnation:
+        if holder is None or holder.revision != self._role.revision:
             self._give_up_role(holder.address if holder is not None else "")
 
     # -- the table and the list -----------------------------------------------
--- a/packages/devtools/src/pearward_devtools/memory_store.py
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from pearward_protocol.etcd import KeyValue, WatchEvent
+from pearward_protocol.etcd import KeyRevision, KeyValue, WatchEvent
 from pearward_transport.errors import CasConflict, PlatformUnavailable
 
 __all__ = ["MemoryStore"]
@@ -57,13 +57,22 @@
         return [pair.key for pair in await self.scan(prefix)]
 
     async def swap(
-        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes | None,
+        lease: int = 0,
+        *,
+        guard: KeyRevision | None = None,
     ) -> None:
         """Replace a value if its revision is the expected one; raises CasConflict."""
         self._check(key)
-        current = self._pairs.get(key)
-        if (current.revision if current is not None else 0) != expected_revision:
-            raise CasConflict(f"{key}: revision is no longer {expected_revision}")
+        for condition in (KeyRevision(key, expected_revision), guard):
+            if condition is None:
+                continue
+            current = self._pairs.get(condition.key)
+            if (current.revision if current is not None else 0) != condition.revision:
+                raise CasConflict(f"{condition.key}: revision is no longer {condition.revision}")
         if value is None:
             self._pairs.pop(key, None)
         else:
--- a/packages/protocol/src/pearward_protocol/etcd.py
+++ b/packages/protocol/src/pearward_protocol/etcd.py
@@ -15,6 +15,7 @@
 from .errors import BadPlatformResponse
 
 __all__ = [
+    "KeyRevision",
     "KeyValue",
     "Path",
     "WatchEvent",
@@ -56,6 +57,14 @@
     lease: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRevision:
+    """A key and the revision that it is expected to have; 0 means that it is absent."""
+
+    key: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class WatchEvent:
     """A change reported by a watch; *value* is None for a deletion."""
@@ -85,18 +94,22 @@
     return body
 
 
-def txn_body(key: str, expected_revision: int, value: bytes | None, lease: int) -> dict[str, Any]:
+def txn_body(
+    key: str,
+    expected_revision: int,
+    value: bytes | None,
+    lease: int,
+    guard: KeyRevision | None = None,
+) -> dict[str, Any]:
     """Return the body of a compare-and-swap.
 
     An *expected_revision* of 0 means that the key is absent; a *value* of None deletes the key.
+    With *guard* the swap also requires that another key is unchanged.
     """
     name = _b64(key.encode())
-    compare = {
-        "key": name,
-        "target": "MOD",
-        "result": "EQUAL",
-        "mod_revision": str(expected_revision),
-    }
+    conditions = [KeyRevision(key, expected_revision)]
+    if guard is not None:
+        conditions.append(guard)
     if value is None:
         operation: dict[str, Any] = {"request_delete_range": {"key": name}}
     else:
@@ -104,7 +117,16 @@
         if lease:
             put["lease"] = str(lease)
         operation = {"request_put": put}
-    return {"compare": [compare], "success": [operation], "failure": []}
+    compare = [
+        {
+            "key": _b64(condition.key.encode()),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(condition.revision),
+        }
+        for condition in conditions
+    ]
+    return {"compare": compare, "success": [operation], "failure": []}
 
 
 def lease_body(ttl_s: int) -> dict[str, Any]:
--- a/packages/transport/src/pearward_transport/platform.py
+++ b/packages/transport/src/pearward_transport/platform.py
@@ -14,7 +14,7 @@
 
 from pearward_protocol import etcd
 from pearward_protocol.errors import BadPlatformResponse
-from pearward_protocol.etcd import KeyValue, Path, WatchEvent
+from pearward_protocol.etcd import KeyRevision, KeyValue, Path, WatchEvent
 
 from .errors import CasConflict, PlatformUnavailable
 
@@ -83,11 +83,18 @@
         """Return all keys under *prefix*, without their values."""
 
     async def swap(
-        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes | None,
+        lease: int = 0,
+        *,
+        guard: KeyRevision | None = None,
     ) -> None:
         """Replace a value (None deletes) if its revision matches; revision 0 means absent.
 
-        Raises CasConflict if it does not match. After PlatformUnavailable the swap may or may
+        With *guard* another key must have the revision given there as well. Raises CasConflict
+        if one of them does not match. After PlatformUnavailable the swap may or may
         not have been applied: read the value back and compare its write id.
         """
 
@@ -146,12 +153,19 @@
         return [pair.key for pair in etcd.parse_range(await self._call(Path.RANGE, body))]
 
     async def swap(
-        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes | None,
+        lease: int = 0,
+        *,
+        guard: KeyRevision | None = None,
     ) -> None:
         """Replace a value if its revision matches the expected one."""
-        body = etcd.txn_body(key, expected_revision, value, lease)
+        body = etcd.txn_body(key, expected_revision, value, lease, guard)
         if not etcd.parse_txn_succeeded(await self._call(Path.TXN, body)):
-            raise CasConflict(f"{key}: revision is not {expected_revision} any more")
+            also = f" or {guard.key}: revision is not {guard.revision}" if guard else ""
+            raise CasConflict(f"{key}: revision is not {expected_revision} any more{also}")
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Return a new lease."""
