A planned stop of the coordinator hands the role over first

Callers: nothing by itself.

Cause: the role's key stayed in the store until a member missed the replies.

Change: a daemon whose planned stop begins removes the role's key, if it still holds it, and notifies the members, which look for a coordinator at once, in their usual order. It leaves the role to them for 2 s, and takes it only if none of them does. While the store is unavailable it keeps the role, as no member could take it.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -83,3 +83,32 @@
     And that record reaches this coordinator's daemon from a peer
     And the coordinator ticks once
     Then it has given up the role to "10.0.0.9:1"
+
+  # The members noticed the end of a coordinator by its missing replies only, while another daemon
+  # of the cell was in a planned stop.
+  Scenario: A daemon in a planned stop gives up the coordinator's role first
+    Given a daemon that has taken the role and read the record of a cell of 4
+    When its planned stop begins
+    Then no daemon holds the role
+    And the other members are notified that it does not coordinate
+    And it does not coordinate
+
+  Scenario: A coordinator whose planned stop begins while the store is unavailable keeps the role
+    Given a daemon that has taken the role and read the record of a cell of 4
+    When its planned stop begins while the store is unavailable
+    Then it coordinates
+
+  Scenario Outline: A daemon in a planned stop leaves the role to the others: <case>
+    Given a daemon that looks for the coordinator of its cell, and no daemon holds the role
+    When it gets no reply for 5 seconds and <may> take the role
+    Then it <takes> the role
+
+    Examples:
+      | case             | may     | takes         |
+      | the others do    | may not | does not take |
+      | none of them did | may     | takes         |
+
+  Scenario: A member looks for a coordinator at once when the known one has given up the role
+    Given a daemon that looks for the coordinator of its cell, and no daemon holds the role
+    When its coordinator has replied, and says 0.1 seconds later that it does not coordinate
+    Then it takes the role within 0.2 seconds
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -247,11 +247,38 @@
                 context.election.tick(0, 0.0, may_replace=hears != "hears no other")
 
 
+@when("it gets no reply for {seconds:d} seconds and {may} take the role")
+def no_reply_leaving(context: Any, seconds: int, may: str) -> None:
+    assert may in ("may", "may not"), may
+    for step in range(int(seconds / STEP_S)):
+        with _election_time(1000.0 + step * STEP_S):
+            if not context.taken_leases:
+                context.election.tick(0, 0.0, may_replace=True, may_take=may == "may")
+
+
 def _election_time(now: float) -> Any:
     """Return a context manager that sets the time of the election."""
     return patch("pearward_daemon.coordinator_election.boot_time", return_value=now)
 
 
+@when("its coordinator has replied, and says {seconds:g} seconds later that it does not coordinate")
+def coordinator_resigns(context: Any, seconds: float) -> None:
+    with _election_time(1000.0):
+        context.election.note_received()
+    context.resigned_at = 1000.0 + seconds
+    with _election_time(context.resigned_at):
+        context.election.note_resigned()
+
+
+@then("it takes the role within {seconds:g} seconds")
+def takes_within(context: Any, seconds: float) -> None:
+    for step in range(int(seconds / STEP_S) + 1):
+        with _election_time(context.resigned_at + step * STEP_S):
+            if not context.taken_leases:
+                context.election.tick(0, 0.0, may_replace=True)
+    assert context.taken_leases
+
+
 @then("it takes the role")
 def takes(context: Any) -> None:
     assert context.taken_leases
@@ -335,3 +362,51 @@
 def one_term(context: Any) -> None:
     assert context.control.coordinating
     assert len(context.store.watches) == context.waiting, len(context.store.watches)
+
+
+@given("a daemon that has taken the role and read the record of a cell of {count:d}")
+def has_role_and_record(context: Any, count: int) -> None:
+    has_role(context)
+    service = VALID["server"]["service"]
+    members = _record(count).members
+    record = CellRecord(service, service, 1, "w1", members, ShardMap.even(count))
+    context.control.record_written(record, record.to_bytes())
+    context.store.put(f"cell/{service}", record.to_bytes())
+    context.control._cell_coordinator._record = record
+    context.sent = []
+    context.control._send = lambda address, message: context.sent.append((address, message))
+
+
+@when("its planned stop begins")
+def planned_stop(context: Any) -> None:
+    context.control.drain()
+
+
+@when("its planned stop begins while the store is unavailable")
+def planned_stop_unavailable(context: Any) -> None:
+    context.store.unavailable = True
+    context.control.drain()
+
+
+@then("no daemon holds the role")
+def no_holder(context: Any) -> None:
+    key = f"coordinator/{VALID['server']['service']}"
+    assert not context.store.has(key)
+
+
+@then("the other members are notified that it does not coordinate")
+def members_notified(context: Any) -> None:
+    service = VALID["server"]["service"]
+    notified = [a for a, m in context.sent if m == HeartbeatReply(service, False, 0)]
+    others = [m.peer for m in _record(4).members if m.incarnation != context.control.incarnation]
+    assert notified == others, context.sent
+
+
+@then("it does not coordinate")
+def coordinates_not(context: Any) -> None:
+    assert not context.control.coordinating
+
+
+@then("it coordinates")
+def coordinates(context: Any) -> None:
+    assert context.control.coordinating
--- a/packages/daemon/src/pearward_daemon/cell_coordinator.py
+++ b/packages/daemon/src/pearward_daemon/cell_coordinator.py
@@ -86,6 +86,7 @@
         self._revision = 0
         self._role = KeyRevision(f"coordinator/{cell}", 0)
         """The role's key, with its revision from when this daemon took the role."""
+        self._resigning = False
         self._table: ServiceTable | None = None
         self._writes = 0
         self._writing = False
@@ -133,9 +134,18 @@
             if watch is not None:
                 watch.stop()
 
+    def resign(self) -> None:
+        """Remove the role's key, so that another member takes the role at once.
+
+        If the store is unavailable, this daemon continues to coordinate.
+        """
+        if not self._stopped and not self._resigning:
+            self._resigning = True
+            spawn(self._resign())
+
     def tick(self) -> None:
         """Run the periodic tasks that are due."""
-        if self._stopped:
+        if self._stopped or self._resigning:
             return
         now = boot_time()
         if not self._loaded:
@@ -308,6 +318,25 @@
         if holder is None or holder.revision != self._role.revision:
             self._give_up_role(holder.address if holder is not None else "")
 
+    async def _resign(self) -> None:
+        """Remove the role's key, and notify the members, who then elect a successor at once."""
+        try:
+            await self._platform.swap(self._role.key, self._role.revision, None)
+        except CasConflict:
+            await self._check_role()
+            return
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform-call-failed", call="resign", error=str(error))
+            return
+        finally:
+            self._resigning = False
+        reply = HeartbeatReply(self._cell, False, 0)
+        members = self._record.members if self._record is not None else ()
+        for member in members:
+            if member.incarnation != self._me.incarnation:
+                self._store.reply(PeerId(member.incarnation, member.peer), reply)
+        self._give_up_role("")
+
     # -- the table and the list -----------------------------------------------
 
     def _watch_table(self) -> None:
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -47,6 +47,9 @@
 
 TICK_S = 0.05
 DIGEST_S = 1.0
+STOPPING_ELECTION_DELAY_S = 2.0
+"""Time after the start of a planned stop for which a daemon leaves the role to other members: it
+takes the role only if none of them does."""
 LISTENER_CHECK_S = 0.25
 """Interval of checks for members whose address is used by another daemon now."""
 
@@ -97,6 +100,7 @@
         self._next_digest = 0.0
         self._next_listener_check = 0.0
         self._serving_state: tuple[object, ...] = ()
+        self._draining_since: float | None = None
         self._server = ServerWatch(settings.server, client, self._agent.set_health)
         self._loop = LoopingCall(self._tick)
         self._on_serving_changed: list[Callable[[], None]] = []
@@ -188,8 +192,11 @@
         self._finder.start()
 
     def drain(self) -> None:
-        """Request the handover of this daemon's shards."""
+        """Request the handover of this daemon's shards and of the coordinator's role."""
+        self._draining_since = boot_time()
         self._agent.drain()
+        if self._cell_coordinator is not None:
+            self._cell_coordinator.resign()
 
     def force_release(self, incarnation: str) -> bool:
         """Treat a member as ended by an operator's statement.
@@ -265,6 +272,7 @@
                     self._election.note_received()
                 else:
                     self._agent.set_coordinator("")
+                    self._election.note_resigned()
             case HeartbeatReply():
                 # Late reply of an earlier coordinator: no information about the present one.
                 pass
@@ -435,6 +443,8 @@
     def _role_lost(self, successor: str) -> None:
         self._cell_coordinator = None
         self._agent.set_coordinator(successor)
+        if not successor:
+            self._election.note_resigned()
 
     # -- running ----------------------------------------------------------------
 
@@ -444,7 +454,9 @@
         isolated = self._contact.is_isolated(now)
         election_delay_s = self._contact.election_delay_s(now, lease_held=self.lease_held)
         may_replace = self._contact.may_replace_coordinator(now)
-        self._election.tick(self._rank(), election_delay_s, may_replace=may_replace)
+        self._election.tick(
+            self._rank(), election_delay_s, may_replace=may_replace, may_take=self._may_take(now)
+        )
         self._fallback.tick(now, isolated=isolated)
         self._agent.set_unreachable(isolated and self._is_idle_member())
         if self._cell_coordinator is not None:
@@ -481,7 +493,14 @@
         if record is None:
             return self._rng.randrange(3)
         index = record.by_incarnation.get(self._me.incarnation)
-        return len(record.members) if index is None else index
+        if index is None or self._draining_since is not None:
+            return len(record.members)
+        return index
+
+    def _may_take(self, now: float) -> bool:
+        """Return whether this daemon may take the coordinator's role."""
+        since = self._draining_since
+        return since is None or now - since >= STOPPING_ELECTION_DELAY_S
 
     def _is_idle_member(self) -> bool:
         """Return whether the record lists this daemon as a member while it holds no lease.
--- a/packages/daemon/src/pearward_daemon/coordinator_election.py
+++ b/packages/daemon/src/pearward_daemon/coordinator_election.py
@@ -82,6 +82,7 @@
         """Whether that holder has replied: if it is silent afterwards, it is replaced at once."""
         self._seeking = False
         self._may_replace = True
+        self._may_take = True
         self._last_reply = float("-inf")
         self._not_before = 0.0
         self._backoff_s = SEEK_BACKOFF_MIN_S
@@ -93,15 +94,24 @@
         self._holder_replied = True
         self._backoff_s = SEEK_BACKOFF_MIN_S
 
-    def tick(self, rank: int, election_delay_s: float, *, may_replace: bool) -> None:
+    def note_resigned(self) -> None:
+        """Look for a coordinator now, since the one that replied so far has given up the role."""
+        if self._holder_replied:
+            self._holder, self._silent_holder, self._holder_replied = "", "", False
+            self._last_reply = boot_time() - COORDINATOR_SILENCE_S
+
+    def tick(
+        self, rank: int, election_delay_s: float, *, may_replace: bool, may_take: bool = True
+    ) -> None:
         """Look for a coordinator if none has replied within COORDINATOR_SILENCE_S.
 
         *rank* orders the members, so that they do not all call the platform at once;
         *election_delay_s* delays a daemon that has no lease. Without *may_replace* the role is
-        taken only if it has no holder.
+        taken only if it has no holder, without *may_take* not even then.
         """
         now = boot_time()
-        self._may_replace = may_replace
+        self._may_replace = may_replace and may_take
+        self._may_take = may_take
         if self._seeking or now < self._not_before:
             return
         delay = min(rank, MAX_RANK) * RANK_DELAY_S + election_delay_s
@@ -125,6 +135,10 @@
             if role is not None and foreign and not self._may_replace:
                 self._defer_to_holder(role)
                 return
+            if role is None and not self._may_take:
+                # Another member is about to take the role.
+                self._last_reply = boot_time() - COORDINATOR_SILENCE_S
+                return
             await self._take(role.revision if role is not None else 0)
         except CasConflict:
             # Another member has taken the role: read the holder again at once.
--- a/packages/devtools/src/pearward_devtools/memory_store.py
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -42,6 +42,10 @@
         """Return the value of an existing key; raises KeyError."""
         return self._pairs[key].value
 
+    def has(self, key: str) -> bool:
+        """Return whether a key exists."""
+        return key in self._pairs
+
     async def get(self, key: str) -> KeyValue | None:
         """Return a key's value, or None."""
         self._check(key)
