A daemon that has ended its planned stop takes no records and no grants

Callers saw: one request cut. A daemon that had logged `stopped` adopted a record 8 ms later, granted its server 64 shards, ran a request 39 ms after that and exited under it.

Cause: ControlPlane.stop ended the periodic work alone; messages of peers, and reads of the store that were still on their way, went on to change what the daemon owns.

Change: after stop() messages are ignored and no value is adopted, whatever brought it.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -101,6 +101,7 @@
         self._next_listener_check = 0.0
         self._serving_state: tuple[object, ...] = ()
         self._draining_since: float | None = None
+        self._stopped = False
         self._server = ServerWatch(settings.server, client, self._agent.set_health)
         self._loop = LoopingCall(self._tick)
         self._on_serving_changed: list[Callable[[], None]] = []
@@ -211,7 +212,8 @@
         return True
 
     def stop(self) -> None:
-        """Stop all periodic work."""
+        """Stop all periodic work, and take no more records or grants."""
+        self._stopped = True
         if self._loop.running:
             self._loop.stop()
         self._server.stop()
@@ -260,7 +262,9 @@
             self._cell_coordinator.core.note_ended(ended)
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
-        """Act on a peer's message."""
+        """Act on a peer's message, unless this daemon has stopped."""
+        if self._stopped:
+            return
         self._contact.note_received(sender, boot_time())
         if isinstance(message, HeartbeatReply | ReleaseReply | RenewReply):
             self._contact.note_reply(sender, boot_time())
@@ -347,7 +351,7 @@
 
     def _offer(self, key: str, version: int, value: bytes) -> bool:
         """Adopt a value if it is newer than the one held, and announce it to some peers."""
-        if version <= self._spread.version(key):
+        if self._stopped or version <= self._spread.version(key):
             return False
         kind, _, name = key.partition("/")
         try:
