A daemon's own pause is no silence of its peers

Callers saw: responses that broke off, and requests that ended with connection-lost, on a busy machine.

Cause: the liveness check runs as a timer, before the data that came during a standstill is read. After a pause of 1.5 s, or a step of the clock by that much, a daemon aborted each connection on which it expected data, with all requests on it.

Change: the time by which a check is late counts as no silence. A peer that is really silent is given up the same number of checks later.

--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -15,6 +15,15 @@
     When nothing is sent and nothing is received for 60 s
     Then the connection is up
 
+  # The check ran before the data that had arrived during the pause was read, and aborted every
+  # connection on which data was expected, with the requests on it.
+  Scenario: A daemon that stood still does not count its own pause as silence of the other end
+    Given a connection to another daemon without open streams
+    When a control message is sent and this daemon stands still for 5 s
+    Then the connection is up
+    When a control message is sent every 0.4 s and nothing is received for 2.2 s
+    Then the connection was aborted
+
   Scenario: A connection without a greeting is aborted
     Given a connection to another daemon that has not sent a greeting
     When nothing is sent and nothing is received for 2.2 s
--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -36,6 +36,13 @@
     And another version's greeting is sent to the peer port of every daemon
     Then the download is complete and matches its request
 
+  # After a pause each daemon took its own standstill for the silence of its peers and aborted the
+  # connections on which it expected data, before it read what had arrived.
+  Scenario: A pause of all daemons at the same time cuts no download
+    When a long download from "paypost" is under way
+    And every daemon stands still for 2 seconds
+    Then the download is complete and matches its request
+
   Scenario: A request whose body is cut short never runs
     When a caller announces a body of 200000 bytes to "paypost" and disconnects after 100000
     And a caller announces a body of 2000 bytes to "paypost" and disconnects after 1000
--- a/features/steps/peer_link_steps.py
+++ b/features/steps/peer_link_steps.py
@@ -86,6 +86,12 @@
     _advance(context, seconds, sends=True, answers=True)
 
 
+@when("a control message is sent and this daemon stands still for {seconds:g} s")
+def stands_still(context: Any, seconds: float) -> None:
+    context.connection.send_control(Pull(("keymaps/roster",)))
+    context.clock.advance(seconds)
+
+
 @when("nothing is sent and nothing is received for {seconds:g} s")
 def keep_idle(context: Any, seconds: float) -> None:
     _advance(context, seconds, sends=False, answers=False)
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -148,6 +148,15 @@
     return sum(r["running"] for r in reports if r is not None)
 
 
+@when("every daemon stands still for {seconds:d} seconds")
+def all_stand_still(context: Any, seconds: int) -> None:
+    for node in context.cluster.nodes:
+        context.cluster.freeze(node)
+    time.sleep(seconds)
+    for node in context.cluster.nodes:
+        context.cluster.resume(node)
+
+
 @then("the download is complete and matches its request")
 def download_complete(context: Any) -> None:
     context.notes["thread"].join(60)
--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -91,18 +91,23 @@
 
 
 class LivenessMonitor:
-    """Checks connections for silence; all share one timer, as a daemon has hundreds of them."""
+    """Checks connections for silence; all share one timer, as a daemon has hundreds of them.
+
+    A check that comes late shows that this process stood still or its clock was set. Nothing was
+    read meanwhile, so that this time is no silence of the peers.
+    """
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._connections: dict[PeerConnection, None] = {}
         self._timer: Any = None
+        self._due = 0.0
 
     def add(self, connection: "PeerConnection") -> None:
         """Start checking a connection."""
         self._connections[connection] = None
         if self._timer is None:
-            self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check_all)
+            self._start_timer()
 
     def discard(self, connection: "PeerConnection") -> None:
         """Stop checking a connection."""
@@ -110,10 +115,15 @@
 
     def _check_all(self) -> None:
         self._timer = None
+        late_s = max(0.0, self._reactor.seconds() - self._due)
         for connection in list(self._connections):
-            connection.check_silence()
+            connection.check_silence(late_s)
         if self._connections:
-            self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check_all)
+            self._start_timer()
+
+    def _start_timer(self) -> None:
+        self._due = self._reactor.seconds() + CHECK_INTERVAL_S
+        self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check_all)
 
 
 @implementer(IPushProducer)
@@ -271,14 +281,17 @@
     def stopProducing(self) -> None:
         self._paused = True
 
-    def check_silence(self) -> None:
+    def check_silence(self, late_s: float) -> None:
         """Ping a silent peer from which data is expected; abort the connection at the limit.
 
+        *late_s* is the time in s by which the check is late, which does not count as silence.
         Data is expected while streams are open, before the hello, and after control messages.
         Most control messages have no reply, so without pings a connection that died without
         a FIN or reset would go unnoticed.
         """
-        silent_s = self._reactor.seconds() - self._last_received
+        now = self._reactor.seconds()
+        self._last_received = min(now, self._last_received + late_s)
+        silent_s = now - self._last_received
         if self._streams or self._peer is None or self._control_sent_since:
             if silent_s >= SILENCE_LIMIT_S:
                 self.transport.abortConnection()
@@ -287,7 +300,7 @@
                 self._mux.send_ping()
                 self._flush()
         else:
-            self._last_received = self._reactor.seconds()
+            self._last_received = now
 
     def _dispatch(self, event: Event) -> None:
         match event:
