Tests: the role of the coordinator moves while a daemon is in a planned stop

The ownership machine moves the role during a drain, each daemon following at its own moment; its invariant: a member in a planned stop that has given its shards up gets none in a later record. A coordinator of World reads a newer record in a turn of its own before it plans, as the daemon's does.

--- a/tests/fuzz/cell_world.py
+++ b/tests/fuzz/cell_world.py
@@ -22,7 +22,7 @@
 from pearward_coordination.ownership import Permit, Verdict
 from pearward_coordination.release_record import without_release_of
 from pearward_state.keys import HASH_SPACE
-from pearward_state.records import CellRecord
+from pearward_state.records import CellRecord, MemberState
 from pearward_state.table import ServiceTable
 
 CELL = "roster-app"
@@ -98,6 +98,11 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.slow: set[tuple[str, str]] = set()
         """Links whose messages wait until they are delivered one by one, in any order."""
+        self.late_heartbeats: set[tuple[str, str]] = set()
+        """Links whose heartbeats wait until they are delivered one by one; all else arrives."""
+        self._left: set[str] = set()
+        """Members in a planned stop that own no shard according to a record."""
+        self._records_checked = 0
         self.writes = 0
         """Number of times that an owner has tried to write its release itself."""
         self._incarnations = 0
@@ -131,17 +136,33 @@
 
     def restart(self, node: Node) -> None:
         """Replace a node's daemon by a new one."""
+        self.check_planned_stops()
+        self._left.discard(node.incarnation)
         self.nodes[node.number] = self._new_node(node.number)
 
-    def take_role(self, node: Node) -> None:
-        """Make a node the coordinator, even if another one still is."""
+    def take_role(self, node: Node, *, followed: bool = True) -> None:
+        """Make a node the coordinator, even if another one still is.
+
+        Unless it is *followed* at once, the others go on sending heartbeats to the former one.
+        """
         core = Coordinator(CELL, TIMING, self.now(node))
         node.role = Role(core, self.platform.record)
         node.agent.set_coordinator(node.address)
         for other in self.nodes:
-            if not other.ended and not other.paused:
+            if followed and not other.ended and not other.paused:
                 other.agent.set_coordinator(node.address)
 
+    def delay_heartbeats(self, node: Node) -> None:
+        """Delay a node's heartbeats to all others."""
+        self.late_heartbeats |= {
+            (node.address, other.address) for other in self.nodes if other is not node
+        }
+
+    def deliver_heartbeats(self, node: Node) -> None:
+        """Deliver a node's late heartbeats in the order in which they were sent."""
+        self.late_heartbeats = {link for link in self.late_heartbeats if link[0] != node.address}
+        self.deliver()
+
     # -- time and messages --------------------------------------------------------
 
     def step(self) -> None:
@@ -170,13 +191,16 @@
         node = next(n for n in self.nodes if n.address == in_transit.target)
         if node.ended or (in_transit.sender.address, in_transit.target) in self.cut_links:
             return
-        if node.paused or (
-            not force and (in_transit.sender.address, in_transit.target) in self.slow
-        ):
+        if node.paused or (not force and self._is_delayed(in_transit)):
             self.messages_in_transit.append(in_transit)
             return
         self._receive(node, in_transit.sender, in_transit.message)
 
+    def _is_delayed(self, in_transit: MessageInTransit) -> bool:
+        link = (in_transit.sender.address, in_transit.target)
+        is_heartbeat = isinstance(in_transit.message, Heartbeat)
+        return link in self.slow or (is_heartbeat and link in self.late_heartbeats)
+
     def deliver_replies(self, node: Node) -> None:
         """Deliver the pending replies of witnesses to one daemon before any other message."""
         replies = [
@@ -193,6 +217,10 @@
         role = node.role
         assert role is not None
         now = self.now(node)
+        if max(node.agent.ownership.adopted, role.core.newest_adopted) > role.record.version:
+            # Like the daemon, a coordinator reads a newer record and plans in a later turn.
+            role.record = self.platform.record
+            return
         for other in self.nodes:
             reachable = (node.address, other.address) not in self.cut_links
             if reachable and not other.ended and not other.paused:
@@ -316,6 +344,36 @@
             for shard in record.shards:
                 assert record.owner_of(shard) is not None, f"shard {shard.start:x} was lost"
 
+    def check_planned_stops(self) -> None:
+        """Check that a member in a planned stop gets no shard once a record left it none.
+
+        The record cannot tell a planned stop from other reasons to drain a member; the agent can.
+        A member is checked for as long as the records name it.
+        """
+        stopping = {n.incarnation for n in self.nodes if n.agent.draining}
+        for record in self.platform.history[self._records_checked :]:
+            self._left &= record.by_incarnation.keys()
+            for member in record.members:
+                held = shards_of(record, member.incarnation)
+                if member.incarnation in self._left:
+                    assert not held, (
+                        f"{member.incarnation}, in a planned stop, gets {held} shards by version "
+                        f"{record.version}, written by {record.write_id}"
+                    )
+                elif (
+                    member.state is MemberState.DRAINING
+                    and member.incarnation in stopping
+                    and not held
+                ):
+                    self._left.add(member.incarnation)
+        self._records_checked = len(self.platform.history)
+
     def served(self) -> int:
         """Return the number of sampled keys that can be served now."""
         return sum(bool(self.actors(position)) for position in self.positions)
+
+
+def shards_of(record: CellRecord, incarnation: str) -> int:
+    """Return the number of shards that a record assigns to a member."""
+    index = record.by_incarnation.get(incarnation)
+    return 0 if index is None else record.shards.owners.count(index)
--- a/tests/fuzz/ownership_machine.py
+++ b/tests/fuzz/ownership_machine.py
@@ -167,6 +167,7 @@
     def heal(self) -> None:
         """Restore all links."""
         self.world.cut_links.clear()
+        self.world.late_heartbeats.clear()
         self.world.slow.clear()
 
     @rule(slot=SLOTS)
@@ -190,6 +191,45 @@
         if not node.ended and not node.paused:
             self.world.take_role(node)
 
+    @rule(number=NODES)
+    def coordinate_unfollowed(self, number: int) -> None:
+        """Make a daemon the coordinator while the others' heartbeats go to the former one."""
+        node = self._node(number)
+        if not node.ended and not node.paused:
+            self.world.take_role(node, followed=False)
+
+    @rule(number=NODES, other=NODES)
+    def follow(self, number: int, other: int) -> None:
+        """Let one daemon send its heartbeats to another one that considers itself coordinator."""
+        node, coordinator = self._node(number), self._node(other)
+        if not node.ended and not node.paused and coordinator.role is not None:
+            node.agent.set_coordinator(coordinator.address)
+
+    @rule(number=NODES)
+    def step_down(self, number: int) -> None:
+        """Let a former coordinator find that another daemon has the role."""
+        if any(n.role is not None for n in self.world.nodes if n is not self._node(number)):
+            self._node(number).role = None
+
+    @rule(number=NODES)
+    def delay_heartbeats(self, number: int) -> None:
+        """Delay the heartbeats of a daemon, but no other message."""
+        self.world.delay_heartbeats(self._node(number))
+
+    @rule(number=NODES)
+    def deliver_heartbeats(self, number: int) -> None:
+        """Deliver the late heartbeats of a daemon, and delay no further ones."""
+        self.world.deliver_heartbeats(self._node(number))
+
+    @rule(number=NODES, slot=SLOTS, successor=NODES, steps=st.integers(1, 30))
+    def move_role_during_drain(self, number: int, slot: int, successor: int, steps: int) -> None:
+        """Move the role while the heartbeats of a leaving daemon go to the former coordinator."""
+        self.drain_running(number, slot, 10)
+        self.coordinate_unfollowed(successor)
+        self.pass_time(steps)
+        self.follow(number, successor)
+        self.pass_time(steps)
+
     @rule(number=NODES)
     def fall_back(self, number: int) -> None:
         """Let a daemon read the stored record, and write its release if the record awaits it."""
@@ -250,3 +290,9 @@
         """At most one daemon can act on a key, and every shard keeps an owner."""
         if hasattr(self, "world"):
             self.world.check()
+
+    @invariant()
+    def no_shards_in_planned_stop(self) -> None:
+        """A member that has given its shards up in a planned stop gets none again."""
+        if hasattr(self, "world"):
+            self.world.check_planned_stops()
