--- a/tests/fuzz/teeth.py
+++ b/tests/fuzz/teeth.py
@@ -16,6 +16,7 @@
 
 from pearward_coordination import assignment, lease, ownership, witness
 from pearward_coordination.messages import ReleaseReply, RenewReply
+from pearward_state.records import MemberState
 
 from .ownership_machine import OwnershipMachine
 
@@ -93,6 +94,15 @@
         self._released = self._record.version
 
 
+def _drain_without_memory(self: Any) -> None:
+    for name, member in self._members.items():
+        if member.state is not MemberState.RETIRED:
+            draining = name in self._view.draining
+            state = MemberState.DRAINING if draining else MemberState.ACTIVE
+            self._changed = self._changed or state is not member.state
+            self._members[name] = assignment.replace(member, state=state, stopping=False)
+
+
 class _SameIdentityMachine(OwnershipMachine):
     """Gives a restarted daemon the identity of its predecessor, which is its address alone."""
 
@@ -127,6 +137,7 @@
         ("former witnesses dropped early", draft, "_is_change_safe", _former_set_dropped),
         ("witness grants any version", witness.Witness, "on_renew", _grants_any_version),
         ("one witness's release is enough", CellAgent, "_count_release", _one_release_is_enough),
+        ("drain known from heartbeats alone", draft, "drain_members", _drain_without_memory),
         ("released while a request runs", ownership.Ownership, "_update_released",
          _released_while_request_runs),
     ]  # fmt: skip
