A daemon without shards waits until the record says that it leaves

Callers: a daemon that owned nothing when its planned stop began, such as one that had just joined, ended after 1 s although the record still named it active; the next record could give it shards, which were unavailable until its loss was noticed. Peers went on to choose it for a pooled service.

Cause: "owns no shard" counted as handed over, whatever the record said of the member. Found by the trace that forces the order of events.

Change: the decision is a function of its own, without I/O (planned_stop.py). A member that the record names active goes on for up to 3 s, in which a coordinator reads its heartbeats; without the store no record can say that it leaves, and it ends then as before.

A joiner that the record does not name yet is not covered: a heartbeat from before its stop that arrives late still makes it a member.

--- a/features/steps/stopped_daemon_steps.py
+++ b/features/steps/stopped_daemon_steps.py
@@ -1,13 +1,17 @@
 """Steps for a daemon after its planned stop, without an event loop and without connections."""
 
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
 from coordinator_role_steps import control_plane
 from settings_steps import VALID
 
+from pearward_coordination.lease import LeaseTiming, OwnerLease
 from pearward_coordination.messages import PeerId, Push
-from pearward_state.records import CellRecord, Member
+from pearward_coordination.ownership import Ownership
+from pearward_coordination.planned_stop import PlannedStop
+from pearward_state.records import CellRecord, Member, MemberState
 from pearward_state.shards import ShardMap
 
 
@@ -43,3 +47,34 @@
 def no_grant(context: Any) -> None:
     assert not context.granted
     assert not context.control.ownership.serving_count
+
+
+@given("a member of a cell of {count:d} that owns no shard and whose planned stop has begun")
+def member_without_shards(context: Any, count: int) -> None:
+    context.cell_members = [
+        Member(f"i{n}", f"at-{n}", f"s-{n}", f"d{n}", f"10.0.0.{n}:1", "") for n in range(count)
+    ]
+    context.stop = PlannedStop("i0", 0.0)
+
+
+@when("{seconds:g} s have passed and the record names it {state}")
+def time_passed(context: Any, seconds: float, state: str) -> None:
+    first, *others = context.cell_members
+    members = (replace(first, state=MemberState(state)), *others)
+    shards = ShardMap.even(4)
+    for index in range(4):
+        shards.owners[index] = 1
+        shards.epochs[index] = 1
+    ownership = Ownership("i0", OwnerLease(LeaseTiming()))
+    ownership.adopt(CellRecord("premview", "premview", 2, "w2", members, shards))
+    context.ends = context.stop.is_handed_over(ownership, seconds, server_healthy=True)
+
+
+@then("it goes on")
+def goes_on(context: Any) -> None:
+    assert not context.ends
+
+
+@then("it ends")
+def ends(context: Any) -> None:
+    assert context.ends
--- a/features/stopped_daemon.feature
+++ b/features/stopped_daemon.feature
@@ -7,3 +7,17 @@
     When a peer sends it a record that gives it every shard
     Then it has adopted no record
     And its server gets no grant
+
+  # A member that owned nothing for a moment, while the record still named it active, ended as
+  # drained, and the next record gave it shards.
+  Scenario Outline: A daemon without shards ends when the record says that it leaves: <case>
+    Given a member of a cell of 3 that owns no shard and whose planned stop has begun
+    When <seconds> s have passed and the record names it <state>
+    Then it <ends>
+
+    Examples:
+      | case                         | seconds | state    | ends         |
+      | requests may still come      | 0.9     | draining | goes on      |
+      | shards may still be given    | 1.2     | active   | goes on      |
+      | nothing will be given        | 1.2     | draining | ends         |
+      | the record cannot be written | 3.1     | active   | ends         |
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.messages import ControlMessage, PeerId
+from pearward_coordination.planned_stop import PlannedStop
 from pearward_coordination.routing import Router
 from pearward_protocol.heads import RequestHead
 from pearward_state.table import ServiceTable
@@ -29,8 +30,6 @@
 __all__ = ["Daemon"]
 
 DRAIN_CHECK_S = 0.1
-MIN_DRAIN_S = 1.0
-"""Minimum time of draining, in which peers that have no newer record yet may send requests."""
 
 
 class Daemon:
@@ -132,7 +131,7 @@
         """Stop if the daemon is drained or the time limit for draining has passed."""
         waited_s = boot_time() - self._drain_started
         over = waited_s >= self._settings.drain_limit_s
-        if over or (waited_s >= MIN_DRAIN_S and self._is_drained()):
+        if over or self._is_drained():
             self._stop(waited_s, cut=self._owner.busy + self._ingress.open_requests)
             return
         self._reactor.callLater(DRAIN_CHECK_S, self._check_drained)
@@ -141,15 +140,10 @@
         """Return whether no request runs and no shard is left that could be handed over."""
         if self._owner.busy or self._ingress.open_requests:
             return False
-        ownership = self._control.ownership
-        record = ownership.record
-        if record is None or record.member(self._me.incarnation) is None:
-            return True
-        if not self._control.server_healthy or not any(
-            m.incarnation != self._me.incarnation for m in record.members
-        ):
-            return True
-        return ownership.shard_count == 0 and ownership.released >= record.version
+        stop = PlannedStop(self._me.incarnation, self._drain_started)
+        return stop.is_handed_over(
+            self._control.ownership, boot_time(), server_healthy=self._control.server_healthy
+        )
 
     def _stop(self, waited_s: float, cut: int) -> None:
         eliot.log_message("pearward:stopped", drained_s=round(waited_s, 3), aborted=cut)
