Members that all drained keep their shards when the role moves

Callers (found in review, not seen): in a cell whose members all drain, a move of the role as the cause ends left the new coordinator's own daemon as the only active member: it got all shards, which moved back 0.3 s later.

Change: no member becomes active before all members report or had the time to.

Not covered: a coordinator that hears its own daemon alone for over a second.

--- a/features/cell_record.feature
+++ b/features/cell_record.feature
@@ -49,6 +49,13 @@
       | it reaches no other daemon      | its  |
       | its server does not respond     | its  |
 
+  # The new coordinator's own heartbeat came first and made it the only active member, so that all
+  # shards moved to it and back.
+  Scenario: Members that all drained keep their shards when the role moves as the cause ends
+    Given a cell of 4 members that all drain, as their servers do not respond
+    When a new coordinator gets the heartbeats of members that can serve, one every 0.1 s
+    Then every member is active and no shard has moved
+
   # In a cell of three an owner is one of its own witnesses, and a coordinator that had not had its
   # heartbeat yet counted that as one of the two votes by which the owner was lost.
   Scenario: A member whose first heartbeat to a new coordinator is late is not declared lost
--- a/features/steps/cell_record_steps.py
+++ b/features/steps/cell_record_steps.py
@@ -278,6 +278,42 @@
     assert owned == expected, (owned, _states(context.record))
 
 
+@given("a cell of {count:d} members that all drain, as their servers do not respond")
+def all_drain(context: Any, count: int) -> None:
+    _form_cell(context, count)
+    row = replace(context.cell_table.service, wait_return_s=0.0)
+    context.cell_table = replace(context.cell_table, service=row)
+    context.now = 10.0
+    coordinator = _new_coordinator(context)
+    for name in context.names:
+        _report_of_member(context, coordinator, name, healthy=False)
+    planned = coordinator.plan(context.record, context.cell_table, "w", context.now)
+    assert planned is not None
+    assert set(_states(planned).values()) == {MemberState.DRAINING}
+    context.record = planned
+
+
+@when("a new coordinator gets the heartbeats of members that can serve, one every {gap:g} s")
+def members_report_in_turn(context: Any, gap: float) -> None:
+    context.owners_before = [context.record.owner_of(s).incarnation for s in context.record.shards]
+    context.owners_seen = [context.owners_before]
+    coordinator = _new_coordinator(context)
+    for reporting in range(1, len(context.names) + 1):
+        context.now += gap
+        for name in context.names[:reporting]:
+            _report_of_member(context, coordinator, name)
+        planned = coordinator.plan(context.record, context.cell_table, "w", context.now)
+        context.record = planned or context.record
+        owners = [context.record.owner_of(s).incarnation for s in context.record.shards]
+        context.owners_seen.append(owners)
+
+
+@then("every member is active and no shard has moved")
+def active_and_unmoved(context: Any) -> None:
+    assert set(_states(context.record).values()) == {MemberState.ACTIVE}, _states(context.record)
+    assert all(o == context.owners_before for o in context.owners_seen), context.owners_seen
+
+
 @then("each stored member has the fields that an earlier version requires")
 def stored_fields(context: Any) -> None:
     rows = json.loads(context.record.to_bytes())["members"]
--- a/packages/coordination/src/pearward_coordination/coordinator.py
+++ b/packages/coordination/src/pearward_coordination/coordinator.py
@@ -168,7 +168,7 @@
             ended=ended,
             draining=self._draining(table, fresh, now),
             stopping=frozenset(n for n, r in fresh.items() if r.heartbeat.stopping),
-            available=frozenset(n for n, r in fresh.items() if _is_available(r.heartbeat)),
+            available=self._available(record, fresh, now),
             settled={name: r.heartbeat.settled for name, r in fresh.items()},
             released={name: r.heartbeat.released for name, r in fresh.items()},
         )
@@ -290,6 +290,18 @@
                 votes += 1
         return bool(witnesses) and votes >= majority(len(witnesses))
 
+    def _available(
+        self, record: CellRecord, fresh: dict[str, _Report], now: float
+    ) -> frozenset[str]:
+        """Return the members that report that they can own shards.
+
+        None is returned before all had time to report to this coordinator: the first of them would
+        get the shards of those that still drain, as these can be taken from them at last.
+        """
+        if _has_silent_members(record, fresh) and not self._has_awaited_reports(now):
+            return frozenset()
+        return frozenset(n for n, r in fresh.items() if _is_available(r.heartbeat))
+
     def _has_awaited_reports(self, now: float) -> bool:
         """Return whether each member has had time to report to this coordinator."""
         return now - self._started_at >= REPORT_MAX_AGE_HEARTBEATS * self._timing.heartbeat_s
