A planned stop ends when the record names it, not when it shows no shard

Change: a daemon ends when the record names its planned stop, or after 3 s: coordinators of an earlier version do not write that, and without the store no record can.

--- a/features/steps/stopped_daemon_steps.py
+++ b/features/steps/stopped_daemon_steps.py
@@ -60,10 +60,16 @@
 @when("{seconds:g} s have passed and the record names it {state}")
 def time_passed(context: Any, seconds: float, state: str) -> None:
     first, *others = context.cell_members
-    members = (replace(first, state=MemberState(state)), *others)
+    forms = {
+        "active": (first,),
+        "draining": (replace(first, state=MemberState.DRAINING),),
+        "stopping": (replace(first, state=MemberState.DRAINING, stopping=True),),
+        "nowhere": (),
+    }
+    members = (*others, *forms[state])
     shards = ShardMap.even(4)
     for index in range(4):
-        shards.owners[index] = 1
+        shards.owners[index] = 0
         shards.epochs[index] = 1
     ownership = Ownership("i0", OwnerLease(LeaseTiming()))
     ownership.adopt(CellRecord("premview", "premview", 2, "w2", members, shards))
--- a/features/stopped_daemon.feature
+++ b/features/stopped_daemon.feature
@@ -17,7 +17,10 @@
 
     Examples:
       | case                         | seconds | state    | ends         |
-      | requests may still come      | 0.9     | draining | goes on      |
+      | requests may still come      | 0.9     | stopping | goes on      |
       | shards may still be given    | 1.2     | active   | goes on      |
-      | nothing will be given        | 1.2     | draining | ends         |
+      | an operator may end a drain  | 1.2     | draining | goes on      |
+      | it may be admitted           | 1.2     | nowhere  | goes on      |
+      | nothing will be given        | 1.2     | stopping | ends         |
       | the record cannot be written | 3.1     | active   | ends         |
+      | it was not admitted          | 3.1     | nowhere  | ends         |
--- a/packages/coordination/src/pearward_coordination/planned_stop.py
+++ b/packages/coordination/src/pearward_coordination/planned_stop.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pearward_state.records import CellRecord, Member, MemberState
+from pearward_state.records import CellRecord, Member
 
 from .ownership import Ownership
 
@@ -11,8 +11,9 @@
 MIN_DRAIN_S = 1.0
 """Minimum time in s of draining, in which peers that have no newer record yet may send requests."""
 RECORD_WAIT_S = 3.0
-"""Time in s for which a daemon that owns nothing waits until the record says that it leaves: until
-then a coordinator may give it shards. Without the store no record can say so."""
+"""Time in s for which a daemon that owns nothing waits until the record names its planned stop:
+until then a coordinator may give it shards. Coordinators of an earlier version do not write that,
+and without the store no record can."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,13 +30,15 @@
             return False
         record = ownership.record
         member = record.member(self.incarnation) if record is not None else None
-        if record is None or member is None:
+        if record is None:
             return True
+        if member is None:
+            return waited_s >= RECORD_WAIT_S
         if not server_healthy or not _has_successor(record, member):
             return True
         if ownership.shard_count or ownership.released < record.version:
             return False
-        return member.state is not MemberState.ACTIVE or waited_s >= RECORD_WAIT_S
+        return member.stopping or waited_s >= RECORD_WAIT_S
 
 
 def _has_successor(record: CellRecord, member: Member) -> bool:
