The hand-over of the coordinator's role holds at every moment of a planned stop

Cause: the role was handed over at one moment only. It was kept if the store failed once, if it was taken while the stop began, or before its key had been read; it was given up where nobody could take it. A daemon in a planned stop replaced a holder whose replies it missed, since it sent no more heartbeats to it, and ended with the role.

Change: the removal of the key is repeated until the store responds, waits for the record, and for another active member; a role that is taken during a planned stop is given up again, one that is taken at the end returns its lease. A daemon that leaves the role to its holder goes on with its heartbeats, and in a planned stop it replaces no holder. Write ids name the term of the role. A grant that was under way at the end leads to no other one.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -93,10 +93,41 @@
     And the other members are notified that it does not coordinate
     And it does not coordinate
 
-  Scenario: A coordinator whose planned stop begins while the store is unavailable keeps the role
+  Scenario: A coordinator whose planned stop begins while the store is unavailable gives the role up later
     Given a daemon that has taken the role and read the record of a cell of 4
     When its planned stop begins while the store is unavailable
     Then it coordinates
+    When the store has been available again for 1 second
+    Then no daemon holds the role
+    And it does not coordinate
+
+  Scenario: A coordinator that no active member can succeed keeps the role in its planned stop
+    Given a daemon that has taken the role and read the record of a cell of 4
+    When its planned stop begins while all others are draining
+    Then it coordinates
+
+  Scenario: A daemon that takes the role while its planned stop begins gives it up again
+    Given a daemon that has read the record of a cell of 4 and whose planned stop has begun
+    When the store confirms that it has taken the role
+    Then no daemon holds the role
+    And it does not coordinate
+
+  Scenario: A planned stop that begins before the new coordinator has read the record hands the role over
+    Given a daemon that has taken the role while the store is unavailable
+    When its planned stop begins while the store is unavailable
+    And the store has been available again for 1 second
+    Then no daemon holds the role
+
+  Scenario: A daemon that takes the role as it ends returns it
+    Given a daemon that has read the record of a cell of 4 and whose planned stop has begun
+    When it ends and the store confirms that it has taken the role
+    Then it returns the lease of the role's key
+
+  # It looked for a coordinator again and again, but sent no heartbeat to the one that it found.
+  Scenario: A daemon that leaves the role to its holder goes on sending heartbeats to it
+    Given a daemon that looks for the coordinator of its cell, and another one holds the role
+    When it gets no reply for 3 seconds while it hears no other
+    Then it has found the holder at "10.0.0.9:1" in the last second
 
   Scenario Outline: A daemon in a planned stop leaves the role to the others: <case>
     Given a daemon that looks for the coordinator of its cell, and no daemon holds the role
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -19,7 +19,7 @@
 from pearward_daemon.coordinator_election import CoordinatorElection
 from pearward_daemon.settings import Settings
 from pearward_devtools.memory_store import MemoryStore
-from pearward_state.records import CellRecord, Member
+from pearward_state.records import CellRecord, Member, MemberState
 from pearward_state.shards import ShardMap
 from pearward_state.table import Kind, Policy, ServerRow, ServiceRow, ServiceTable
 
@@ -227,6 +227,7 @@
     if context.holder:
         context.store.put(ROLE_KEY, context.holder)
     context.taken_leases = []
+    context.found = []
     me = PeerId("i0", "10.0.0.0:1")
     context.election = CoordinatorElection(
         Clock(),
@@ -234,7 +235,7 @@
         me,
         SERVICE,
         Random(1),
-        lambda address: None,
+        lambda address: context.found.append((context.election_time, address)),
         context.taken_leases.append,
     )
 
@@ -242,7 +243,8 @@
 @when("it gets no reply for {seconds:d} seconds while it {hears}")
 def no_reply(context: Any, seconds: int, hears: str) -> None:
     for step in range(int(seconds / STEP_S)):
-        with _election_time(1000.0 + step * STEP_S):
+        context.election_time = 1000.0 + step * STEP_S
+        with _election_time(context.election_time):
             if not context.taken_leases:
                 context.election.tick(0, 0.0, may_replace=hears != "hears no other")
 
@@ -364,19 +366,84 @@
     assert len(context.store.watches) == context.waiting, len(context.store.watches)
 
 
-@given("a daemon that has taken the role and read the record of a cell of {count:d}")
-def has_role_and_record(context: Any, count: int) -> None:
-    has_role(context)
+def _cell_record(count: int, *, others: MemberState = MemberState.ACTIVE) -> CellRecord:
+    """Return the record of a cell whose members but "i1" are in state *others*."""
     service = VALID["server"]["service"]
-    members = _record(count).members
-    record = CellRecord(service, service, 1, "w1", members, ShardMap.even(count))
-    context.control.record_written(record, record.to_bytes())
-    context.store.put(f"cell/{service}", record.to_bytes())
-    context.control._cell_coordinator._record = record
+    members = tuple(
+        m if m.incarnation == "i1" else replace(m, state=others) for m in _record(count).members
+    )
+    return CellRecord(service, service, 1, "w1", members, ShardMap.even(count))
+
+
+def _put_role_and_record(context: Any, count: int) -> None:
+    service = VALID["server"]["service"]
+    context.store.put(f"cell/{service}", _cell_record(count).to_bytes())
+    role = {"incarnation": context.control.incarnation, "address": "127.9.0.1:7401"}
+    context.store.put(f"coordinator/{service}", json.dumps(role).encode())
     context.sent = []
     context.control._send = lambda address, message: context.sent.append((address, message))
 
 
+@given("a daemon that has taken the role and read the record of a cell of {count:d}")
+def has_role_and_record(context: Any, count: int) -> None:
+    control = control_plane(context)
+    _put_role_and_record(context, count)
+    control._role_taken(1)
+
+
+@given("a daemon that has read the record of a cell of {count:d} and whose planned stop has begun")
+def stopping_with_record(context: Any, count: int) -> None:
+    control = control_plane(context)
+    _put_role_and_record(context, count)
+    record = _cell_record(count)
+    control.record_written(record, record.to_bytes())
+    control.drain()
+
+
+@given("a daemon that has taken the role while the store is unavailable")
+def has_role_unread(context: Any) -> None:
+    control = control_plane(context)
+    _put_role_and_record(context, 4)
+    context.store.unavailable = True
+    control._role_taken(1)
+
+
+@when("the store confirms that it has taken the role")
+def role_confirmed(context: Any) -> None:
+    context.control._role_taken(1)
+
+
+@when("it ends and the store confirms that it has taken the role")
+def role_confirmed_at_end(context: Any) -> None:
+    context.control.stop()
+    context.control._role_taken(1)
+
+
+@then("it returns the lease of the role's key")
+def lease_returned(context: Any) -> None:
+    assert context.store.revoked == [1], context.store.revoked
+    assert not context.control.coordinating
+
+
+@when("its planned stop begins while all others are draining")
+def planned_stop_of_all(context: Any) -> None:
+    context.control._cell_coordinator._record = _cell_record(4, others=MemberState.DRAINING)
+    context.control.drain()
+
+
+@when("the store has been available again for {seconds:g} second")
+def available_again(context: Any, seconds: float) -> None:
+    context.store.unavailable = False
+    for _ in range(int(seconds / STEP_S)):
+        context.control._reactor.advance(STEP_S)
+
+
+@then('it has found the holder at "{address}" in the last second')
+def found_lately(context: Any, address: str) -> None:
+    assert context.found[-1][0] >= context.election_time - 1.0, context.found
+    assert context.found[-1][1] == address
+
+
 @when("its planned stop begins")
 def planned_stop(context: Any) -> None:
     context.control.drain()
--- a/packages/daemon/src/pearward_daemon/cell_coordinator.py
+++ b/packages/daemon/src/pearward_daemon/cell_coordinator.py
@@ -15,7 +15,7 @@
 from pearward_coordination.messages import Heartbeat, HeartbeatReply, PeerId
 from pearward_protocol.etcd import KeyRevision, KeyValue, WatchEvent
 from pearward_state.errors import InvalidRecord
-from pearward_state.records import CellRecord, Instance
+from pearward_state.records import CellRecord, Instance, MemberState
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time, sleep
 from pearward_transport.errors import CasConflict, PlatformUnavailable
@@ -87,6 +87,7 @@
         self._role = KeyRevision(f"coordinator/{cell}", 0)
         """The role's key, with its revision from when this daemon took the role."""
         self._resigning = False
+        """Whether this daemon is to give up the role, as its planned stop has begun."""
         self._table: ServiceTable | None = None
         self._writes = 0
         self._writing = False
@@ -137,15 +138,18 @@
     def resign(self) -> None:
         """Remove the role's key, so that another member takes the role at once.
 
-        If the store is unavailable, this daemon continues to coordinate.
+        This daemon coordinates until the store has confirmed that, and for as long as no other
+        member is active.
         """
-        if not self._stopped and not self._resigning:
-            self._resigning = True
+        if self._resigning or self._stopped:
+            return
+        self._resigning = True
+        if self._loaded:
             spawn(self._resign())
 
     def tick(self) -> None:
         """Run the periodic tasks that are due."""
-        if self._stopped or self._resigning:
+        if self._stopped:
             return
         now = boot_time()
         if not self._loaded:
@@ -184,18 +188,22 @@
                 await self._read_record()
                 await self._read_table()
                 self._loaded = True
+                if self._resigning:
+                    await self._resign()
             except PlatformUnavailable as error:
                 eliot.log_message("pearward:platform-call-failed", call="load", error=str(error))
                 await sleep(self._reactor, READ_RETRY_S)
 
     async def _read_role(self) -> None:
-        """Read the revision of the role's key; give up the role if another daemon holds it."""
-        pair = await self._platform.get(self._role.key)
-        holder = role_holder(pair)
-        if holder is None or holder.incarnation != self._me.incarnation:
+        """Read the revision of the role's key, which the write that took the role does not return.
+
+        Give up the role if another daemon holds it.
+        """
+        holder = role_holder(await self._platform.get(self._role.key))
+        if holder is not None and holder.incarnation == self._me.incarnation:
+            self._role = KeyRevision(self._role.key, holder.revision)
+        else:
             self._give_up_role(holder.address if holder is not None else "")
-            return
-        self._role = KeyRevision(self._role.key, holder.revision)
 
     async def _read_record(self) -> None:
         pair = await self._platform.get(self.key)
@@ -267,7 +275,7 @@
         if self._record is None or self._table is None:
             return
         self._writes += 1
-        write_id = f"{self._me.incarnation}:{self._writes}"
+        write_id = f"{self._me.incarnation}:{self._role.revision}:{self._writes}"
         planned = self._core.plan(self._record, self._table, write_id, now)
         self._log.log_belief(self._core.belief, self._record.version)
         if planned is not None:
@@ -310,32 +318,44 @@
     async def _check_role(self) -> None:
         """Give up the role if the platform's store names another holder."""
         try:
-            pair = await self._platform.get(self._role.key)
+            holder = role_holder(await self._platform.get(self._role.key))
         except PlatformUnavailable as error:
             eliot.log_message("pearward:platform-call-failed", call="check role", error=str(error))
             return
-        holder = role_holder(pair)
         if holder is None or holder.revision != self._role.revision:
             self._give_up_role(holder.address if holder is not None else "")
 
     async def _resign(self) -> None:
-        """Remove the role's key, and notify the members, who then elect a successor at once."""
-        try:
-            await self._platform.swap(self._role.key, self._role.revision, None)
-        except CasConflict:
-            await self._check_role()
-            return
-        except PlatformUnavailable as error:
-            eliot.log_message("pearward:platform-call-failed", call="resign", error=str(error))
-            return
-        finally:
-            self._resigning = False
+        """Remove the role's key, with retries until the store responds; notify the members.
+
+        The members elect a successor at once. A conflict shows that an earlier try took effect or
+        that another daemon holds the role.
+        """
+        while not self._stopped and self._has_active_successor():
+            try:
+                await self._platform.swap(self._role.key, self._role.revision, None)
+            except CasConflict as error:
+                eliot.log_message("pearward:role-already-gone", cell=self._cell, error=str(error))
+            except PlatformUnavailable as error:
+                eliot.log_message("pearward:platform-call-failed", call="resign", error=str(error))
+                await sleep(self._reactor, READ_RETRY_S)
+                continue
+            self._notify_resigned()
+            self._give_up_role("")
+
+    def _has_active_successor(self) -> bool:
+        """Return whether the record has another active member, which can take the role."""
+        return self._record is not None and any(
+            m.state is MemberState.ACTIVE and m.incarnation != self._me.incarnation
+            for m in self._record.members
+        )
+
+    def _notify_resigned(self) -> None:
+        """Notify the other members that this daemon does not coordinate any more."""
         reply = HeartbeatReply(self._cell, False, 0)
-        members = self._record.members if self._record is not None else ()
-        for member in members:
+        for member in self._record.members if self._record is not None else ():
             if member.incarnation != self._me.incarnation:
                 self._store.reply(PeerId(member.incarnation, member.peer), reply)
-        self._give_up_role("")
 
     # -- the table and the list -----------------------------------------------
 
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -47,7 +47,7 @@
 
 TICK_S = 0.05
 DIGEST_S = 1.0
-STOPPING_ELECTION_DELAY_S = 2.0
+LEAVE_ROLE_S = 2.0
 """Time after the start of a planned stop for which a daemon leaves the role to other members: it
 takes the role only if none of them does."""
 LISTENER_CHECK_S = 0.25
@@ -422,6 +422,9 @@
         self._agent.set_coordinator(address)
 
     def _role_taken(self, lease: int) -> None:
+        if self._stopped:
+            spawn(self._return_role(lease))
+            return
         if self._cell_coordinator is not None:
             # The role was taken again under another lease: pending calls of the earlier term
             # must not end this one.
@@ -443,6 +446,16 @@
         writer.core.note_ended(self._ended)
         writer.start()
         self._agent.set_coordinator(self._me.address)
+        if not self._may_take(boot_time()):
+            # The planned stop began while the role was being taken.
+            writer.resign()
+
+    async def _return_role(self, lease: int) -> None:
+        """Remove the role's key, which was written while this daemon stopped, with its lease."""
+        try:
+            await self._platform.revoke(lease)
+        except PlatformUnavailable as error:
+            eliot.log_message("pearward:platform-call-failed", call="revoke role", error=str(error))
 
     def _role_lost(self, successor: str) -> None:
         self._cell_coordinator = None
@@ -457,7 +470,8 @@
         self._act(self._agent.tick(now))
         isolated = self._contact.is_isolated(now)
         election_delay_s = self._contact.election_delay_s(now, lease_held=self.lease_held)
-        may_replace = self._contact.may_replace_coordinator(now)
+        # A daemon that is about to end leaves a holder of the role that is silent to other members.
+        may_replace = self._draining_since is None and self._contact.may_replace_coordinator(now)
         self._election.tick(
             self._rank(), election_delay_s, may_replace=may_replace, may_take=self._may_take(now)
         )
@@ -504,7 +518,7 @@
     def _may_take(self, now: float) -> bool:
         """Return whether this daemon may take the coordinator's role."""
         since = self._draining_since
-        return since is None or now - since >= STOPPING_ELECTION_DELAY_S
+        return since is None or now - since >= LEAVE_ROLE_S
 
     def _is_idle_member(self) -> bool:
         """Return whether the record lists this daemon as a member while it holds no lease.
@@ -561,6 +575,8 @@
     async def _grant(self, grant: GrantServer) -> None:
         """Send the server the full set of shards that it owns now."""
         accepted = await self._server.grant(grant)
+        if self._stopped:
+            return
         self._act(self._agent.server_granted(grant, accepted, boot_time()))
         # Requests wait for this reply, even if it causes no action.
         self._notify_serving_change()
--- a/packages/daemon/src/pearward_daemon/coordinator_election.py
+++ b/packages/daemon/src/pearward_daemon/coordinator_election.py
@@ -107,10 +107,10 @@
 
         *rank* orders the members, so that they do not all call the platform at once;
         *election_delay_s* delays a daemon that has no lease. Without *may_replace* the role is
-        taken only if it has no holder, without *may_take* not even then.
+        taken only if it has no other holder, without *may_take* not even then.
         """
         now = boot_time()
-        self._may_replace = may_replace and may_take
+        self._may_replace = may_replace
         self._may_take = may_take
         if self._seeking or now < self._not_before:
             return
@@ -135,7 +135,7 @@
             if role is not None and foreign and not self._may_replace:
                 self._defer_to_holder(role)
                 return
-            if role is None and not self._may_take:
+            if not foreign and not self._may_take:
                 # Another member is about to take the role.
                 self._last_reply = boot_time() - COORDINATOR_SILENCE_S
                 return
@@ -157,10 +157,11 @@
         This daemon is cut off from its peers in at least one direction. The holder coordinates the
         others, or its key expires with its lease. Without this rule a daemon that was cut off took
         the role every 5 to 11 s, and each time the others had no coordinator for 1 to 2 s (four
-        runs of 20 to 40 s).
+        runs of 20 to 40 s). It goes on sending heartbeats to the holder, which may reply later.
         """
         eliot.log_message("pearward:role-kept-by-holder", cell=self._cell, holder=role.incarnation)
         self._last_reply = boot_time() - COORDINATOR_SILENCE_S
+        self._on_found(role.address)
 
     async def _take(self, revision: int) -> None:
         lease = await self._platform.grant_lease(ROLE_TTL_S)
--- a/packages/devtools/src/pearward_devtools/memory_store.py
+++ b/packages/devtools/src/pearward_devtools/memory_store.py
@@ -30,6 +30,8 @@
         self.unavailable = False
         self.reads: list[str] = []
         """Keys and prefixes of all calls, in order."""
+        self.revoked: list[int] = []
+        """Leases that were revoked, in order."""
         self.watches: set[_EmptyWatch] = set()
         """Watches that have not been stopped."""
 
@@ -94,8 +96,9 @@
         return True
 
     async def revoke(self, lease: int) -> None:
-        """End a lease."""
+        """End a lease; its keys stay."""
         self._check("")
+        self.revoked.append(lease)
 
     def watch(
         self,
