A new planner gives no keys to a target whose daemon is stopping

Callers: keys without a holder while two daemons are stopped one after the other. The planner moves the keys of the first one's target away; then its own daemon is stopped, and the next planner gives the first target keys again. Its daemon still reports, and exits 1 to 2.5 s later.

Cause: the decision about a planned stop is in the planner's memory. A planner that has just become active decides only after GRACE_S, and until then treats the target as any other owner; an owner without keys gets a share at once.

Fix: keys move to a target whose daemon is stopping only if the planner has decided about the stop (they stay) and the target owns some.

--- /dev/null
+++ b/features/planner_change.feature
@@ -0,0 +1,18 @@
+Feature: Another daemon becomes the planner, in virtual time
+
+  What a new planner does not know yet about an owner must not move the owner's keys.
+
+  # Guards against keys that a new planner gives back to a target whose daemon stops: the former
+  # planner had moved them away, and the new one has not decided about the stop.
+  Scenario Outline: A new planner gives no keys to a target whose daemon is stopping
+    Given a fleet of 4 targets that serves
+    When each target gets 8 requests a second and daemon 2 is stopped and restarted
+    And the planner's daemon is stopped <delay> s later
+    Then target 2 gets no key until its daemon is back
+
+    Examples:
+      | delay |
+      | 0.5   |
+      | 1     |
+      | 1.5   |
+      | 2     |
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -80,6 +80,11 @@
     return leaving, -member.link_mbit_per_s, member.instance
 
 
+def _owns_keys(target: str, key_map: KeyMap) -> bool:
+    """Return whether the map assigns keys to a target."""
+    return any(r.owner == target for r in key_map.ranges)
+
+
 @dataclass(slots=True)
 class _Service:
     """State of one keyed service."""
@@ -380,8 +385,11 @@
         self, key_map: KeyMap, service: _Service, silent: frozenset[str], now: float
     ) -> KeyMap | None:
         """Return a map that moves keys off unavailable owners or balances the load, or None."""
-        owners = self._owners(key_map.service, service, now)
-        owners = [owner for owner in owners if owner.target not in silent]
+        owners = [
+            owner
+            for owner in self._owners(key_map.service, service, now)
+            if owner.target not in silent and self._may_get_keys(owner.target, key_map, service)
+        ]
         present = {owner.target for owner in owners}
         unheard = self._unreported(key_map, service, present, now) - silent
         unowned = any(r.owner not in present | unheard for r in key_map.ranges)
@@ -413,6 +421,17 @@
         )  # fmt: skip
         return planned
 
+    def _may_get_keys(self, target: str, key_map: KeyMap, service: _Service) -> bool:
+        """Return whether keys may move to an owner whose daemon is possibly stopping.
+
+        One that is stopping gets none before the planner has decided about the stop, nor if it has
+        none: the former planner may have moved them away.
+        """
+        member = self._directory.member_of(target)
+        if member is None or not member.stopping:
+            return True
+        return target in service.stopping and _owns_keys(target, key_map)
+
     def _unreported(
         self, key_map: KeyMap, service: _Service, present: set[str], now: float
     ) -> frozenset[str]:
