A new planner gives no keys to a target without keys that has not reported to it

Callers: keys without a holder for as long as an instance is isolated from the other daemons, or for 3.7 s after an instance was lost. The planner has moved the keys of that target away; then its own target drains (or its daemon stops), and the next planner gives the lost target keys in its first plan.

Cause: an owner that has never reported to a planner and has an entry counts as an owner with the mean capacity. Why the former planner took its keys is in no entry: the entry of a lost instance lasts up to 3 s, that of an isolated one for good, and that of a draining target says ready while the store refuses its daemon.

Fix: keys move to a target that has none only once it has reported to this planner. The map itself shows which owners the former planner considered sound. An owner with keys is planned with as before. A daemon reports a new target at once, so that new targets get keys no later than before.

--- a/features/planner_change.feature
+++ b/features/planner_change.feature
@@ -16,3 +16,18 @@
       | 1     |
       | 1.5   |
       | 2     |
+
+  # Guards against keys that a new planner gives back to a target that has not reported to it: the
+  # former planner had moved them away, and the target's entry does not show why.
+  Scenario Outline: A new planner gives no keys to a target without keys that has not reported to it
+    Given a fleet of 4 targets that serves
+    When <event>, and the planner has moved the keys of target 2
+    And the planner's target starts to drain
+    Then target 2 gets no key within 3 s
+    And every key is served after 1 s
+
+    Examples:
+      | event                                               |
+      | instance 2 is lost just after it renewed its lease  |
+      | daemon 2 is isolated from its peers                 |
+      | target 2 drains while the store refuses its daemon  |
--- a/features/steps/planner_change_steps.py
+++ b/features/steps/planner_change_steps.py
@@ -140,3 +140,52 @@
         _run(context, TICK_S, context.rate)
     gained = _moves(context).of(node.target.id)
     assert not gained, gained
+
+
+def _lose(world: World, node: Node) -> None:
+    """Lose an instance just after its lease in the store was renewed, so that its entry lasts."""
+    lease = world.store.items[member_key(f"instance-{node.number}")].lease
+    until = world.store.leases[lease][1]
+    while world.store.leases[lease][1] == until:
+        world.run(TICK_S)
+    world.lose(node)
+
+
+def _isolate(world: World, node: Node) -> None:
+    node.cut_from_peers = True
+
+
+def _drain_unseen(world: World, node: Node) -> None:
+    assert node.target is not None
+    node.cut_from_store = True
+    node.target.draining = True
+
+
+EVENTS: dict[str, Callable[[World, Node], None]] = {
+    "instance 2 is lost just after it renewed its lease": _lose,
+    "daemon 2 is isolated from its peers": _isolate,
+    "target 2 drains while the store refuses its daemon": _drain_unseen,
+}
+
+
+@when("{event}, and the planner has moved the keys of target 2")
+def moved_away(context: Any, event: str) -> None:
+    world = context.world
+    node = world.nodes[2]
+    EVENTS[event](world, node)
+    _run_until(
+        context, lambda: not _stored_map(world).owned_by(node.target.id), seconds=MOVE_LIMIT_S
+    )
+
+
+@when("the planner's target starts to drain")
+def drain_planner(context: Any) -> None:
+    _planner(context.world).target.draining = True
+    context.key_moves = KeyMoves(context.world)
+
+
+@then("target {number:d} gets no key within {seconds:g} s")
+def gets_none(context: Any, number: int, seconds: float) -> None:
+    _run(context, seconds)
+    gained = _moves(context).of(context.world.nodes[number].target.id)
+    assert not gained, gained
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -34,7 +34,7 @@
 from pearward_state.crashes import CrashRecord
 from pearward_state.errors import InvalidRecord
 from pearward_state.keymap import KeyMap, Predecessor
-from pearward_state.members import Member, TargetState
+from pearward_state.members import Member
 from pearward_state.routes import RoutingTable
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
@@ -337,10 +337,13 @@
     # -- the target --------------------------------------------------------------------
 
     def target_info_changed(self, info: TargetInfo | None) -> None:
-        """Publish the changed state of the local target."""
+        """Publish the changed state of the local target, and report it to the planner.
+
+        A new target gets no keys before its first report.
+        """
         self._note_ended_targets()
         self._publish()
-        if info is not None and info.state is not TargetState.READY:
+        if info is not None:
             self._send_report()
 
     def keys_changed(self) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -388,7 +388,8 @@
         owners = [
             owner
             for owner in self._owners(key_map.service, service, now)
-            if owner.target not in silent and self._may_get_keys(owner.target, key_map, service)
+            if owner.target not in silent
+            and self._may_get_keys(owner.target, key_map, service, now)
         ]
         present = {owner.target for owner in owners}
         unheard = self._unreported(key_map, service, present, now) - silent
@@ -421,16 +422,19 @@
         )  # fmt: skip
         return planned
 
-    def _may_get_keys(self, target: str, key_map: KeyMap, service: _Service) -> bool:
-        """Return whether keys may move to an owner whose daemon is possibly stopping.
+    def _may_get_keys(self, target: str, key_map: KeyMap, service: _Service, now: float) -> bool:
+        """Return whether keys may move to an owner.
 
-        One that is stopping gets none before the planner has decided about the stop, nor if it has
-        none: the former planner may have moved them away.
+        One without keys must have reported, and must not be stopping: a former planner may have
+        moved its keys away for a reason that this one does not know. One with keys that is
+        stopping gets none before the planner has decided about the stop.
         """
         member = self._directory.member_of(target)
-        if member is None or not member.stopping:
-            return True
-        return target in service.stopping and _owns_keys(target, key_map)
+        stopping = member is not None and member.stopping
+        if _owns_keys(target, key_map):
+            return not stopping or target in service.stopping
+        report, age = self._report(service, target, now)
+        return not stopping and report is not None and age <= MAX_REPORT_AGE_S
 
     def _unreported(
         self, key_map: KeyMap, service: _Service, present: set[str], now: float
