A new planner moves the keys of an instance that it never hears from

Callers: keys without a holder for as long as an instance is isolated from the other daemons but not from the store, if the planner changes in that time.

Cause: an owner that has never reported to this planner and has an entry was never considered silent, as it may report to another planner.

Fix: 8 s after it has become active a planner considers such an owner silent if it gets the reports of more than half of the owners. Those know which planner is active, and so does this owner if it can be reached. Without that majority nothing changes; the second new scenario guards this (it fails if the majority is not required).

Not changed: in a service with two owners one is no majority.

--- a/features/planner_change.feature
+++ b/features/planner_change.feature
@@ -31,3 +31,16 @@
       | instance 2 is lost just after it renewed its lease  |
       | daemon 2 is isolated from its peers                 |
       | target 2 drains while the store refuses its daemon  |
+
+  # Guards against keys that stay with an isolated instance for good: the new planner has never had
+  # a report of it, and takes its entry in the store as a sign of life.
+  Scenario: A new planner moves the keys of an instance that it never hears from
+    Given a fleet of 4 targets that serves
+    When daemon 2 is isolated from its peers and the planner's target starts to drain
+    Then every key is served after 11 s
+
+  # Guards against a planner that assigns all keys to itself: the owners report to another one.
+  Scenario: A planner to which most owners do not report takes no keys from them
+    Given a fleet of 4 targets that serves
+    When daemon 1 gets no report, and the planner's target starts to drain
+    Then targets 2 and 3 keep their keys for 15 s
--- a/features/steps/planner_change_steps.py
+++ b/features/steps/planner_change_steps.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from behave import then, when
 
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
+from pearward_coordination.messages import KeyReport
 from pearward_protocol.entries import decode_key_map, decode_member, key_map_key, member_key
 from pearward_state.keymap import KeyMap
 from tests.fuzz.mesh_targets import SERVICE
@@ -189,3 +191,36 @@
     _run(context, seconds)
     gained = _moves(context).of(context.world.nodes[number].target.id)
     assert not gained, gained
+
+
+@when("daemon {number:d} is isolated from its peers and the planner's target starts to drain")
+def isolate_and_drain(context: Any, number: int) -> None:
+    context.world.nodes[number].cut_from_peers = True
+    drain_planner(context)
+
+
+@when("daemon {number:d} gets no report, and the planner's target starts to drain")
+def no_reports(context: Any, number: int) -> None:
+    planner = context.world.nodes[number].daemon.core.planner
+    from_itself = planner.reported
+
+    def reported(report: KeyReport) -> int:
+        own = report.target == context.world.nodes[number].target.id
+        return from_itself(report) if own else 0
+
+    patch = mock.patch.object(planner, "reported", reported)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    drain_planner(context)
+
+
+@then("targets {first:d} and {second:d} keep their keys for {seconds:g} s")
+def keep_keys(context: Any, first: int, second: int, seconds: float) -> None:
+    world = context.world
+    targets = {world.nodes[number].target.id for number in (first, second)}
+    before = {key: owner for key, owner in world.holders().items() if owner in targets}
+    assert set(before.values()) == targets
+    _run(context, seconds)
+    assert _planner(world).target.draining is False
+    owners = {key: _stored_map(world).range_of(key).owner for key in before}
+    assert owners == before, owners
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -72,6 +72,10 @@
 """Seconds between two queries to the same instance, since a message may be lost."""
 GRACE_S = 1.5
 """Seconds from becoming active until owners may be considered silent: reports must arrive first."""
+UNREPORTED_S = 8.0
+"""Seconds from becoming active until an owner with an entry that has never reported is considered
+silent, if most owners report: longer than a daemon needs to try all of its watchers in turn, or to
+report again after a planned stop."""
 
 
 def _planner_order(member: Member) -> tuple[bool, float, str]:
@@ -373,6 +377,11 @@
             return None, 0.0
         return found[0], now - found[1]
 
+    def _reports(self, service: _Service, target: str, now: float) -> bool:
+        """Return whether a current report of a target is known."""
+        report, age = self._report(service, target, now)
+        return report is not None and age <= MAX_REPORT_AGE_S
+
     def _mean_capacity(self, service: _Service, now: float) -> float:
         """Return the mean measured capacity of the owners, or of all if each limits its rate."""
         fresh = [r for r, at in service.reports.values() if now - at <= MAX_REPORT_AGE_S]
@@ -433,8 +442,7 @@
         stopping = member is not None and member.stopping
         if _owns_keys(target, key_map):
             return not stopping or target in service.stopping
-        report, age = self._report(service, target, now)
-        return not stopping and report is not None and age <= MAX_REPORT_AGE_S
+        return not stopping and self._reports(service, target, now)
 
     def _unreported(
         self, key_map: KeyMap, service: _Service, present: set[str], now: float
@@ -458,22 +466,36 @@
     # -- lost targets ------------------------------------------------------------------
 
     def _silent_targets(self, key_map: KeyMap, service: _Service, now: float) -> list[str]:
-        """Return targets whose daemons stopped reporting, or never reported and have no entry."""
+        """Return targets whose daemons stopped reporting, or never reported.
+
+        One that never reported and has an entry may still report to another planner.
+        """
         assert self._active_since is not None
         if now - self._active_since < GRACE_S + self._settings.silent_s:
             return []
         silent: list[str] = []
+        reports_due = self._are_reports_due(key_map, service, now)
         for target in key_map.targets:
             if target in service.ended:
                 continue
             report, age = self._report(service, target, now)
             if report is not None and age < self._silence_limit_s(target, service):
                 continue
-            if report is None and self._directory.is_registered(target):
+            if report is None and self._directory.is_registered(target) and not reports_due:
                 continue
             silent.append(target)
         return silent
 
+    def _are_reports_due(self, key_map: KeyMap, service: _Service, now: float) -> bool:
+        """Return whether every daemon must have had time to report to this planner.
+
+        It is certain only if most owners report here: else they may report to another planner.
+        """
+        assert self._active_since is not None
+        owners = {r.owner for r in key_map.ranges}
+        reporting = sum(self._reports(service, owner, now) for owner in owners)
+        return now - self._active_since >= UNREPORTED_S and 2 * reporting > len(owners)
+
     def _silence_limit_s(self, target: str, service: _Service) -> float:
         """Return the seconds without a report after which an owner loses its keys."""
         waits = service.stopping.get(target) is False
