Planner: the owners of a map are collected once a plan

They were searched for each owner at each plan, some 60 x 200 rows every 0.2 s at grown sizes. No change of behaviour: 54 scenarios of planner_change, coordinator_role and planned_stop_role passed.

--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -84,11 +84,6 @@
     return leaving, -member.link_mbit_per_s, member.instance
 
 
-def _owns_keys(target: str, key_map: KeyMap) -> bool:
-    """Return whether the map assigns keys to a target."""
-    return any(r.owner == target for r in key_map.ranges)
-
-
 @dataclass(slots=True)
 class _Service:
     """State of one keyed service."""
@@ -394,11 +389,12 @@
         self, key_map: KeyMap, service: _Service, silent: frozenset[str], now: float
     ) -> KeyMap | None:
         """Return a map that moves keys off unavailable owners or balances the load, or None."""
+        keyed = frozenset(r.owner for r in key_map.ranges)
         owners = [
             owner
             for owner in self._owners(key_map.service, service, now)
             if owner.target not in silent
-            and self._may_get_keys(owner.target, key_map, service, now)
+            and self._may_get_keys(owner.target, service, now, has_keys=owner.target in keyed)
         ]
         present = {owner.target for owner in owners}
         unheard = self._unreported(key_map, service, present, now) - silent
@@ -431,7 +427,7 @@
         )  # fmt: skip
         return planned
 
-    def _may_get_keys(self, target: str, key_map: KeyMap, service: _Service, now: float) -> bool:
+    def _may_get_keys(self, target: str, service: _Service, now: float, *, has_keys: bool) -> bool:
         """Return whether keys may move to an owner.
 
         One without keys must have reported, and must not be stopping: a former planner may have
@@ -440,7 +436,7 @@
         """
         member = self._directory.member_of(target)
         stopping = member is not None and member.stopping
-        if _owns_keys(target, key_map):
+        if has_keys:
             return not stopping or target in service.stopping
         return not stopping and self._reports(service, target, now)
 
