A coordinator in a planned stop hands the role over as soon as somebody can take it

Change: the daemon waits for another active member and hands the role over then. A daemon that ends with the role returns the key's lease.

--- a/features/coordinator_role.feature
+++ b/features/coordinator_role.feature
@@ -118,6 +118,19 @@
     And the store has been available again for 1 second
     Then no daemon holds the role
 
+  # The cell had no coordinator until a daemon that waited for its replies replaced it.
+  Scenario: A daemon that still has the role as it ends returns it
+    Given a daemon that has taken the role and read the record of a cell of 4
+    When its planned stop begins while all others are draining
+    And it ends
+    Then it returns the lease of the role's key
+
+  Scenario: A coordinator hands the role over as soon as another member is active
+    Given a daemon that has taken the role and read the record of a cell of 4
+    When its planned stop begins while all others are draining
+    And another member is active for 1 second
+    Then no daemon holds the role
+
   Scenario: A daemon that takes the role as it ends returns it
     Given a daemon that has read the record of a cell of 4 and whose planned stop has begun
     When it ends and the store confirms that it has taken the role
--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -431,6 +431,17 @@
     context.control.drain()
 
 
+@when("it ends")
+def it_ends(context: Any) -> None:
+    context.control.stop()
+
+
+@when("another member is active for {seconds:g} second")
+def other_is_active(context: Any, seconds: float) -> None:
+    context.control._cell_coordinator._record = _cell_record(4)
+    available_again(context, seconds)
+
+
 @when("the store has been available again for {seconds:g} second")
 def available_again(context: Any, seconds: float) -> None:
     context.store.unavailable = False
--- a/packages/daemon/src/pearward_daemon/cell_coordinator.py
+++ b/packages/daemon/src/pearward_daemon/cell_coordinator.py
@@ -33,6 +33,8 @@
 """Interval of checks that this daemon still holds the role, so that a replaced holder stops."""
 READ_RETRY_S = 0.3
 """Delay before the record is read again after the store failed to return it."""
+SUCCESSOR_CHECK_S = 0.1
+"""Interval at which a coordinator that is to give up the role looks for an active member."""
 RELEASE_READ_S = 1.0
 """Interval at which the record is read again while it awaits releases: an owner that cannot reach
 its peers writes its release there. Most handovers end sooner and cause no read."""
@@ -114,6 +116,11 @@
         """Key of the cell's record."""
         return f"cell/{self._cell}"
 
+    @property
+    def lease(self) -> int:
+        """The platform's lease of the role's key."""
+        return self._lease
+
     # -- events ---------------------------------------------------------------
 
     def on_heartbeat(self, sender: PeerId, heartbeat: Heartbeat) -> None:
@@ -189,7 +196,7 @@
                 await self._read_table()
                 self._loaded = True
                 if self._resigning:
-                    await self._resign()
+                    spawn(self._resign())
             except PlatformUnavailable as error:
                 eliot.log_message("pearward:platform-call-failed", call="load", error=str(error))
                 await sleep(self._reactor, READ_RETRY_S)
@@ -326,12 +333,15 @@
             self._give_up_role(holder.address if holder is not None else "")
 
     async def _resign(self) -> None:
-        """Remove the role's key, with retries until the store responds; notify the members.
+        """Remove the role's key as soon as another member is active and the store responds.
 
-        The members elect a successor at once. A conflict shows that an earlier try took effect or
-        that another daemon holds the role.
+        The members, which are notified, elect a successor at once. A conflict shows that an
+        earlier try took effect or that another daemon holds the role.
         """
-        while not self._stopped and self._has_active_successor():
+        while not self._stopped:
+            if not self._has_active_successor():
+                await sleep(self._reactor, SUCCESSOR_CHECK_S)
+                continue
             try:
                 await self._platform.swap(self._role.key, self._role.revision, None)
             except CasConflict as error:
--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -220,6 +220,8 @@
         self._finder.stop()
         if self._cell_coordinator is not None:
             self._cell_coordinator.stop()
+            spawn(self._return_role(self._cell_coordinator.lease))
+            self._cell_coordinator = None
 
     # -- for the request path --------------------------------------------------
 
@@ -446,12 +448,12 @@
         writer.core.note_ended(self._ended)
         writer.start()
         self._agent.set_coordinator(self._me.address)
-        if not self._may_take(boot_time()):
-            # The planned stop began while the role was being taken.
+        if self._draining_since is not None:
+            # The planned stop began while the role was being taken, or no other member took it.
             writer.resign()
 
     async def _return_role(self, lease: int) -> None:
-        """Remove the role's key, which was written while this daemon stopped, with its lease."""
+        """Remove the role's key with its lease, so that its end need not be noticed first."""
         try:
             await self._platform.revoke(lease)
         except PlatformUnavailable as error:
@@ -470,10 +472,10 @@
         self._act(self._agent.tick(now))
         isolated = self._contact.is_isolated(now)
         election_delay_s = self._contact.election_delay_s(now, lease_held=self.lease_held)
-        # A daemon that is about to end leaves a holder of the role that is silent to other members.
-        may_replace = self._draining_since is None and self._contact.may_replace_coordinator(now)
+        may_take = self._may_take(now)
+        may_replace = may_take and self._contact.may_replace_coordinator(now)
         self._election.tick(
-            self._rank(), election_delay_s, may_replace=may_replace, may_take=self._may_take(now)
+            self._rank(), election_delay_s, may_replace=may_replace, may_take=may_take
         )
         self._fallback.tick(now, isolated=isolated)
         self._agent.set_unreachable(isolated and self._is_idle_member())
