A daemon that ends refuses what it still receives, and its peers close

A daemon in a planned stop had logged `stopped`, got shards again from a second coordinator, ran a request of a peer and exited under it 50 ms after the decision.

Cause of this half: `Daemon._stop` told nobody. Until the process had exited, requests of peers were handed to the server, waiting ones stayed without a response, and what was in a socket's buffer at the exit was lost. The time limit of the drain cut running requests in the same way. A response in the window of a slow peer did not count as running at all, nor did a request that waited for a connection to the server.

Fix: from the decision on nothing is sent to the server. What was not sent is refused not-run / draining (a requester retries it after a delay), what runs at the time limit ends with a response that says unknown. Callers get a 503 with Retry-After and a closing connection. Each peer gets a PING with the flag CLOSING, opens no further stream, and closes the connection when its streams have ended: TCP keeps the order, so all that it sent before has been answered by then. The daemon ends when all have closed, after 0.5 s at the latest. The peer port stays open until the process ends, as before, and accepts nobody: a connection is closed before the greeting, and no request is sent before that. Control messages are ignored from the decision on.

--- a/packages/daemon/src/pearward_daemon/caller_request.py
+++ b/packages/daemon/src/pearward_daemon/caller_request.py
@@ -47,6 +47,7 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 UNAVAILABLE = 503
+STOPPING = "this daemon stops"
 _SERVED_LINE = b"%b: %b\r\n" % (HeaderName.OUTCOME, Outcome.SERVED.value.encode())
 
 
@@ -91,6 +92,9 @@
         """Read the headers and route the request; a short body is buffered first."""
         ingress = self._ingress
         self._started_at = boot_time()
+        if ingress.closed:
+            self._refuse(Reason.DRAINING, STOPPING, UNAVAILABLE)
+            return
         try:
             headers = self._request.header_values()
             context = read_context(self._request.method, headers.get, ingress.request_limits)
@@ -220,6 +224,17 @@
         if not self._done:
             self._finish(Outcome.UNKNOWN, Reason.CANCELLED)
 
+    def daemon_stops(self) -> None:
+        """Respond with the outcome known here, since this daemon ends."""
+        if self._done:
+            return
+        if self._response_started:
+            self._request.abort_response()
+            self._finish(Outcome.UNKNOWN, Reason.DRAINING)
+            return
+        outcome = Outcome.NOT_RUN if self._attempt is None else Outcome.UNKNOWN
+        self._respond(outcome, Reason.DRAINING, STOPPING)
+
     def pause(self) -> None:
         """Stop extending the owner's window, since the caller reads slowly."""
         self._paused = True
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -31,6 +31,10 @@
 DRAIN_CHECK_S = 0.1
 MIN_DRAIN_S = 1.0
 """Minimum time of draining, in which peers that have no newer record yet may send requests."""
+CLOSING_CHECK_S = 0.05
+CLOSING_LIMIT_S = 0.5
+"""Maximum time in which a daemon that stops refuses requests until its peers have closed their
+connections; peers that do not know the notice keep them open."""
 
 
 class Daemon:
@@ -81,6 +85,7 @@
         self._listener = PeerListener(self._me, self, reactor, limits.window_bytes)
         self._caller_port: Any = None
         self._drain_started = 0.0
+        self._closing_started = 0.0
         self._stopped: Deferred[None] = Deferred()
         self._control.on_serving_changed(self._owner.recheck)
         self._control.on_abort(self._owner.abort)
@@ -139,7 +144,7 @@
 
     def _is_drained(self) -> bool:
         """Return whether no request runs and no shard is left that could be handed over."""
-        if self._owner.busy or self._ingress.open_requests:
+        if self._owner.busy or self._ingress.open_requests or self._listener.open_streams:
             return False
         ownership = self._control.ownership
         record = ownership.record
@@ -152,10 +157,42 @@
         return ownership.shard_count == 0 and ownership.released >= record.version
 
     def _stop(self, waited_s: float, cut: int) -> None:
+        """Run no further request, and let peers and callers close their connections.
+
+        The peer port stays open, so that no other incarnation can listen at the address before
+        this process has ended.
+        """
         eliot.log_message("pearward:stopped", drained_s=round(waited_s, 3), aborted=cut)
+        self._closing_started = boot_time()
         self._caller_port.stopListening()
+        self._ingress.close()
+        self._owner.close()
+        self._ingress.end_open()
         self._control.stop()
         self._pool.close()
+        self._listener.close()
+        self._reactor.callLater(CLOSING_CHECK_S, self._check_closed)
+
+    def _check_closed(self) -> None:
+        """End when all peers have closed their connections or the time limit has passed."""
+        over = boot_time() - self._closing_started >= CLOSING_LIMIT_S
+        if not over and (self._listener.connections or self._callers.unfinished):
+            self._reactor.callLater(CLOSING_CHECK_S, self._check_closed)
+            return
+        # Timers run before sockets: what has arrived meanwhile is read before the end.
+        self._reactor.callLater(0.0, self._end)
+
+    def _end(self) -> None:
+        """Respond to the requests that are left, and close the callers' connections."""
+        counts = self._owner.counts
+        eliot.log_message(
+            "pearward:closed",
+            connections=len(self._listener.connections),
+            refused=counts.refused,
+            unknown=counts.unknown,
+        )
+        self._ingress.end_open()
+        self._callers.end_idle()
         self._stopped.callback(None)
 
     # -- peers ------------------------------------------------------------------
@@ -172,7 +209,9 @@
         return self._owner.take(head, ended, body, PeerReply(connection, stream))
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
-        """Pass a control message to the control plane."""
+        """Pass a control message to the control plane, unless this daemon can no longer act."""
+        if self._closing_started:
+            return
         self._control.control_received(sender, message)
 
     def expected_at(self, address: str) -> frozenset[str]:
--- a/packages/daemon/src/pearward_daemon/ingress.py
+++ b/packages/daemon/src/pearward_daemon/ingress.py
@@ -71,12 +71,27 @@
         self.memory = SeenRequests(limits.remember_s, limits.remember_count)
         self._budgets: dict[str, RetryBudget] = {}
         self._open: set[RoutedRequest] = set()
+        self._closed = False
 
     @property
     def open_requests(self) -> int:
         """Number of callers' requests without a complete response."""
         return len(self._open)
 
+    @property
+    def closed(self) -> bool:
+        """Whether this daemon stops, so that new requests are refused."""
+        return self._closed
+
+    def close(self) -> None:
+        """Refuse new requests, since this daemon stops."""
+        self._closed = True
+
+    def end_open(self) -> None:
+        """Respond to the requests that are left, since this daemon ends."""
+        for request in list(self._open):
+            request.daemon_stops()
+
     def request_started(self, request: CallerRequest, body_length: int | None) -> BodySink:
         """Handle a request whose headers have been received."""
         handled = RoutedRequest(self, request, body_length)
--- a/packages/daemon/src/pearward_daemon/main.py
+++ b/packages/daemon/src/pearward_daemon/main.py
@@ -13,6 +13,8 @@
 
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 3
+FLUSH_S = 0.05
+"""Time in which the last responses are written before the process ends."""
 GC_THRESHOLDS = (1_000, 20, 50)
 """Keep collection pauses short: with a young generation of 20,000 objects, one took 10 ms, which
 was added to the p99 latency."""
@@ -61,7 +63,7 @@
         click.echo(f"pearwardd: {error}", err=True)
         sys.exit(EXIT_LISTEN)
     _tune_garbage_collector()
-    stopped.addBoth(lambda _: reactor.callLater(0.05, reactor.stop))
+    stopped.addBoth(lambda _: reactor.callLater(FLUSH_S, reactor.stop))
     _on_sigterm(daemon.drain)
     reactor.run(installSignalHandlers=False)
 
--- a/packages/daemon/src/pearward_daemon/owned_request.py
+++ b/packages/daemon/src/pearward_daemon/owned_request.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from .owner import OwnerService
 
-__all__ = ["OwnedRequest"]
+__all__ = ["STOPPED_RETRY_S", "OwnedRequest"]
 
 MS_PER_S = 1000
 MAX_BUFFERED_BODY = 65_536
@@ -30,6 +30,8 @@
 GATEWAY_TIMEOUT = 504
 PRECONDITION_FAILED = 412
 NOT_READY_RETRY_S = 0.5
+STOPPED_RETRY_S = 0.2
+"""Time after which a request that a stopping daemon has refused may be sent again."""
 _NOT_RUN_LINE = b"%b: %b\r\n" % (HeaderName.OUTCOME, Outcome.NOT_RUN.value.encode())
 
 
@@ -126,6 +128,13 @@
         """End the request, since the lease has expired."""
         self._fail_after_sent(Reason.LEASE_LOST)
 
+    def daemon_stops(self) -> None:
+        """End the request, since this daemon stops; it is not run if it was not sent."""
+        if self._sent:
+            self._fail_after_sent(Reason.DRAINING, "the owner's daemon stops")
+        else:
+            self._refuse_not_run(Reason.DRAINING, retry_after_s=STOPPED_RETRY_S)
+
     # -- from the requester -------------------------------------------------
 
     def response_received(self, head: ResponseHead, ended: bool, body: bytes) -> None:
@@ -347,7 +356,7 @@
             return
         self._done = True
         self._cancel_timer()
-        self._owner.unpark(self)
+        self._owner.ended(self)
         if self._connection is not None and outcome is not Outcome.SERVED:
             self._connection.abort()
         self._connection = None
--- a/packages/daemon/src/pearward_daemon/owner.py
+++ b/packages/daemon/src/pearward_daemon/owner.py
@@ -18,7 +18,7 @@
 from pearward_transport.http_client import ServerClient
 
 from .exchange import ReplySink, refusal
-from .owned_request import OwnedRequest
+from .owned_request import STOPPED_RETRY_S, OwnedRequest
 from .settings import LimitSettings
 
 __all__ = ["OwnerControl", "OwnerService"]
@@ -83,14 +83,16 @@
         self._parked: dict[OwnedRequest, None] = {}
         self._queued: dict[Ticket, OwnedRequest] = {}
         self._by_run: dict[int, OwnedRequest] = {}
+        self._open: dict[OwnedRequest, None] = {}
+        self._closed = False
         self._counts = OwnerCounts()
 
     # -- properties ---------------------------------------------------------
 
     @property
     def busy(self) -> int:
-        """Number of requests that run or wait, or whose response is being sent."""
-        return len(self._by_run) + len(self._queued) + len(self._parked)
+        """Number of requests that arrive, wait or run, or whose response is being sent."""
+        return len(self._open)
 
     @property
     def running(self) -> int:
@@ -128,7 +130,19 @@
 
     def take(self, head: RequestHead, ended: bool, body: bytes, reply: ReplySink) -> OwnedRequest:
         """Return the handler of a request; begin() starts it, the response goes to *reply*."""
-        return OwnedRequest(self, self._reactor, head, ended, body, reply)
+        request = OwnedRequest(self, self._reactor, head, ended, body, reply)
+        self._open[request] = None
+        return request
+
+    def close(self) -> None:
+        """Send nothing to the server from now on, since this daemon stops.
+
+        New requests and those that the server has not received are refused as not run; those
+        that still run end with the outcome unknown.
+        """
+        self._closed = True
+        for request in list(self._open):
+            request.daemon_stops()
 
     def recheck(self) -> None:
         """Admit the requests again that wait for their shard."""
@@ -146,7 +160,11 @@
     # -- used by requests ---------------------------------------------------
 
     def check_head(self, head: RequestHead) -> ResponseHead | None:
-        """Return a refusal if the request is for another service, else None."""
+        """Return a refusal if the daemon stops or the request is for another service, else None."""
+        if self._closed:
+            return refusal(
+                Outcome.NOT_RUN, Reason.DRAINING, status=503, retry_after_s=STOPPED_RETRY_S
+            )
         if head.service != self._service:
             return refusal(Outcome.NOT_RUN, Reason.MOVED, status=503, detail="another service")
         return None
@@ -169,8 +187,9 @@
         self._parked[request] = None
         return True
 
-    def unpark(self, request: OwnedRequest) -> None:
-        """Remove a request from those that wait for their shard."""
+    def ended(self, request: OwnedRequest) -> None:
+        """Remove a request that has ended."""
+        self._open.pop(request, None)
         self._parked.pop(request, None)
 
     def offer(self, request: OwnedRequest, ticket: Ticket) -> Decision | Shed:
@@ -195,7 +214,9 @@
     def run_finished(self, run: int) -> None:
         """Remove a request that was sent to the server and has ended."""
         self._by_run.pop(run, None)
-        self._control.run_finished(run)
+        if not self._closed:
+            # The server may still run what a stopping daemon ends: its shard is not released.
+            self._control.run_finished(run)
 
     def is_permit_valid(self, permit: Permit) -> bool:
         """Return whether *permit* is still valid."""
@@ -260,6 +281,8 @@
         return lines
 
     def _start_waiting(self) -> None:
+        if self._closed:
+            return
         started, expired = self._admission.next_starts(boot_time())
         for ticket in expired:
             if (request := self._queued.pop(ticket, None)) is not None:
--- a/packages/protocol/src/pearward_protocol/frames.py
+++ b/packages/protocol/src/pearward_protocol/frames.py
@@ -12,6 +12,7 @@
 from .errors import FrameError
 
 __all__ = [
+    "CLOSING",
     "END",
     "HEADER_SIZE",
     "MAX_PAYLOAD",
@@ -35,6 +36,10 @@
 WITH_BODY = 0x02
 """Flag of a head: the payload also contains the complete body (see pack_with_body)."""
 
+CLOSING = 0x04
+"""Flag of a PING: the sender is about to close the connection and runs no further requests.
+Versions that do not know the flag reply as to any other PING."""
+
 _HEAD_LENGTH = struct.Struct(">I")
 
 
--- a/packages/protocol/src/pearward_protocol/streams.py
+++ b/packages/protocol/src/pearward_protocol/streams.py
@@ -15,6 +15,7 @@
 from .control import decode_control, encode_control
 from .errors import FrameError, StreamError
 from .frames import (
+    CLOSING,
     END,
     WITH_BODY,
     Frame,
@@ -38,6 +39,7 @@
 
 __all__ = [
     "MAX_INLINE_BODY",
+    "ClosingReceived",
     "ControlReceived",
     "DataReceived",
     "Event",
@@ -128,6 +130,11 @@
     message: ControlMessage
 
 
+@dataclass(frozen=True, slots=True)
+class ClosingReceived:
+    """The peer is about to close the connection and runs no further requests."""
+
+
 Event = (
     HelloReceived
     | RequestReceived
@@ -136,6 +143,7 @@
     | ResetReceived
     | StreamWritable
     | ControlReceived
+    | ClosingReceived
 )
 
 
@@ -203,6 +211,10 @@
         """Send a liveness check, to which the peer replies."""
         self._output.append(pack_frame(FrameKind.PING, 0))
 
+    def send_closing(self) -> None:
+        """Tell the peer that this side is about to close the connection."""
+        self._output.append(pack_frame(FrameKind.PING, 0, b"", CLOSING))
+
     def open_stream(self, head: RequestHead, *, ended: bool, body: bytes = b"") -> int:
         """Open a stream and return its id.
 
@@ -326,6 +338,8 @@
             case FrameKind.CONTROL:
                 return ControlReceived(decode_control(frame.payload))
             case FrameKind.PING:
+                if frame.flags & CLOSING:
+                    return ClosingReceived()
                 if not frame.flags & END:
                     self._output.append(pack_frame(FrameKind.PING, 0, b"", END))
                 return None
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -5,6 +5,7 @@
 in the order of the requests.
 """
 
+from math import inf
 from typing import Any, Protocol
 
 from twisted.internet.protocol import ServerFactory
@@ -86,6 +87,11 @@
     def getPeer(self) -> Any:
         return self._peer_address
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a response is not completely sent."""
+        return self._closing or bool(self._in_progress)
+
     def end_if_idle(self, since: float) -> None:
         """Close the connection if it is idle and has received nothing since *since*."""
         if not self._in_progress and self._last_active < since:
@@ -243,6 +249,16 @@
         """Number of open connections of callers."""
         return len(self._channels)
 
+    @property
+    def unfinished(self) -> int:
+        """Number of connections on which a response is not completely sent."""
+        return sum(channel.unfinished for channel in self._channels)
+
+    def end_idle(self) -> None:
+        """Close the connections without requests."""
+        for channel in [each for each in self._channels if not each.unfinished]:
+            channel.end_if_idle(inf)
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Apply new limits: sizes to new connections, times to all."""
         self._limits = limits
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -42,13 +42,31 @@
         self._on_sent = on_sent
         self._checks = LivenessMonitor(reactor)
         self._connections: set[PeerConnection] = set()
+        self._closing = False
 
     @property
     def connections(self) -> frozenset[PeerConnection]:
         """The open connections."""
         return frozenset(self._connections)
 
-    def buildProtocol(self, addr: Any) -> PeerConnection:
+    @property
+    def open_streams(self) -> int:
+        """Number of streams whose responses are not completely sent."""
+        return sum(connection.open_streams for connection in self._connections)
+
+    def close(self) -> None:
+        """Tell all peers to close their connections, and accept no further ones.
+
+        A connection that is opened from now on is closed before the greeting, so that the peer
+        sends no request on it. The port is still held.
+        """
+        self._closing = True
+        for connection in self.connections:
+            connection.announce_closing()
+
+    def buildProtocol(self, addr: Any) -> PeerConnection | None:
+        if self._closing:
+            return None
         connection = PeerConnection(
             self._me,
             self._handler,
@@ -84,7 +102,9 @@
 
     def send_control(self, message: ControlMessage) -> None:
         """Send the message, or queue it until the connection is established."""
-        if (connection := self.ready) is not None:
+        connection = self._connection
+        if connection is not None and (connection.usable or connection.closing):
+            # The next incarnation at the address gets no message that is meant for the closing one.
             connection.send_control(message)
             return
         self._backlog.append(message)
@@ -96,6 +116,9 @@
         if (connection := self.ready) is not None:
             result.callback(connection)
             return result
+        if self._connection is not None and self._connection.closing:
+            result.errback(PeerUnreachable(f"{self._address}: the daemon there stops"))
+            return result
         self._waiting.append(result)
         self._connect()
         return result
--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -14,6 +14,7 @@
 from pearward_protocol.errors import FrameError
 from pearward_protocol.heads import Hello, RequestHead, ResponseHead
 from pearward_protocol.streams import (
+    ClosingReceived,
     ControlReceived,
     DataReceived,
     Event,
@@ -147,6 +148,8 @@
         self._streams: dict[int, StreamHandler] = {}
         self._paused = False
         self._connected = False
+        self._closing = False
+        """Whether the peer has told that it closes the connection."""
         self._last_received = 0.0
         self._control_sent_since = False
         """Whether a control message was sent after the last data was received."""
@@ -163,7 +166,17 @@
     @property
     def usable(self) -> bool:
         """Whether a stream can be opened now."""
-        return self._connected and self._peer is not None and not self._mux.exhausted
+        return (
+            self._connected
+            and self._peer is not None
+            and not self._closing
+            and not self._mux.exhausted
+        )
+
+    @property
+    def closing(self) -> bool:
+        """Whether the peer has told that it runs no further requests of this connection."""
+        return self._closing
 
     @property
     def open_streams(self) -> int:
@@ -213,6 +226,15 @@
         self._mux.send_control(message)
         self._flush()
 
+    def announce_closing(self) -> None:
+        """Tell the peer that no further requests are run, so that it closes the connection.
+
+        The peer closes it when its open streams have ended. Since TCP keeps the order, each
+        request that it sent before has then been received here.
+        """
+        self._mux.send_closing()
+        self._flush()
+
     def close(self) -> None:
         """Close the connection once pending output is written."""
         if self._connected:
@@ -226,6 +248,8 @@
                 self._on_sent(sum(map(len, output)))
         for stream in self._mux.take_closed():
             self._streams.pop(stream, None)
+        if self._closing and not self._streams:
+            self.close()
 
     # -- Twisted's callbacks ------------------------------------------------
 
@@ -316,6 +340,9 @@
             case ControlReceived():
                 if self._peer is not None:
                     self._handler.control_received(self._peer, event.message)
+            case ClosingReceived():
+                # The end that accepted the connection opens no streams on it.
+                self._closing = self._opener
             case HelloReceived():
                 self._greeted(event.hello)
 
