The callers' port of a daemon that ends is closed after its waiting connections

Cause: `stopListening()` closes the port one turn of the event loop later. The kernel resets the connections that it has accepted meanwhile and that the daemon has not taken over.

Fix: the port is read until nobody waits and is closed in the same turn; those connections get their 503.

--- a/features/steps/closing_steps.py
+++ b/features/steps/closing_steps.py
@@ -528,7 +528,8 @@
 @then("the peer port is held, the callers' port is not")
 def port_held(context: Any) -> None:
     assert not context.reactor.ports[PEER_PORT].stopListening.called
-    assert context.reactor.ports[CALLER_PORT].stopListening.called
+    calls = [call[0] for call in context.reactor.ports[CALLER_PORT].method_calls]
+    assert calls == ["stopReading", "doRead", "socket.close", "connectionLost"], calls
 
 
 @then('the caller gets a {status:d} "{outcome}" with a retry delay, and its connection closes '
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -13,7 +13,7 @@
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
-from pearward_transport.http_server import CallerFactory, HttpLimits
+from pearward_transport.http_server import CallerFactory, HttpLimits, close_port
 from pearward_transport.peer import PeerListener, PeerPool
 from pearward_transport.peer_connection import InboundHandler, PeerConnection
 from pearward_transport.platform import EtcdService, KeyValueService
@@ -164,7 +164,7 @@
         """
         eliot.log_message("pearward:stopped", drained_s=round(waited_s, 3), aborted=cut)
         self._closing_started = boot_time()
-        self._caller_port.stopListening()
+        close_port(self._caller_port)
         self._ingress.close()
         self._owner.close()
         self._ingress.end_open()
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -8,13 +8,14 @@
 from math import inf
 from typing import Any, Protocol
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 from twisted.web import http
 
 from .caller_request import BodySink, CallerRequest
 
-__all__ = ["CallerFactory", "HttpLimits", "RequestHandler"]
+__all__ = ["CallerFactory", "HttpLimits", "RequestHandler", "close_port"]
 
 
 SWEEP_INTERVAL_S = 1.0
@@ -30,6 +31,23 @@
 REQUEST_TIMEOUT = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
+MAX_ACCEPTED = 4096
+"""Maximum number of connections that are accepted when a port is closed."""
+
+
+def close_port(port: Any) -> None:
+    """Accept the connections that wait at a port, then close it in the same turn.
+
+    The kernel resets connections that are not accepted when their port is closed, and
+    stopListening() closes it one turn of the event loop later.
+    """
+    port.stopReading()
+    port.numberAccepts = MAX_ACCEPTED
+    port.doRead()
+    port.socket.close()
+    port.connectionLost(Failure(ConnectionDone()))
+
+
 class HttpLimits:
     """Limits on request headers and on idle connections."""
 
