--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -264,9 +264,7 @@
             self._cell_coordinator.core.note_ended(ended)
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
-        """Act on a peer's message, unless this daemon has stopped."""
-        if self._stopped:
-            return
+        """Act on a peer's message."""
         self._contact.note_received(sender, boot_time())
         if isinstance(message, HeartbeatReply | ReleaseReply | RenewReply):
             self._contact.note_reply(sender, boot_time())
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -14,7 +14,7 @@
 from pearward_state.table import ServiceTable
 from pearward_transport.clock import boot_time
 from pearward_transport.http_client import ServerClient
-from pearward_transport.http_server import CallerFactory, HttpLimits
+from pearward_transport.http_server import CallerFactory, HttpLimits, close_port
 from pearward_transport.peer import PeerListener, PeerPool
 from pearward_transport.peer_connection import InboundHandler, PeerConnection
 from pearward_transport.platform import EtcdService, KeyValueService
@@ -30,6 +30,10 @@
 __all__ = ["Daemon"]
 
 DRAIN_CHECK_S = 0.1
+CLOSING_CHECK_S = 0.05
+CLOSING_LIMIT_S = 0.5
+"""Maximum time in which a daemon that stops refuses requests until its peers have closed their
+connections; peers that do not know the notice keep them open."""
 
 
 class Daemon:
@@ -80,6 +84,7 @@
         self._listener = PeerListener(self._me, self, reactor, limits.window_bytes)
         self._caller_port: Any = None
         self._drain_started = 0.0
+        self._closing_started = 0.0
         self._stopped: Deferred[None] = Deferred()
         self._control.on_serving_changed(self._owner.recheck)
         self._control.on_abort(self._owner.abort)
@@ -138,7 +143,7 @@
 
     def _is_drained(self) -> bool:
         """Return whether no request runs and no shard is left that could be handed over."""
-        if self._owner.busy or self._ingress.open_requests:
+        if self._owner.busy or self._ingress.open_requests or self._listener.open_streams:
             return False
         stop = PlannedStop(self._me.incarnation, self._drain_started)
         return stop.is_handed_over(
@@ -146,10 +151,42 @@
         )
 
     def _stop(self, waited_s: float, cut: int) -> None:
+        """Run no further request, and let peers and callers close their connections.
+
+        The peer port stays open, so that no other incarnation can listen at the address before
+        this process has ended.
+        """
         eliot.log_message("pearward:stopped", drained_s=round(waited_s, 3), aborted=cut)
-        self._caller_port.stopListening()
+        self._closing_started = boot_time()
+        close_port(self._caller_port)
+        self._ingress.close()
+        self._owner.close()
+        self._ingress.end_open()
         self._control.stop()
         self._pool.close()
+        self._listener.close()
+        self._reactor.callLater(CLOSING_CHECK_S, self._check_closed)
+
+    def _check_closed(self) -> None:
+        """End when all peers have closed their connections or the time limit has passed."""
+        over = boot_time() - self._closing_started >= CLOSING_LIMIT_S
+        if not over and (self._listener.connections or self._callers.unfinished):
+            self._reactor.callLater(CLOSING_CHECK_S, self._check_closed)
+            return
+        # Timers run before sockets: what has arrived meanwhile is read before the end.
+        self._reactor.callLater(0.0, self._end)
+
+    def _end(self) -> None:
+        """Respond to the requests that are left, and close the callers' connections."""
+        counts = self._owner.counts
+        eliot.log_message(
+            "pearward:closed",
+            connections=len(self._listener.connections),
+            refused=counts.refused,
+            unknown=counts.unknown,
+        )
+        self._ingress.end_open()
+        self._callers.end_idle()
         self._stopped.callback(None)
 
     # -- peers ------------------------------------------------------------------
@@ -166,7 +203,9 @@
         return self._owner.take(head, ended, body, PeerReply(connection, stream))
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
-        """Pass a control message to the control plane."""
+        """Pass a control message to the control plane, unless this daemon can no longer act."""
+        if self._closing_started:
+            return
         self._control.control_received(sender, message)
 
     def expected_at(self, address: str) -> frozenset[str]:
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -5,15 +5,17 @@
 in the order of the requests.
 """
 
+from math import inf
 from typing import Any, Protocol
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 from twisted.web import http
 
 from .caller_request import BodySink, CallerRequest
 
-__all__ = ["CallerFactory", "HttpLimits", "RequestHandler"]
+__all__ = ["CallerFactory", "HttpLimits", "RequestHandler", "close_port"]
 
 
 SWEEP_INTERVAL_S = 1.0
@@ -29,6 +31,23 @@
 REQUEST_TIMEOUT = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
+MAX_ACCEPTED = 4096
+"""Maximum number of connections that are accepted when a port is closed."""
+
+
+def close_port(port: Any) -> None:
+    """Accept the connections that wait at a port, then close it in the same turn.
+
+    The kernel resets connections that are not accepted when their port is closed, and
+    stopListening() closes it one turn of the event loop later.
+    """
+    port.stopReading()
+    port.numberAccepts = MAX_ACCEPTED
+    port.doRead()
+    port.socket.close()
+    port.connectionLost(Failure(ConnectionDone()))
+
+
 class HttpLimits:
     """Limits on request headers and on idle connections."""
 
@@ -86,6 +105,11 @@
     def getPeer(self) -> Any:
         return self._peer_address
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a response is not completely sent."""
+        return self._closing or bool(self._in_progress)
+
     def end_if_idle(self, since: float) -> None:
         """Close the connection if it is idle and has received nothing since *since*."""
         if not self._in_progress and self._last_active < since:
@@ -243,6 +267,16 @@
         """Number of open connections of callers."""
         return len(self._channels)
 
+    @property
+    def unfinished(self) -> int:
+        """Number of connections on which a response is not completely sent."""
+        return sum(channel.unfinished for channel in self._channels)
+
+    def end_idle(self) -> None:
+        """Close the connections without requests."""
+        for channel in [each for each in self._channels if not each.unfinished]:
+            channel.end_if_idle(inf)
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Apply new limits: sizes to new connections, times to all."""
         self._limits = limits
