A daemon that was started again gets its replies at once

Cause: supposed in the trace with load, shown here in virtual time: replies go out on the coordinator's own connection. While the daemon was down, the attempts to connect to it had failed, and the delay before the next one grows to 1 s; the new daemon waits 0.4 s for a reply.

Change: a greeting on a connection that the other daemon opened ends that delay, and what is queued is sent.

Evidence: the new scenario fails without the change (no attempt to connect) and passes with it, 23 of 23 scenarios of peer_links and closing.

--- a/features/steps/peer_link_steps.py
+++ b/features/steps/peer_link_steps.py
@@ -3,12 +3,15 @@
 from typing import Any
 
 from behave import given, then, when
+from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from pearward_coordination.messages import PeerId, Pull
 from pearward_protocol.heads import Hello
 from pearward_protocol.streams import Multiplexer
+from pearward_transport.peer import PeerListener, PeerPool
 from pearward_transport.peer_connection import LivenessMonitor, PeerConnection
 
 STEP_S = 0.1
@@ -105,3 +108,41 @@
 @then("the connection is up")
 def is_up(context: Any) -> None:
     assert not context.transport.aborted
+
+
+@given('a daemon that has failed to connect to "{address}" for {seconds:d} s')
+def failed_to_connect(context: Any, address: str, seconds: int) -> None:
+    context.reactor = MemoryReactorClock()
+    me = PeerId("me", "127.0.0.1:1")
+    context.handler = _Handler()
+    context.handler.expected_at = lambda address: frozenset()
+    context.pool = PeerPool(me, context.handler, context.reactor, window=1024)
+    context.listener = PeerListener(
+        me, context.handler, context.reactor, 1024, on_greeted=context.pool.note_reachable
+    )
+    for _ in range(round(seconds / STEP_S)):
+        context.pool.send_control(address, Pull(("cell/premview",)))
+        while context.reactor.tcpClients:
+            factory = context.reactor.tcpClients.pop()[2]
+            factory.clientConnectionFailed(None, Failure(Refused()))
+        context.reactor.advance(STEP_S)
+
+
+@when('the daemon at "{address}" greets it on a connection of its own')
+def greeted_by(context: Any, address: str) -> None:
+    connection = context.listener.buildProtocol(None)
+    connection.makeConnection(_Transport())
+    other = Multiplexer(opener=True)
+    other.send_hello(Hello("other", address))
+    connection.dataReceived(b"".join(other.take_output()))
+
+
+@when('a control message is sent to "{address}"')
+def control_message_sent(context: Any, address: str) -> None:
+    context.pool.send_control(address, Pull(("cell/premview",)))
+
+
+@then('it connects to "{address}" at once')
+def connects_at_once(context: Any, address: str) -> None:
+    dialled = [f"{host}:{port}" for host, port, *_ in context.reactor.tcpClients]
+    assert dialled == [address], dialled
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -81,7 +81,9 @@
             reactor,
             HttpLimits(limits.header_bytes, limits.header_count, limits.idle_s),
         )
-        self._listener = PeerListener(self._me, self, reactor, limits.window_bytes)
+        self._listener = PeerListener(
+            self._me, self, reactor, limits.window_bytes, on_greeted=self._pool.note_reachable
+        )
         self._caller_port: Any = None
         self._drain_started = 0.0
         self._closing_started = 0.0
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -34,12 +34,14 @@
         reactor: Any,
         window: int,
         on_sent: Callable[[int], None] | None = None,
+        on_greeted: Callable[[str], None] | None = None,
     ) -> None:
         self._me = me
         self._handler = handler
         self._reactor = reactor
         self._window = window
         self._on_sent = on_sent
+        self._on_greeted = on_greeted
         self._checks = LivenessMonitor(reactor)
         self._connections: set[PeerConnection] = set()
         self._closing = False
@@ -74,12 +76,17 @@
             self._checks,
             opener=False,
             window=self._window,
+            on_ready=self._greeted,
             on_lost=self._connections.discard,
             on_sent=self._on_sent,
         )
         self._connections.add(connection)
         return connection
 
+    def _greeted(self, connection: PeerConnection) -> None:
+        if self._on_greeted is not None and connection.peer is not None:
+            self._on_greeted(connection.peer.address)
+
 
 class _Link:
     """The single outbound connection to an address, opened on first use."""
@@ -123,6 +130,13 @@
         self._connect()
         return result
 
+    def retry_now(self) -> None:
+        """End the delay before the next attempt to connect, and send what is queued."""
+        self._retry_at = 0.0
+        self._backoff_s = RECONNECT_MIN_S
+        if self._backlog:
+            self._connect()
+
     def close(self) -> None:
         """Close the connection."""
         if self._connection is not None:
@@ -210,6 +224,16 @@
         """Send a control message; it is lost if the connection closes before delivery."""
         self._link(address).send_control(message)
 
+    def note_reachable(self, address: str) -> None:
+        """Connect to *address* without delay, since the daemon there has connected to this one.
+
+        Replies to a daemon that was started again would wait for the delay after the attempts
+        that failed while it was down.
+        """
+        link = self._links.get(address)
+        if link is not None:
+            link.retry_now()
+
     def probe(self, address: str) -> None:
         """Identify the daemon that listens at an address now, over a separate connection."""
 
