The only member of a cell waits for a daemon that joins before it ends

Cause: "no other member" was taken for "nobody to hand over to" after the minimum time of 1 s.

Change: it waits for 3 s, as it does for a record that names its stop.

--- a/features/steps/stopped_daemon_steps.py
+++ b/features/steps/stopped_daemon_steps.py
@@ -66,12 +66,12 @@
         "stopping": (replace(first, state=MemberState.DRAINING, stopping=True),),
         "nowhere": (),
     }
-    members = (*others, *forms[state])
+    members = (first,) if state == "alone" else (*others, *forms[state])
     shards = ShardMap.even(4)
     for index in range(4):
         shards.owners[index] = 0
         shards.epochs[index] = 1
-    ownership = Ownership("i0", OwnerLease(LeaseTiming()))
+    ownership = Ownership(first.incarnation, OwnerLease(LeaseTiming()))
     ownership.adopt(CellRecord("premview", "premview", 2, "w2", members, shards))
     context.ends = context.stop.is_handed_over(ownership, seconds, server_healthy=True)
 
--- a/features/stopped_daemon.feature
+++ b/features/stopped_daemon.feature
@@ -10,7 +10,7 @@
 
   # A member that owned nothing for a moment, while the record still named it active, ended as
   # drained, and the next record gave it shards.
-  Scenario Outline: A daemon without shards ends when the record says that it leaves: <case>
+  Scenario Outline: A daemon that has nothing to hand over ends when the record names its stop: <case>
     Given a member of a cell of 3 that owns no shard and whose planned stop has begun
     When <seconds> s have passed and the record names it <state>
     Then it <ends>
@@ -24,3 +24,5 @@
       | nothing will be given        | 1.2     | stopping | ends         |
       | the record cannot be written | 3.1     | active   | ends         |
       | it was not admitted          | 3.1     | nowhere  | ends         |
+      | another daemon may join      | 1.2     | alone    | goes on      |
+      | no other daemon has joined   | 3.1     | alone    | ends         |
--- a/packages/coordination/src/pearward_coordination/planned_stop.py
+++ b/packages/coordination/src/pearward_coordination/planned_stop.py
@@ -13,7 +13,8 @@
 RECORD_WAIT_S = 3.0
 """Time in s for which a daemon that owns nothing waits until the record names its planned stop:
 until then a coordinator may give it shards. Coordinators of an earlier version do not write that,
-and without the store no record can."""
+and without the store no record can. The only member of a cell waits as long for a daemon that
+joins."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +33,9 @@
         member = record.member(self.incarnation) if record is not None else None
         if record is None:
             return True
-        if member is None:
+        if member is None or not _has_successor(record, member):
             return waited_s >= RECORD_WAIT_S
-        if not server_healthy or not _has_successor(record, member):
+        if not server_healthy:
             return True
         if ownership.shard_count or ownership.released < record.version:
             return False
