The role of a coordinator that is cut off passes to a daemon that is in contact

What callers saw: "acct-1" not served for 30 s, until the cut ended (the listed scenario of features/cut_off_alone.feature).

Cause: replies from before the cut let the daemon that was cut off take the coordinator's role 0.8 s after the cut. Then nobody might replace it: the only active member was its own only witness, so it requested no renewals and got no replies; the others heard it and left the role to it. The holder keeps its key alive in the store.

A reply counts only if it is 0.4 s later than the coordinator's last one. A daemon without a reply for 0.5 s sends renewals, to which daemons of every build reply, to some daemons of its cell, also to former members and to those that sent it a heartbeat or a renewal. A daemon that is not an active or draining member leaves the role to those that reply to it, and not to those that it merely hears. So each kind of member has evidence of contact in both directions, and only of the time of the coordinator's silence.

--- a/packages/daemon/src/pearward_daemon/control.py
+++ b/packages/daemon/src/pearward_daemon/control.py
@@ -21,6 +21,7 @@
     Pull,
     Push,
     ReleaseReply,
+    Renew,
     RenewReply,
 )
 from pearward_coordination.ownership import Ownership
@@ -47,6 +48,8 @@
 
 TICK_S = 0.05
 DIGEST_S = 1.0
+CONTACT_NONCE = 0
+"""Nonce of renewals that only request a reply: those of the lease start at 1."""
 LISTENER_CHECK_S = 0.25
 """Interval of checks for members whose address is used by another daemon now."""
 
@@ -254,6 +257,10 @@
 
     def control_received(self, sender: PeerId, message: ControlMessage) -> None:
         """Act on a peer's message."""
+        if isinstance(message, Heartbeat | Renew):
+            self._contact.note_request(sender, message.cell)
+        elif isinstance(message, HeartbeatReply) and message.coordinating and sender != self._me:
+            self._contact.note_coordinator_reply(boot_time())
         self._contact.note_received(sender, boot_time())
         if isinstance(message, HeartbeatReply | ReleaseReply | RenewReply):
             self._contact.note_reply(sender, boot_time())
@@ -450,12 +457,29 @@
         if self._cell_coordinator is not None:
             self._cell_coordinator.tick()
             self._check_listeners(now)
+        self._request_contact(now)
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_S * (0.75 + 0.5 * self._rng.random())
             for address in self._spread.choose_peers(self._peers, 1):
                 self._send(address, self._spread.short_digest())
         self._notify_serving_change()
 
+    def _request_contact(self, now: float) -> None:
+        """Request replies that prove contact with the cell, if none has arrived lately.
+
+        Any daemon replies to a renewal, if only to refuse it. The nonce belongs to no renewal of
+        this daemon's lease, which a reply therefore cannot extend.
+        """
+        addresses = self._contact.contact_requests(now, self._rng)
+        if not addresses:
+            return
+        report = self._agent.heartbeat(now)
+        request = Renew(
+            self._cell, CONTACT_NONCE, report.adopted, report.released, report.table_version
+        )
+        for address in addresses:
+            self._send(address, request)
+
     def _check_listeners(self, now: float) -> None:
         """Probe addresses at which another incarnation was seen than the record names.
 
