--- a/features/steps/coordinator_role_steps.py
+++ b/features/steps/coordinator_role_steps.py
@@ -54,7 +54,7 @@
         """Ignore the reply, as no daemon waits for it."""
 
 
-def _member(number: int, count: int) -> Member:
+def member_of(number: int, count: int) -> Member:
     """Return a member with the witnesses that it has in a cell of *count* members."""
     name = f"i{number}"
     others = [f"i{n}" for n in range(count) if n != number]
@@ -65,16 +65,16 @@
     )  # fmt: skip
 
 
-def _record(count: int) -> CellRecord:
+def even_record(count: int) -> CellRecord:
     shards = ShardMap.even(count)
     for index in range(count):
         shards.owners[index] = index
         shards.epochs[index] = 1
-    members = tuple(_member(number, count) for number in range(count))
+    members = tuple(member_of(number, count) for number in range(count))
     return CellRecord(SERVICE, SERVICE, 1, "w1", members, shards)
 
 
-def _table(count: int) -> ServiceTable:
+def service_table(count: int) -> ServiceTable:
     servers = {f"s-i{number}": ServerRow(f"s-i{number}") for number in range(count)}
     row = ServiceRow(
         SERVICE, Kind.KEYED, policy=Policy.QUICK, wait_return_s=0.0, shards_per_server=1
@@ -85,9 +85,9 @@
 @given("a coordinator of a cell of {count:d} daemons that has read the record")
 def coordinator(context: Any, count: int) -> None:
     context.store = MemoryStore()
-    context.first_record = _record(count)
+    context.first_record = even_record(count)
     context.store.put(KEY, context.first_record.to_bytes())
-    context.store.put(f"table/{SERVICE}", _table(count).to_bytes())
+    context.store.put(f"table/{SERVICE}", service_table(count).to_bytes())
     context.daemon = _Daemon()
     context.me = PeerId("i0", "10.0.0.0:1")
     context.successors = []
@@ -124,10 +124,10 @@
     context.daemon.record_written(context.without_first, context.without_first.to_bytes())
 
 
-def _heartbeat(
+def heartbeat_of(
     context: Any, number: int, adopted: int, silent: tuple[str, ...] = (), *, stopping: bool = False
 ) -> Heartbeat:
-    member = _member(number, len(context.first_record.members))
+    member = member_of(number, len(context.first_record.members))
     return Heartbeat(
         SERVICE, member.instance, member.server, member.failure_domain, member.caller,
         adopted, adopted, adopted, 1, stopping, True, 0, silent, stopping,
@@ -135,10 +135,10 @@
 
 
 def _report(context: Any, number: int, adopted: int, *, stopping: bool = False) -> None:
-    member = _member(number, len(context.first_record.members))
+    member = member_of(number, len(context.first_record.members))
     peer = PeerId(member.incarnation, member.peer)
     context.cell_coordinator.core.peer_seen(peer)
-    heartbeat = _heartbeat(context, number, adopted, stopping=stopping)
+    heartbeat = heartbeat_of(context, number, adopted, stopping=stopping)
     context.cell_coordinator.on_heartbeat(peer, heartbeat)
 
 
@@ -147,12 +147,12 @@
     """Plan as the coordinator does, with the time passed as a value instead of waited for."""
     core = Coordinator(SERVICE, LeaseTiming(), 0.0)
     record = context.first_record
-    table = _table(len(record.members))
+    table = service_table(len(record.members))
     others = tuple(m.incarnation for m in record.members[1:])
     now, planned = 0.0, None
     while now < seconds and planned is None:
         now += STEP_S
-        core.on_heartbeat(context.me, _heartbeat(context, 0, 1, others), record.version, now)
+        core.on_heartbeat(context.me, heartbeat_of(context, 0, 1, others), record.version, now)
         planned = core.plan(record, table, "w", now)
     if planned is not None:
         context.store.put(KEY, planned.to_bytes())
@@ -370,7 +370,7 @@
     """Return the record of a cell whose members but "i1" are in state *others*."""
     service = VALID["server"]["service"]
     members = tuple(
-        m if m.incarnation == "i1" else replace(m, state=others) for m in _record(count).members
+        m if m.incarnation == "i1" else replace(m, state=others) for m in even_record(count).members
     )
     return CellRecord(service, service, 1, "w1", members, ShardMap.even(count))
 
@@ -476,7 +476,9 @@
 def members_notified(context: Any) -> None:
     service = VALID["server"]["service"]
     notified = [a for a, m in context.sent if m == HeartbeatReply(service, False, 0)]
-    others = [m.peer for m in _record(4).members if m.incarnation != context.control.incarnation]
+    others = [
+        m.peer for m in even_record(4).members if m.incarnation != context.control.incarnation
+    ]
     assert notified == others, context.sent
 
 
--- a/features/steps/replaced_coordinator_steps.py
+++ b/features/steps/replaced_coordinator_steps.py
@@ -7,7 +7,15 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from coordinator_role_steps import KEY, SERVICE, STEP_S, _heartbeat, _member, _record, _table
+from coordinator_role_steps import (
+    KEY,
+    SERVICE,
+    STEP_S,
+    even_record,
+    heartbeat_of,
+    member_of,
+    service_table,
+)
 from twisted.internet.task import Clock
 
 from pearward_coordination.lease import LeaseTiming
@@ -88,7 +96,7 @@
 
 
 def _peer(number: int, count: int) -> PeerId:
-    member = _member(number, count)
+    member = member_of(number, count)
     return PeerId(member.incarnation, member.peer)
 
 
@@ -109,7 +117,7 @@
 
 def _report(context: Any, side: _Side, number: int, *, leaving: bool = False) -> None:
     assert side.daemon.record is not None
-    heartbeat = _heartbeat(context, number, side.daemon.record.version)
+    heartbeat = heartbeat_of(context, number, side.daemon.record.version)
     side.coordinator.on_heartbeat(
         _peer(number, context.count), replace(heartbeat, draining=leaving)
     )
@@ -120,9 +128,9 @@
 )
 def two_coordinators(context: Any, count: int) -> None:
     context.count, context.store = count, _LoggingStore()
-    context.first_record = _record(count)
+    context.first_record = even_record(count)
     context.store.put(KEY, context.first_record.to_bytes())
-    context.store.put(f"table/{SERVICE}", _table(count).to_bytes())
+    context.store.put(f"table/{SERVICE}", service_table(count).to_bytes())
     with _at(START_S):
         context.first = _take_role(context, 0)
         for number in range(count):
--- a/features/steps/store_fallback_steps.py
+++ b/features/steps/store_fallback_steps.py
@@ -7,7 +7,7 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from coordinator_role_steps import KEY, SERVICE, STEP_S, _record
+from coordinator_role_steps import KEY, SERVICE, STEP_S, even_record
 
 from pearward_coordination.agent import Action, CellAgent, GrantServer
 from pearward_coordination.assignment import Joiner
@@ -84,7 +84,7 @@
 def owner(context: Any, contact: str) -> None:
     context.isolated = contact == "cut off from its peers"
     context.store = MemoryStore()
-    record = _record(3)
+    record = even_record(3)
     first = replace(record.members[0], witnesses=("i0",))
     context.first_record = replace(record, members=(first, *record.members[1:]))
     context.store.put(KEY, context.first_record.to_bytes())
--- a/packages/coordination/src/pearward_coordination/assignment.py
+++ b/packages/coordination/src/pearward_coordination/assignment.py
@@ -180,7 +180,7 @@
                 self._retire(member, "")
 
     def drain_members(self) -> None:
-        """Set the state of each member that takes part to DRAINING or ACTIVE."""
+        """Set the state of each member that takes part, and keep the planned stops reported."""
         for member in list(self._members.values()):
             if member.state is MemberState.RETIRED:
                 continue
--- a/packages/state/src/pearward_state/records.py
+++ b/packages/state/src/pearward_state/records.py
@@ -73,7 +73,7 @@
     confirmed the new set."""
     stopping: bool = False
     """Whether the daemon is in a planned stop. Final for the incarnation, unlike the other reasons
-    for the state DRAINING."""
+    for the state DRAINING, which the member has then."""
 
 
 _MEMBER_FIELDS = tuple(f.name for f in fields(Member) if f.name != "stopping")
--- a/tests/fuzz/cell_world.py
+++ b/tests/fuzz/cell_world.py
@@ -347,8 +347,8 @@
     def check_planned_stops(self) -> None:
         """Check that a member in a planned stop gets no shard once a record left it none.
 
-        The record cannot tell a planned stop from other reasons to drain a member; the agent can.
-        A member is checked for as long as the records name it.
+        Whether a member is in a planned stop is taken from its agent: the check does not rely on
+        what the record says of it. A member is checked for as long as the records name it.
         """
         stopping = {n.incarnation for n in self.nodes if n.agent.draining}
         for record in self.platform.history[self._records_checked :]:
