Steps: one text for one step

Cause: "{seconds:g} s pass" of the steps on the end of a planned stop was found in place of "{seconds:d} s pass" of the steps on members.

Change: the newer step has another text; what it does is the same.

Measured: 77 of 77 scenarios of closing and mesh_decisions pass; no other text stands twice.

--- a/features/closing.feature
+++ b/features/closing.feature
@@ -16,7 +16,7 @@
     Given a daemon and a peer that is connected
     When the peer sends a request that stays in the socket's buffer
     And the daemon is stopped as planned and decides to end
-    And 0.3 s pass
+    And nothing happens for 0.3 s
     Then the daemon has not ended
     When all data arrives and 0.1 s pass
     Then the server has received no request after the decision
@@ -69,7 +69,7 @@
     Then the daemon has not ended
     And each request of the peer has ended "not-run" because of "draining"
     And the server has received no request after the decision
-    When 0.2 s pass
+    When nothing happens for 0.2 s
     Then the daemon has ended
 
   # The greeting of a daemon that ends invited requests.
--- a/features/steps/closing_steps.py
+++ b/features/steps/closing_steps.py
@@ -383,7 +383,7 @@
         _advance(context, pause)
 
 
-@when("{seconds:g} s pass")
+@when("nothing happens for {seconds:g} s")
 def time_passes(context: Any, seconds: float) -> None:
     _advance(context, seconds)
 
