After a last reading: one test for a current report, no count before it can matter

The planner judged the age of a report in two places and counted the reporting owners at each plan, also in the first 8 s, in which the count changes nothing; a planned stop looked for its member before it knew that there is a record.

--- a/packages/coordination/src/pearward_coordination/planned_stop.py
+++ b/packages/coordination/src/pearward_coordination/planned_stop.py
@@ -30,9 +30,9 @@
         if waited_s < MIN_DRAIN_S:
             return False
         record = ownership.record
-        member = record.member(self.incarnation) if record is not None else None
         if record is None:
             return True
+        member = record.member(self.incarnation)
         if member is None or not _has_successor(record, member):
             return waited_s >= RECORD_WAIT_S
         if not server_healthy:
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -447,8 +447,8 @@
         unheard: set[str] = set()
         for target in key_map.targets - present - service.ended:
             member = self._directory.member_of(target)
-            report, age = self._report(service, target, now)
-            fresh = report is not None and age <= MAX_REPORT_AGE_S
+            report, _ = self._report(service, target, now)
+            fresh = self._reports(service, target, now)
             if member is not None and member.state is TargetState.DRAINING:
                 continue
             if member is not None and self._directory.is_drained(member.failure_domain):
@@ -488,9 +488,11 @@
         It is certain only if most owners report here: else they may report to another planner.
         """
         assert self._active_since is not None
+        if now - self._active_since < UNREPORTED_S:
+            return False
         owners = {r.owner for r in key_map.ranges}
         reporting = sum(self._reports(service, owner, now) for owner in owners)
-        return now - self._active_since >= UNREPORTED_S and 2 * reporting > len(owners)
+        return 2 * reporting > len(owners)
 
     def _silence_limit_s(self, target: str, service: _Service) -> float:
         """Return the seconds without a report after which an owner loses its keys."""
