Count the bytes sent to other daemons by kind and by distance

Nothing told which frames make up the bytes between failure domains, so that it was not known what to reduce.

Each connection passes the frames that it writes to a ledger, which adds their sizes under the peer's address and the frame's kind. The failure domain of an address is looked up in the directory of members when the sums are read: every 10 s for the log line peer_traffic, and on a scrape for the metric pearward.peer.bytes.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -118,6 +118,7 @@
     When a "safe" request to the pooled service gets a response of the form "short"
     Then the logs give the target and the reason under its request id
     And the metrics of its daemon count it by route and outcome
+    And they count the bytes of request heads to daemons in a known failure domain
 
   # In the kernel's buffer the request precedes the end of its connection, so that the daemon reads
   # the request before it sees that the caller has disconnected.
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -531,6 +531,17 @@
     assert 'outcome="given_up"' in text
 
 
+@then("they count the bytes of request heads to daemons in a known failure domain")
+def metrics_count_bytes(context: Any) -> None:
+    text = _cluster(context).metrics(_nodes(context, KEYED)[0])
+    found = [
+        line for line in text.splitlines()
+        if line.startswith("pearward_peer_bytes_total{") and 'kind="request_head"' in line
+    ]  # fmt: skip
+    assert any('distance="same"' in line or 'distance="other"' in line for line in found), found
+    assert not any('distance="unknown"' in line for line in found), found
+
+
 # -- callers that disconnect ------------------------------------------------------------------
 
 
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -19,6 +19,7 @@
 from pearward_transport.peer import PeerListener, PeerPool
 from pearward_transport.peer_connection import InboundHandler, PeerConnection
 from pearward_transport.store import FleetStore
+from pearward_transport.traffic_ledger import TrafficLedger
 
 from .core import MeshCore
 from .dialect import Dialect, GrantPort
@@ -28,6 +29,7 @@
 from .metrics import LazyMetrics
 from .paced_stream import LinkPacer, PacedStream
 from .settings import MeshSettings
+from .traffic_report import MemberDomains, TrafficReport
 
 __all__ = ["MeshDaemon"]
 
@@ -73,15 +75,20 @@
         self._link = link
         self._pacer = LinkPacer(reactor, link)
         self._note_sent = lambda size: link.note_sent(size, boot_time())
+        self._ledger = TrafficLedger(
+            settings.failure_domain, lambda address: self._domains.domain_of(address)
+        )
+        self._traffic = TrafficReport(reactor, self._ledger, self._log)
         self._pool = PeerPool(
             self._own_id, self, reactor, window=WINDOW, bind_ip=settings.peers.ip,
-            on_sent=self._note_sent,
+            on_sent=self._note_sent, ledger=self._ledger,
         )  # fmt: skip
         client = ServerClient(reactor, settings.target_address)
         self._core = MeshCore(
             reactor, settings, store, dialect, self._log, self._own_id, client,
             self._pool.send_control, link, grants,
         )  # fmt: skip
+        self._domains = MemberDomains(self._core.directory)
         self._local_target = self._core.local_target
         self._metrics = LazyMetrics(settings.instance)
         self._ingress = MeshIngress(
@@ -103,7 +110,9 @@
         """Listen and start; the Deferred fires when the daemon has stopped."""
         settings = self._settings
         listen = self._reactor.listenTCP
-        peers = PeerListener(self._own_id, self, self._reactor, WINDOW, self._note_sent)
+        peers = PeerListener(
+            self._own_id, self, self._reactor, WINDOW, self._note_sent, ledger=self._ledger
+        )
         listen(settings.peers.port, peers, interface=settings.peers.ip, backlog=512)
         self._core.start(self._table_changed)
         heartbeats = self._heartbeat_server(self._local_target)
@@ -115,6 +124,7 @@
             settings.callers.port, self._callers, interface=settings.callers.ip, backlog=512
         )
         self._export_gauges()
+        self._traffic.start()
         self._log.emit(
             "started", instance=settings.instance, incarnation=self._own_id.incarnation,
             service=settings.service, peers=self._own_id.address,
@@ -189,6 +199,7 @@
         if open_requests and not expired:
             self._reactor.callLater(STOP_POLL_S, self._exit_when_idle)
             return
+        self._traffic.report()
         self._log.emit(
             "stopped", waited_s=round(waited_s, 3), open=open_requests,
             aborted=self._ingress.cancel_open(),
@@ -258,6 +269,10 @@
         return boot_time() - since if isfinite(since) else -1.0
 
     def _export_gauges(self) -> None:
+        self._metrics.counter(
+            "pearward.peer.bytes", "Bytes of frames sent to other daemons",
+            self._traffic.observations,
+        )  # fmt: skip
         gauge = self._metrics.gauge
         target = self._local_target
         gauge("pearward.running", "Requests at the target", lambda: target.slots.load().running)
--- a/packages/daemon/src/pearward_daemon/mesh/metrics.py
+++ b/packages/daemon/src/pearward_daemon/mesh/metrics.py
@@ -1,14 +1,17 @@
-"""Latency histograms by route and gauges, by OpenTelemetry, which is imported after the start.
+"""Latency histograms by route, gauges and counters, by OpenTelemetry.
 
-Importing the libraries takes a large part of a start, during which no keys are served. Requests
-that end before the import are buffered and recorded afterwards.
+OpenTelemetry is imported on the first scrape: its import takes a large part of a start, during
+which no keys are served. Requests that end before are buffered and recorded afterwards.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 __all__ = ["LazyMetrics"]
 
+Labelled = Iterable[tuple[float, dict[str, str]]]
+"""Values with their labels."""
+
 MAX_BUFFERED = 5_000
 """Requests that are buffered until the libraries are imported; further ones are not counted."""
 LATENCY_BUCKETS_S = (
@@ -23,6 +26,7 @@
         self._instance = instance
         self._buffered: list[tuple[float, dict[str, str]]] = []
         self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+        self._counters: list[tuple[str, str, Callable[[], Labelled]]] = []
         self._duration: Any = None
 
     def request_ended(self, route: str, service: str, how: str, took_s: float) -> None:
@@ -37,6 +41,15 @@
         """Export a value that is read on each scrape."""
         self._gauges.append((name, description, read))
 
+    def counter(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], Labelled],
+    ) -> None:
+        """Export sums that are read, each with its labels, on each scrape."""
+        self._counters.append((name, description, read))
+
     def exposition(self) -> bytes:
         """Return all metrics in Prometheus's text format; the first call imports the libraries."""
         if self._duration is None:
@@ -69,3 +82,12 @@
                 return [Observation(read())]
 
             meter.create_observable_gauge(name, callbacks=[observe], description=description)
+        for name, description, read_all in self._counters:
+
+            def observe_all(
+                _: CallbackOptions,
+                read: Callable[[], Labelled] = read_all,
+            ) -> list[Observation]:
+                return [Observation(value, labels) for value, labels in read()]
+
+            meter.create_observable_counter(name, callbacks=[observe_all], description=description)
--- a/packages/protocol/src/pearward_protocol/control.py
+++ b/packages/protocol/src/pearward_protocol/control.py
@@ -38,7 +38,7 @@
 from .errors import FrameError
 from .heads import schema
 
-__all__ = ["decode_control", "encode_control"]
+__all__ = ["control_name", "decode_control", "encode_control"]
 
 _TYPES: tuple[type[Any], ...] = (
     Renew,
@@ -88,6 +88,11 @@
 _FIELDS = {kind: [(f.name, _camel_case(f.name)) for f in fields(kind)] for kind in _TYPES}
 
 
+def control_name(message: ControlMessage) -> str:
+    """Return the name of a message's group in the schema."""
+    return _GROUPS[type(message)]
+
+
 def encode_control(message: ControlMessage) -> bytes:
     """Return the payload of a CONTROL frame."""
     kind = type(message)
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -12,6 +12,7 @@
 
 from .errors import PeerUnreachable
 from .peer_connection import LivenessMonitor, PeerConnection, PeerHandler
+from .traffic_ledger import TrafficLedger
 
 __all__ = ["PeerListener", "PeerPool"]
 
@@ -35,6 +36,7 @@
         window: int,
         on_sent: Callable[[int], None] | None = None,
         on_greeted: Callable[[str], None] | None = None,
+        ledger: TrafficLedger | None = None,
     ) -> None:
         self._me = me
         self._handler = handler
@@ -42,6 +44,7 @@
         self._window = window
         self._on_sent = on_sent
         self._on_greeted = on_greeted
+        self._ledger = ledger
         self._checks = LivenessMonitor(reactor)
         self._connections: set[PeerConnection] = set()
         self._closing = False
@@ -79,6 +82,7 @@
             on_ready=self._greeted,
             on_lost=self._connections.discard,
             on_sent=self._on_sent,
+            ledger=self._ledger,
         )
         self._connections.add(connection)
         return connection
@@ -196,6 +200,7 @@
         window: int,
         bind_ip: str = "",
         on_sent: Callable[[int], None] | None = None,
+        ledger: TrafficLedger | None = None,
     ) -> None:
         self._me = me
         self._handler = handler
@@ -203,6 +208,7 @@
         self._window = window
         self._bind = (bind_ip, 0) if bind_ip else None
         self._on_sent = on_sent
+        self._ledger = ledger
         self._checks = LivenessMonitor(reactor)
         self._links: dict[str, _Link] = {}
 
@@ -270,6 +276,7 @@
                 on_lost=on_lost,
                 expected=expected,
                 on_sent=self._on_sent,
+                ledger=self._ledger,
             )
         )
         self._reactor.connectTCP(host, int(port), factory, CONNECT_TIMEOUT_S, self._bind)
--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -11,6 +11,7 @@
 from zope.interface import implementer
 
 from pearward_coordination.messages import ControlMessage, PeerId
+from pearward_protocol.control import control_name
 from pearward_protocol.errors import FrameError
 from pearward_protocol.heads import Hello, RequestHead, ResponseHead
 from pearward_protocol.streams import (
@@ -29,6 +30,7 @@
 from pearward_protocol.transit_delay import TransitDelay
 
 from .clock import boot_time
+from .traffic_ledger import TrafficLedger
 
 __all__ = ["InboundHandler", "LivenessMonitor", "PeerConnection", "PeerHandler", "StreamHandler"]
 
@@ -144,9 +146,11 @@
         on_lost: Callable[["PeerConnection"], None] | None = None,
         expected: frozenset[str] = frozenset(),
         on_sent: Callable[[int], None] | None = None,
+        ledger: TrafficLedger | None = None,
     ) -> None:
         self._expected = expected
         self._on_sent = on_sent
+        self._ledger = ledger
         self._me = me
         self._handler = handler
         self._reactor = reactor
@@ -234,7 +238,7 @@
         """Send a control message."""
         self._control_sent_since = True
         self._mux.send_control(message)
-        self._flush()
+        self._flush(control=control_name(message))
 
     def announce_closing(self) -> None:
         """Tell the peer that no further requests are run, so that it closes the connection.
@@ -250,12 +254,16 @@
         if self._connected:
             self.transport.loseConnection()
 
-    def _flush(self) -> None:
+    def _flush(self, control: str = "") -> None:
+        """Write the pending frames; *control* names the control message among them."""
         output = self._mux.take_output()
         if output and self._connected:
             self.transport.writeSequence(output)
             if self._on_sent is not None:
                 self._on_sent(sum(map(len, output)))
+            if self._ledger is not None:
+                address = self._peer.address if self._peer is not None else ""
+                self._ledger.frames_sent(address, output, opener=self._opener, control=control)
         for stream in self._mux.take_closed():
             self._streams.pop(stream, None)
         if self._closing and not self._streams:
