Keep pooled requests in their failure domain while its targets serve them in time

Targets were compared by expected latency, so that a faster target in another failure domain won over a near one with a free slot, and about half of all attempts left the domain.

Near targets with a free slot now come first for the first two targets asked, if they are expected to respond within the objective; a full domain is left for a far target that responds sooner by a tenth of the objective. The switch is near-first.

--- a/packages/coordination/src/pearward_coordination/directory.py
+++ b/packages/coordination/src/pearward_coordination/directory.py
@@ -70,11 +70,17 @@
     """Members that are known to this daemon, by instance and by target."""
 
     def __init__(
-        self, failure_domain: str, instance: str = "", *, sample_candidates: bool = True
+        self,
+        failure_domain: str,
+        instance: str = "",
+        *,
+        sample_candidates: bool = True,
+        near_samples: int = NEAR_SAMPLES,
     ) -> None:
         self._failure_domain = failure_domain
         self._instance = instance
         self._sample_candidates = sample_candidates
+        self._near_samples = near_samples
         self._groups: dict[str, _Group] = {}
         """Cache by service; cleared when a member is added, changed or removed, or when the drained
         failure domains change."""
@@ -318,7 +324,7 @@
             drained = self.is_drained(known.member.failure_domain)
             return not drained and known.unreachable_until <= now and self._accepts(known, tried)
 
-        near_count = NEAR_SAMPLES if self._sample_candidates else len(group.near)
+        near_count = self._near_samples if self._sample_candidates else len(group.near)
         far_count = FAR_SAMPLES if self._sample_candidates else len(group.far)
         found = draw(group.near, near_count, usable, rng) + draw(group.far, far_count, usable, rng)
         for target in queried:
--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -21,6 +21,8 @@
     """The ingress daemon refuses part of the requests for a key whose owner refuses them."""
     IDLE_FIRST = "idle-first"
     """A target without a free slot is passed over while other targets were not asked yet."""
+    NEAR_FIRST = "near-first"
+    """A far target is not asked while near ones are expected to serve the request in time."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -28,6 +28,7 @@
     TargetCrashed,
     TellChanges,
 )
+from pearward_coordination.near_first import near_samples
 from pearward_coordination.overload.policy import Mechanism
 from pearward_protocol.entries import key_map_key
 from pearward_protocol.etcd import KeyValue, WatchEvent
@@ -95,6 +96,7 @@
         self._directory = Directory(
             settings.failure_domain, settings.instance,
             sample_candidates=settings.overload.uses(Mechanism.FEW_SAMPLES),
+            near_samples=near_samples(settings.overload),
         )  # fmt: skip
         self._maps = KeyMaps(log)
         self._crashes = CrashControl(settings, self._directory, log, send, self._store_crash)
--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.near_first import Allowance, choose_near_first
 from pearward_coordination.overload.key_shedding import KeyShedding
 from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.overload.retry_delay import RetryAgeEstimator
@@ -18,7 +19,6 @@
     FreeSlotOdds,
     TargetLoad,
     WeightedRoundRobin,
-    choose_target,
 )
 from pearward_protocol.errors import BadHeader
 from pearward_state.routes import RequestKind, Route, RoutingTable
@@ -137,6 +137,7 @@
         """Time that callers usually allow for their first attempt, by route."""
         self._idle_odds: dict[str, FreeSlotOdds] = {}
         self._shedding = KeyShedding(rng)
+        self._near_first = settings.overload.uses(Mechanism.NEAR_FIRST)
         self._sheds = settings.overload.uses(Mechanism.SHED_KEYS)
         self._open: set[RoutedRequest] = set()
         self._stopping = False
@@ -288,10 +289,12 @@
         key: int | None,
         tried: frozenset[str],
         full: frozenset[str],
+        objective: float,
     ) -> Placement | None:
         """Return the placement of the next attempt; None if no target is available now.
 
         Targets in *tried* are excluded; those in *full* have just reported that they had no slot.
+        *objective* is the time of the request's latency objective.
         """
         if key is not None:
             return self._owner_of(service, key)
@@ -301,7 +304,9 @@
         size_kb = self._mean_size_kb.get(route.name, 0.0)
         exchange = ExchangeProfile(size_kb, route.kind is RequestKind.DOWNLOAD)
         mean_run_s = directory.mean_run_s(service)
-        chosen = choose_target(candidates, now, self._rng, exchange, mean_run_s)
+        objective_s = route.objective_ms / MS_PER_S if self._near_first else 0.0
+        allowance = Allowance(objective_s, objective - now, len(full))
+        chosen = choose_near_first(candidates, now, self._rng, allowance, exchange, mean_run_s)
         return self._placement(chosen.target, 0) if chosen is not None else None
 
     def _owner_of(self, service: str, key: int) -> Placement | None:
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -176,7 +176,7 @@
             return
         placement = self._ingress.place(
             self._service, self._route, self._key, self._plan.excluded,
-            frozenset(self._plan.full_targets),
+            frozenset(self._plan.full_targets), self._plan.times.objective,
         )  # fmt: skip
         if placement is None:
             self._no_target()
--- a/packages/devtools/src/pearward_devtools/experiment/__main__.py
+++ b/packages/devtools/src/pearward_devtools/experiment/__main__.py
@@ -36,6 +36,7 @@
     return {
         "pattern": name, "load": load, "seed": seed, "off": off,
         "credit": round(tally.credit, 4), "classes": per_class,
+        "far": tally.placements.far_share, "busiest": tally.placements.busiest_shares,
     }  # fmt: skip
 
 
@@ -79,7 +80,8 @@
     for row in results:
         key = (str(row["pattern"]), float(str(row["load"])), str(row["off"]))
         groups.setdefault(key, []).append(row)
-    click.echo(f"{'pattern':16} {'load':>5} {'without':18} {'credit':>7} {'spread':>7}  by class")
+    columns = f"{'credit':>7} {'spread':>7} {'far':>5}  by class"
+    click.echo(f"{'pattern':16} {'load':>5} {'without':18} {columns}")
     for (name, load, off), rows in groups.items():
         credits_ = [float(str(row["credit"])) for row in rows]
         spread = max(credits_) - min(credits_)
@@ -98,9 +100,24 @@
             )
         click.echo(
             f"{name:16} {load:5.2f} {off or '-':18} {statistics.mean(credits_):7.3f}"
-            f" {spread:7.3f}  {'; '.join(parts)}"
+            f" {spread:7.3f} {_mean_far(rows):5.2f}  {'; '.join(parts)}; {_busiest(rows)}"
         )
     click.echo("by class: credit (in time/late/refused/failed, of those asked)")
+    click.echo("far: share of attempts that leave the failure domain; xN: busiest target to mean")
+
+
+def _mean_far(rows: list[dict[str, object]]) -> float:
+    """Return the mean share of attempts that left the failure domain of their ingress."""
+    return statistics.mean(float(str(row["far"])) for row in rows)
+
+
+def _busiest(rows: list[dict[str, object]]) -> str:
+    """Return how much busier the busiest target of each service is than the mean one."""
+    shares: dict[str, list[float]] = {}
+    for row in rows:
+        for service, share in row["busiest"].items():  # type: ignore[attr-defined]
+            shares.setdefault(service, []).append(share)
+    return " ".join(f"{name} x{statistics.mean(each):.2f}" for name, each in shares.items())
 
 
 if __name__ == "__main__":
--- a/packages/devtools/src/pearward_devtools/experiment/model.py
+++ b/packages/devtools/src/pearward_devtools/experiment/model.py
@@ -12,22 +12,22 @@
 from random import Random
 
 from pearward_coordination.attempt_plan import AttemptPlan, NextStep, RequestTimes
+from pearward_coordination.near_first import Allowance, choose_near_first, near_samples
 from pearward_coordination.overload.policy import Mechanism, OverloadPolicy
 from pearward_coordination.selection import (
     FAR_SAMPLES,
-    NEAR_SAMPLES,
     Candidate,
     FreeSlotOdds,
     LoadView,
     MeanRunningTime,
     TargetLoad,
-    choose_target,
     draw,
 )
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
 from pearward_state.outcome import Outcome, Reason
 
 from .pattern import Pattern, RequestSpec, ServiceSpec
+from .placements import Placements
 
 __all__ = ["ClassCounts", "Simulation", "SimulationResult"]
 
@@ -64,6 +64,8 @@
     by_class: dict[str, ClassCounts] = field(default_factory=dict)
     seconds: dict[int, list[int]] = field(default_factory=dict)
     """Requests sent, served in time, served late and not served, by second of the first try."""
+    placements: Placements = field(default_factory=Placements)
+    """Attempts at targets that any daemon may choose."""
 
     @property
     def credit(self) -> float:
@@ -83,6 +85,7 @@
         self.name = f"{spec.name}-{number}"
         self.service = spec.name
         self.speed = spec.speeds[number]
+        self.domain = spec.domain_of(number, world.domains)
         self.lost = False
         limits = SlotLimits(spec.slots, spec.slots * QUEUE_PER_SLOT, policy=world.policy)
         self.queue = SlotQueue(limits)
@@ -114,6 +117,7 @@
         self._pattern = pattern
         self.policy = policy
         self._load_factor = load_factor
+        self.domains = pattern.domains
         self._rng = Random(f"{pattern.name} {seed}")
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -238,15 +242,15 @@
         targets = self._targets[spec.service]
         if spec.service in self._keyed:
             return self._owner(spec, targets)
-        domains = self._pattern.domains
-        near = [t for number, t in enumerate(targets) if (number - ingress) % domains == 0]
-        far = [t for number, t in enumerate(targets) if (number - ingress) % domains]
+        near = [t for t in targets if t.domain == ingress % self.domains]
+        far = [t for t in targets if t.domain != ingress % self.domains]
 
         def usable(target: _Target) -> bool:
             return target.name not in plan.excluded and not target.lost
 
         sampling = self.policy.uses(Mechanism.FEW_SAMPLES)
-        sampled = draw(near, NEAR_SAMPLES if sampling else len(near), usable, self._rng)
+        near_count = near_samples(self.policy) if sampling else len(near)
+        sampled = draw(near, near_count, usable, self._rng)
         sampled += draw(far, FAR_SAMPLES if sampling else len(far), usable, self._rng)
         sampled += [
             t for t in targets if t.name in plan.full_targets and usable(t) and t not in sampled
@@ -255,8 +259,16 @@
         mean_run_s = self._mean_running_times.setdefault(
             (ingress, spec.service), MeanRunningTime()
         ).seconds
-        chosen = choose_target(candidates, self.now, self._rng, mean_run_s=mean_run_s)
-        return next(t for t in sampled if t.name == chosen.target) if chosen is not None else None
+        objective_s = spec.objective_s if self.policy.uses(Mechanism.NEAR_FIRST) else 0.0
+        left_s = plan.times.objective - self.now
+        chosen = choose_near_first(
+            candidates, self.now, self._rng,
+            Allowance(objective_s, left_s, len(plan.full_targets)), mean_run_s=mean_run_s,
+        )  # fmt: skip
+        if chosen is None:
+            return None
+        self.tally.placements.attempt_placed(ingress % self.domains, self.now, chosen)
+        return next(t for t in sampled if t.name == chosen.target)
 
     def _owner(self, spec: RequestSpec, targets: list[_Target]) -> _Target | None:
         available = [t for t in targets if not t.lost]
@@ -361,6 +373,9 @@
         attempt.done = True
         target = attempt.target
         target.waiting.pop(attempt.ticket, None)
+        if attempt.ticket.started and target.service not in self._keyed:
+            ran_s = self.now - attempt.ticket.started
+            self.tally.placements.request_ran(target.service, target.name, ran_s)
         target.queue.finish(attempt.ticket, self.now, measured=outcome is Outcome.SERVED)
         started, late = target.queue.next_starts(self.now)
         for ticket in started:
--- a/packages/devtools/src/pearward_devtools/experiment/pattern.py
+++ b/packages/devtools/src/pearward_devtools/experiment/pattern.py
@@ -26,6 +26,17 @@
     slots: int
     keyed: bool
     """Whether each request has one owner; otherwise any target may run it."""
+    domain_sizes: tuple[int, ...]
+    """Number of targets in each failure domain, in the order of the speeds; empty if the targets
+    are dealt out to the domains in turn."""
+
+    def domain_of(self, number: int, domains: int) -> int:
+        """Return the failure domain of a target, of *domains* in all."""
+        for domain, size in enumerate(self.domain_sizes):
+            if number < size:
+                return domain
+            number -= size
+        return number % domains
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +142,7 @@
         * reader.integer("repeat", 1, low=1),
         slots=reader.integer("slots", 12, low=1),
         keyed=reader.flag("keyed", False),
+        domain_sizes=tuple(int(size) for size in reader.items("domain_sizes")),
     )
     reader.finish()
     return spec
