--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -23,6 +23,8 @@
     """A target without a free slot is passed over while other targets were not asked yet."""
     COMPRESS_HEADS = "compress-heads"
     """Heads and control messages between daemons are compressed."""
+    NEAR_FIRST = "near-first"
+    """A far target is not asked while near ones are expected to serve the request in time."""
 
 
 @dataclass(frozen=True, slots=True)
