Reserve lost targets' keys for their successors after a mass loss

The planner gave lost keys to the owners that it knew at the moment: registered entries of targets that no longer run, then the first few targets that returned. An owner without a current report is assigned no keys.

--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -22,12 +22,14 @@
     split_large,
     split_segment,
 )
+from .mass_loss import LossDecision
 
 __all__ = [
     "PlanLimits",
     "PlannedLoad",
     "first_map",
     "has_surged",
+    "move_to_successors",
     "plan_moves",
     "planned_capacity",
     "without_targets",
@@ -131,6 +133,27 @@
     return replace(key_map, version=key_map.version + 1, ranges=merged(ranges))
 
 
+def move_to_successors(
+    key_map: KeyMap,
+    decision: LossDecision,
+    owners: Sequence[KeyOwner],
+    ended: frozenset[str],
+) -> KeyMap | None:
+    """Return the map with all keys of lost owners at their successors, or None without a change.
+
+    No other keys move, whatever their load.
+    """
+    by_target = {owner.target: owner for owner in owners}
+    segments = [Segment(r, r.first, r.last, 0.0, r.owner) for r in key_map.ranges]
+    moved = False
+    for segment in segments:
+        successor = decision.successors.get(segment.owner, "")
+        if successor in by_target:
+            segment.owner = successor
+            moved = True
+    return map_of_segments(key_map, segments, by_target, ended) if moved else None
+
+
 def plan_moves(
     key_map: KeyMap,
     owners: Sequence[KeyOwner],
--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -21,6 +21,8 @@
     """The ingress daemon refuses part of the requests for a key whose owner refuses them."""
     IDLE_FIRST = "idle-first"
     """A target without a free slot is passed over while other targets were not asked yet."""
+    RETURN_TO_INSTANCE = "return-to-instance"
+    """After a loss of many targets their keys wait for the next targets of the same instances."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -273,6 +273,10 @@
             "pearward.cold", "The target counts as cold",
             lambda: float(target.slots.rate.cold.is_cold(boot_time())),
         )  # fmt: skip
+        gauge(
+            "pearward.keys.reserved", "Keys that wait for the next targets of lost owners",
+            lambda: self._core.planner.reserved_keys(),
+        )  # fmt: skip
         gauge(
             "pearward.rate.limit", "Requests a second that the target takes; -1 without a limit",
             lambda: -1.0 if (limit := target.slots.rate.advertised.per_s) is None else limit,
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -23,12 +23,15 @@
 from pearward_coordination.keyplan import (
     PlanLimits,
     first_map,
+    move_to_successors,
     plan_moves,
     planned_capacity,
     without_targets,
 )
 from pearward_coordination.load_watch import LoadWatch
+from pearward_coordination.mass_loss import LossDecision, LossEvidence, MassLoss
 from pearward_coordination.messages import AskRelease, KeyReport, ReleaseReply
+from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_state.eras import era_of
 from pearward_state.keymap import KeyMap
@@ -49,6 +52,9 @@
 REPORT_INTERVAL_S = 0.4
 MAX_REPORT_AGE_S = 2.0
 """Maximum age in s of a report that is used: five intervals."""
+LOSS_REPORT_AGE_S = 1.2
+"""Maximum age in s of a report in the evidence of losses: three intervals. Instances need as long
+to start, so that the loss of their targets is known before the next ones report."""
 FIRST_MAP_DELAY_S = 1.0
 """Seconds from the first known owner to the first map; all targets send a heartbeat by then."""
 RESTART_SILENCE_S = 4.0
@@ -101,6 +107,9 @@
     have capacity for their keys in the meantime."""
     unreadable_since: float | None = None
     """Time since which the map's entry could not be decoded and no map was known, or None."""
+    mass_loss: MassLoss = field(default_factory=lambda: MassLoss(MAX_UTILISATION))
+    loss: LossDecision = field(default_factory=LossDecision)
+    """Decision at the last planning."""
     working: bool = False
     former: FormerLeases = field(default_factory=FormerLeases)
     former_asked_at: float = float("-inf")
@@ -137,6 +146,7 @@
         self._seen: dict[str, tuple[str, float]] = {}
         """Failure domain of each instance, and time at which its entry was last seen."""
         self._limits = PlanLimits()
+        self._returns_to_instance = settings.overload.uses(Mechanism.RETURN_TO_INSTANCE)
         self._era = -1
         self._era_since = float("-inf")
         """Time at which this daemon first saw the current era of the store."""
@@ -209,6 +219,7 @@
             for service in self._services.values():
                 service.entry.invalidate()
                 service.owners_since = None
+                service.mass_loss, service.loss = MassLoss(MAX_UTILISATION), LossDecision()
             self._log.emit("planner_activated", members=len(self._directory.registered))
         elif not active and self._active_since is not None:
             self._active_since = None
@@ -245,7 +256,11 @@
                 return
             self._update_stopping(name, service, now)
             silent = frozenset(self._silent_targets(key_map, service, now))
-            planned = self._rebalanced(key_map, service, silent, now)
+            service.loss = self._observe_losses(key_map, service, now)
+            if service.loss.active:
+                planned = self._returned(key_map, service, now)
+            else:
+                planned = self._rebalanced(key_map, service, silent, now)
             if planned is None:
                 planned = without_targets(key_map, service.ended)
             why = "moves" if planned is not None else "witnesses"
@@ -383,6 +398,88 @@
         measured = [r.capacity for r in fresh if not r.limited] or [r.capacity for r in fresh]
         return sum(measured) / len(measured) if measured else 0.0
 
+    # -- losses of many targets ------------------------------------------------------------
+
+    def reserved_keys(self) -> int:
+        """Return the number of keys that wait for the next targets of lost owners' instances."""
+        if not self.is_active_planner:
+            return 0
+        return sum(
+            r.size
+            for service in self._services.values()
+            if service.loss.active and (key_map := self._maps.of(service.name)) is not None
+            for r in key_map.ranges
+            if r.owner in service.loss.reserved
+        )
+
+    def _observe_losses(self, key_map: KeyMap, service: _Service, now: float) -> LossDecision:
+        """Return whether the keys of lost owners wait for the next targets of their instances."""
+        if not self._returns_to_instance:
+            return LossDecision()
+        before = service.loss
+        decision = service.mass_loss.observe(self._loss_evidence(key_map, service, now), now)
+        if decision.active and not before.active:
+            self._log.emit(
+                "keys_reserved", service=key_map.service, version=key_map.version,
+                owners=len({r.owner for r in key_map.ranges}), reserved=len(decision.reserved),
+            )  # fmt: skip
+        elif before.active and not decision.active:
+            self._log.emit(
+                "reservation_ended", service=key_map.service, version=key_map.version,
+                reserved=sorted(before.reserved),
+            )  # fmt: skip
+        return decision
+
+    def _loss_evidence(self, key_map: KeyMap, service: _Service, now: float) -> LossEvidence:
+        """Return what is known of the owners of a map, and of the targets that follow them."""
+        eligible = {o.target for o in self._owners(key_map.service, service, now)}
+        reported: set[str] = set()
+        successors: dict[str, str] = {}
+        for target, (report, at) in service.reports.items():
+            if now - at > LOSS_REPORT_AGE_S:
+                continue
+            reported.add(target)
+            if target in eligible and self._may_get_keys(target, service, now, has_keys=False):
+                successors.update((lost, target) for lost in report.ended if lost != target)
+        for lost, target in tuple(successors.items()):
+            former, present = (self._directory.member_of(name) for name in (lost, target))
+            if former and present and former.instance != present.instance:
+                # Only the daemon beside a target knows that it has ended.
+                del successors[lost]
+        # The reports of a daemon that is restarted pause while its target keeps running.
+        reported.update(service.stopping)
+        return LossEvidence(
+            frozenset(r.owner for r in key_map.ranges if r.owner),
+            frozenset(reported),
+            frozenset(service.ended),
+            successors,
+            self._utilisation_without(service, now),
+        )
+
+    def _utilisation_without(self, service: _Service, now: float) -> float:
+        """Return the load of all keys relative to the capacity of the owners that report."""
+        can = sum(
+            report.capacity
+            for target, (report, at) in service.reports.items()
+            if now - at <= LOSS_REPORT_AGE_S and self._directory.drained_since(target) is None
+        )
+        asked = service.load.rate(now)
+        if can <= 0.0:
+            return float("inf") if asked > 0.0 else 0.0
+        return asked / can
+
+    def _returned(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap | None:
+        """Return a map that gives the keys of lost owners to their successors, or None."""
+        owners = self._owners(key_map.service, service, now)
+        planned = move_to_successors(key_map, service.loss, owners, frozenset(service.ended))
+        if planned is not None:
+            service.load.moved(now)
+            self._log.emit(
+                "keys_returned", service=key_map.service, version=planned.version,
+                successors=len(service.loss.successors), reserved=len(service.loss.reserved),
+            )  # fmt: skip
+        return planned
+
     # -- plans -----------------------------------------------------------------------------
 
     def _rebalanced(
@@ -432,10 +529,13 @@
 
         One without keys must have reported, and must not be stopping: a former planner may have
         moved its keys away for a reason that this one does not know. One with keys that is
-        stopping gets none before the planner has decided about the stop.
+        stopping gets none before the planner has decided about the stop. One without a current
+        report possibly no longer runs: its entry outlives it by the lease of its daemon.
         """
         member = self._directory.member_of(target)
         stopping = member is not None and member.stopping
+        if has_keys and self._returns_to_instance and not self._reports(service, target, now):
+            return False
         if has_keys:
             return not stopping or target in service.stopping
         return not stopping and self._reports(service, target, now)
