Recognize a successor by its report, before its entry arrives

After the loss of all instances the members' entries reach the planner more than a second late, as the watchers are lost too. A target that reports, and names a target whose entry is known as ended, runs on that target's instance: it gets the keys at the next plan, with witnesses outside that instance. The utilisation without the lost owners no longer counts successors without keys.

--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -374,13 +374,17 @@
             if report.draining:
                 continue
             limited = report.limited or member.cold_until > unix_time()
-            capacity = planned_capacity(report.capacity, mean, limited=limited)
-            # Grants under a map that the store may have lost are no evidence.
-            reported = era_of(report.version) == era_of(self._maps.version(name))
-            confirmed = report.confirmed if reported else ()
-            owners.append(KeyOwner(member.target, capacity, confirmed, reported))
+            owners.append(self._reported_owner(report, mean, limited=limited))
         return owners
 
+    def _reported_owner(self, report: KeyReport, mean: float, *, limited: bool) -> KeyOwner:
+        """Return an owner as its report describes it."""
+        capacity = planned_capacity(report.capacity, mean, limited=limited)
+        # Grants under a map that the store may have lost are no evidence.
+        reported = era_of(report.version) == era_of(self._maps.version(report.service))
+        confirmed = report.confirmed if reported else ()
+        return KeyOwner(report.target, capacity, confirmed, reported)
+
     def _report(self, service: _Service, target: str, now: float) -> tuple[KeyReport | None, float]:
         found = service.reports.get(target)
         if found is None:
@@ -432,45 +436,70 @@
 
     def _loss_evidence(self, key_map: KeyMap, service: _Service, now: float) -> LossEvidence:
         """Return what is known of the owners of a map, and of the targets that follow them."""
-        eligible = {o.target for o in self._owners(key_map.service, service, now)}
-        reported: set[str] = set()
-        successors: dict[str, str] = {}
-        for target, (report, at) in service.reports.items():
-            if now - at > LOSS_REPORT_AGE_S:
-                continue
-            reported.add(target)
-            if target in eligible and self._may_get_keys(target, service, now, has_keys=False):
-                successors.update((lost, target) for lost in report.ended if lost != target)
-        for lost, target in tuple(successors.items()):
-            former, present = (self._directory.member_of(name) for name in (lost, target))
-            if former and present and former.instance != present.instance:
-                # Only the daemon beside a target knows that it has ended.
-                del successors[lost]
+        current = [r for r, at in service.reports.values() if now - at <= LOSS_REPORT_AGE_S]
+        able = {owner.target for owner in self._possible_successors(service, now)}
         # The reports of a daemon that is restarted pause while its target keeps running.
-        reported.update(service.stopping)
+        reported = {report.target for report in current} | service.stopping.keys()
+        owners = frozenset(r.owner for r in key_map.ranges if r.owner)
         return LossEvidence(
-            frozenset(r.owner for r in key_map.ranges if r.owner),
-            frozenset(reported),
-            frozenset(service.ended),
-            successors,
-            self._utilisation_without(service, now),
+            owners=owners,
+            reported=frozenset(reported),
+            ended=frozenset(service.ended),
+            successors={
+                lost: report.target
+                for report in current
+                for lost in report.ended
+                if report.target in able and self._may_follow(report.target, lost)
+            },
+            utilisation_without=self._utilisation(
+                service, [r.capacity for r in current if r.target in owners], now
+            ),
         )
 
-    def _utilisation_without(self, service: _Service, now: float) -> float:
-        """Return the load of all keys relative to the capacity of the owners that report."""
-        can = sum(
-            report.capacity
-            for target, (report, at) in service.reports.items()
-            if now - at <= LOSS_REPORT_AGE_S and self._directory.drained_since(target) is None
-        )
-        asked = service.load.rate(now)
+    def _may_follow(self, target: str, lost: str) -> bool:
+        """Return whether a target may run on the instance of another one that it names as ended."""
+        present, former = self._directory.member_of(target), self._directory.member_of(lost)
+        if present is not None and former is not None and present.instance != former.instance:
+            return False
+        return target != lost
+
+    def _possible_successors(self, service: _Service, now: float) -> list[KeyOwner]:
+        """Return the targets that can get the keys of a lost target of their instance.
+
+        After a loss of all instances members' entries arrive more than a second late, as most
+        watchers are lost too. A target that reports is known to run on the instance of the
+        former one.
+        """
+        owners = [
+            owner
+            for owner in self._owners(service.name, service, now)
+            if self._may_get_keys(owner.target, service, now, has_keys=False)
+        ]
+        mean = self._mean_capacity(service, now)
+        for target, (report, _) in service.reports.items():
+            known = self._directory.member_of(target) is not None
+            if known or report.draining or not self._reports(service, target, now):
+                continue
+            former = self._former_member(report)
+            if former is not None and not self._directory.is_drained(former.failure_domain):
+                owners.append(self._reported_owner(report, mean, limited=report.limited))
+        return owners
+
+    def _former_member(self, report: KeyReport) -> Member | None:
+        """Return the entry, if it is still known, of a target that a report names as ended."""
+        found = (self._directory.member_of(target) for target in report.ended)
+        return next((member for member in found if member is not None), None)
+
+    def _utilisation(self, service: _Service, capacities: list[float], now: float) -> float:
+        """Return the load of all keys relative to the capacity of some owners."""
+        asked, can = service.load.rate(now), sum(capacities)
         if can <= 0.0:
             return float("inf") if asked > 0.0 else 0.0
         return asked / can
 
     def _returned(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap | None:
         """Return a map that gives the keys of lost owners to their successors, or None."""
-        owners = self._owners(key_map.service, service, now)
+        owners = self._possible_successors(service, now)
         planned = move_to_successors(key_map, service.loss, owners, frozenset(service.ended))
         if planned is not None:
             service.load.moved(now)
@@ -653,6 +682,9 @@
             if now - seen <= WITNESS_TIMEOUT_S
         ]
         instances = {m.target: m.instance for m in self._directory.members if m.target}
+        for lost, successor in service.loss.successors.items():
+            if lost in instances:
+                instances.setdefault(successor, instances[lost])
         return with_witnesses(key_map, candidates, instances, self._settled(key_map, service, now))
 
     def _settled(self, key_map: KeyMap, service: _Service, now: float) -> frozenset[str]:
