Give refused callers the time after which an absent owner serves

A keyed request whose owner was absent got a retry delay of 0.1 s, and none where the owner's daemon refused connections: its retries were used up before the owner returned. The delay is now the rest of the expected absence, 1.2 s until others were observed, and up to half of it more. The absence ends with the map that replaces the owner.

--- a/packages/daemon/src/pearward_daemon/mesh/ingress.py
+++ b/packages/daemon/src/pearward_daemon/mesh/ingress.py
@@ -9,6 +9,7 @@
 
 from pearward_coordination.directory import Directory
 from pearward_coordination.overload.key_shedding import KeyShedding
+from pearward_coordination.overload.owner_return import OwnerReturns
 from pearward_coordination.overload.policy import Mechanism
 from pearward_coordination.overload.retry_delay import RetryAgeEstimator
 from pearward_coordination.quarantine import Quarantine
@@ -21,6 +22,7 @@
     choose_target,
 )
 from pearward_protocol.errors import BadHeader
+from pearward_state.keymap import KeyMap
 from pearward_state.routes import RequestKind, Route, RoutingTable
 from pearward_transport.caller_request import BodySink, CallerRequest
 from pearward_transport.clock import boot_time, unix_time
@@ -138,6 +140,10 @@
         self._idle_odds: dict[str, FreeSlotOdds] = {}
         self._shedding = KeyShedding(rng)
         self._sheds = settings.overload.uses(Mechanism.SHED_KEYS)
+        self._owner_returns: dict[str, OwnerReturns] = {}
+        """Absent owners, by service."""
+        self._expects_returns = settings.overload.uses(Mechanism.RETURN_TO_INSTANCE)
+        key_maps.on_newer(self._map_adopted)
         self._open: set[RoutedRequest] = set()
         self._stopping = False
         self._ends_at = math.inf
@@ -313,8 +319,31 @@
             placement = self._placement(owned.owner, key_map.version)
         if placement is None or not self.directory.reachable(placement.target, boot_time()):
             self._request_map_from_planner(service)
+            if owned is not None and owned.owner:
+                self._returns_of(service).note_absent(owned.owner, boot_time())
         return placement
 
+    def owner_return_delay_s(self, service: str, key: int) -> float:
+        """Return the retry delay for a key whose owner is absent; 0 if it is not known."""
+        key_map = self._maps.of(service)
+        owned = key_map.range_of(key) if key_map is not None else None
+        if not self._expects_returns or owned is None or not owned.owner:
+            return 0.0
+        return self._returns_of(service).retry_delay_s(owned.owner, boot_time())
+
+    def _returns_of(self, service: str) -> OwnerReturns:
+        return self._owner_returns.setdefault(service, OwnerReturns(self._rng))
+
+    def _map_adopted(self, key_map: KeyMap) -> None:
+        """Record which absent owners were replaced by a newer map."""
+        returns = self._owner_returns.get(key_map.service)
+        if returns is None or not returns.absent:
+            return
+        owners = {r.owner for r in key_map.ranges}
+        for owner in returns.absent:
+            if owner not in owners:
+                returns.note_replaced(owner, boot_time())
+
     def _placement(self, target: str, map_version: int) -> Placement | None:
         member = self.directory.member_of(target)
         if member is None or self._is_drained(target) or self._has_left(target):
@@ -350,6 +379,10 @@
     def key_served(self, service: str, key: int) -> None:
         """Record that the owner of a key has run a request."""
         self._shedding.served(service, key, boot_time())
+        key_map, returns = self._maps.of(service), self._owner_returns.get(service)
+        if key_map is not None and returns is not None and returns.absent:
+            owned = key_map.range_of(key)
+            returns.note_present(owned.owner if owned is not None else "")
 
     def has_other_target(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has an available target that was not tried."""
--- a/packages/daemon/src/pearward_daemon/mesh/routed_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/routed_request.py
@@ -243,7 +243,8 @@
         drained = self._ingress.is_wholly_drained(self._service)
         if drained or not self._plan.waits_for_owner(boot_time()):
             reason = self._last_reason or Reason.NO_ROUTE
-            self._give_up(Outcome.NOT_RUN, reason, self._retry_after_s or DEFAULT_RETRY_AFTER_S)
+            retry_after_s = self._absent_owner_delay_s() or self._retry_after_s
+            self._give_up(Outcome.NOT_RUN, reason, retry_after_s or DEFAULT_RETRY_AFTER_S)
             return
         self._plan.tried.clear()
         self._last_reason = self._last_reason or Reason.NO_ROUTE
@@ -502,12 +503,20 @@
         if not again:
             late = reason is Reason.DEADLINE
             status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
+            if reason is Reason.UNREACHABLE:
+                retry_after_s = self._absent_owner_delay_s()
             self._give_up(outcome, reason, retry_after_s, status)
         elif self._keyed:
             self._wait_timer = self._ingress.call_later(OWNER_WAIT_S, self._next_attempt)
         else:
             self._next_attempt()
 
+    def _absent_owner_delay_s(self) -> float:
+        """Return the retry delay of a keyed request whose owner is absent; 0 in other cases."""
+        if self._key is None:
+            return 0.0
+        return self._ingress.owner_return_delay_s(self._service, self._key)
+
     def _should_retry(self, outcome: Outcome, reason: Reason, target: str) -> bool:
         """Decide whether the request is sent again, and charge the retry budget if required."""
         if outcome is not Outcome.NOT_RUN:
