--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -25,6 +25,8 @@
     """Heads and control messages between daemons are compressed."""
     NEAR_FIRST = "near-first"
     """A far target is not asked while near ones are expected to serve the request in time."""
+    RETURN_TO_INSTANCE = "return-to-instance"
+    """After a loss of many targets their keys wait for the next targets of the same instances."""
 
 
 @dataclass(frozen=True, slots=True)
