--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -19,9 +19,11 @@
     map_of_segments,
     merged,
     rates_by_owner,
+    smooth_rates,
     split_large,
     split_segment,
 )
+from .load_significance import OwnerExcess, exceeding
 
 __all__ = [
     "PlanLimits",
@@ -156,6 +158,8 @@
             rates[segment.owner] += segment.rate
     moved = _place_unowned(segments, by_target, rates, fixed)
     moved = _place_heaviest(segments, by_target, rates, limits) or moved
+    if any(owner.capacity_error is not None for owner in owners):
+        smooth_rates(segments, load.observed_s)
     moved = _level_load(segments, by_target, rates, load.observed_s, limits) or moved
     moved = _give_new_targets(segments, by_target, rates) or moved
     if not moved:
@@ -256,14 +260,15 @@
     def used(target: str) -> float:
         return _utilisation(target, by_target, rates)
 
-    def is_overloaded(target: str) -> bool:
-        """Return whether a target's excess load is significant and causes queueing."""
-        if used(target) <= max(mean + limits.tolerance, limits.idle_utilisation):
-            return False
-        excess = (rates[target] - mean * by_target[target].capacity) * observed_s
-        return excess > limits.significance * float((rates[target] * observed_s) ** 0.5)
+    def excess(owner: KeyOwner) -> OwnerExcess:
+        received = rates[owner.target] * observed_s
+        share = mean * owner.capacity * observed_s
+        return OwnerExcess(owner.target, received, share, owner.capacity_error)
 
-    donors = {target for target in rates if is_overloaded(target)}
+    # Only load that causes queueing justifies a move.
+    busy = [t for t in rates if used(t) > max(mean + limits.tolerance, limits.idle_utilisation)]
+    rows = [excess(by_target[target]) for target in busy]
+    donors = exceeding(rows, len(rates), limits.significance)
     if not donors:
         return False
     by_owner: dict[str, list[Segment]] = {target: [] for target in by_target}
@@ -277,12 +282,12 @@
     while moved < most_moves and donors:
         busiest = max(donors, key=used)
         least_used = min(rates, key=used)
-        excess = rates[busiest] - mean * by_target[busiest].capacity
+        excess_rate = rates[busiest] - mean * by_target[busiest].capacity
         spare_rate = mean * by_target[least_used].capacity - rates[least_used]
         if used(busiest) - mean <= limits.tolerance / 3:
             donors.discard(busiest)
             continue
-        fitting = _best_fit(by_owner[busiest], min(excess, spare_rate))
+        fitting = _best_fit(by_owner[busiest], min(excess_rate, spare_rate))
         if fitting is None:
             # The remaining keys of this owner are too heavy for any other.
             donors.discard(busiest)
--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -21,6 +21,8 @@
     """The ingress daemon refuses part of the requests for a key whose owner refuses them."""
     IDLE_FIRST = "idle-first"
     """A target without a free slot is passed over while other targets were not asked yet."""
+    KNOWN_SPEED = "known-speed"
+    """Keys are assigned by the owners' relative speeds, with regard to their uncertainty."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -29,6 +29,14 @@
 )
 from pearward_coordination.load_watch import LoadWatch
 from pearward_coordination.messages import AskRelease, KeyReport, ReleaseReply
+from pearward_coordination.overload.policy import Mechanism
+from pearward_coordination.target_speed import (
+    OwnerSpeed,
+    RunSummary,
+    capacity_error,
+    relative_speeds,
+    reported_runs,
+)
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_state.eras import era_of
 from pearward_state.keymap import KeyMap
@@ -137,6 +145,8 @@
         self._seen: dict[str, tuple[str, float]] = {}
         """Failure domain of each instance, and time at which its entry was last seen."""
         self._limits = PlanLimits()
+        self._invalid_senders: set[str] = set()
+        """Targets whose invalid running times have been logged."""
         self._era = -1
         self._era_since = float("-inf")
         """Time at which this daemon first saw the current era of the store."""
@@ -343,6 +353,7 @@
     def _owners(self, name: str, service: _Service, now: float) -> list[KeyOwner]:
         """Return the targets that can own keys, ordered by instance."""
         mean = self._mean_capacity(service, now)
+        speeds = self._speeds(service, now)
         owners: list[KeyOwner] = []
         for member in sorted(self._directory.members, key=lambda m: m.instance):
             if member.service != name or not member.target or member.target in service.ended:
@@ -354,18 +365,50 @@
             report, age = self._report(service, member.target, now)
             if report is None or age > MAX_REPORT_AGE_S:
                 if self._directory.is_registered(member.target):
-                    owners.append(KeyOwner(member.target, mean or float(member.slots)))
+                    error = capacity_error(0.0) if speeds else None
+                    capacity = mean or float(member.slots)
+                    owners.append(KeyOwner(member.target, capacity, capacity_error=error))
                 continue
             if report.draining:
                 continue
             limited = report.limited or member.cold_until > unix_time()
-            capacity = planned_capacity(report.capacity, mean, limited=limited)
+            speed = speeds.get(member.target) if not limited else None
+            capacity = report.capacity if speed is None else mean * speed.relative
+            capacity = planned_capacity(capacity, mean, limited=limited)
+            error = speed.error if speed is not None else None
             # Grants under a map that the store may have lost are no evidence.
             reported = era_of(report.version) == era_of(self._maps.version(name))
             confirmed = report.confirmed if reported else ()
-            owners.append(KeyOwner(member.target, capacity, confirmed, reported))
+            owners.append(KeyOwner(member.target, capacity, confirmed, reported, error))
         return owners
 
+    def _speeds(self, service: _Service, now: float) -> dict[str, OwnerSpeed]:
+        """Return the relative speeds of the owners whose reports state their running times."""
+        if not self._settings.overload.uses(Mechanism.KNOWN_SPEED):
+            return {}
+        return relative_speeds(
+            {
+                target: summary
+                for target, (report, at) in service.reports.items()
+                if now - at <= MAX_REPORT_AGE_S
+                and not report.limited
+                and (summary := self._reported_runs(report)) is not None
+            }
+        )
+
+    def _reported_runs(self, report: KeyReport) -> RunSummary | None:
+        """Return the running times in a report; values that no daemon sends are logged once."""
+        try:
+            return reported_runs(report.typical_run_ms, report.runs)
+        except ValueError as error:
+            if report.target not in self._invalid_senders:
+                self._invalid_senders.add(report.target)
+                self._log.emit(
+                    "run_statistics_ignored", failure=True, target=report.target, error=str(error),
+                    typical_run_ms=str(report.typical_run_ms), runs=str(report.runs),
+                )  # fmt: skip
+            return None
+
     def _report(self, service: _Service, target: str, now: float) -> tuple[KeyReport | None, float]:
         found = service.reports.get(target)
         if found is None:
