--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -19,7 +19,6 @@
     map_of_segments,
     merged,
     rates_by_owner,
-    smooth_rates,
     split_large,
     split_segment,
 )
@@ -158,8 +157,6 @@
             rates[segment.owner] += segment.rate
     moved = _place_unowned(segments, by_target, rates, fixed)
     moved = _place_heaviest(segments, by_target, rates, limits) or moved
-    if any(owner.capacity_error is not None for owner in owners):
-        smooth_rates(segments, load.observed_s)
     moved = _level_load(segments, by_target, rates, load.observed_s, limits) or moved
     moved = _give_new_targets(segments, by_target, rates) or moved
     if not moved:
@@ -269,6 +266,9 @@
     busy = [t for t in rates if used(t) > max(mean + limits.tolerance, limits.idle_utilisation)]
     rows = [excess(by_target[target]) for target in busy]
     donors = exceeding(rows, len(rates), limits.significance)
+    if donors and all(row.capacity_error is not None for row in rows):
+        # One plan for all owners above the mean replaces the later ones for each of them.
+        donors = {t for t in rates if used(t) > mean + limits.tolerance / 3}
     if not donors:
         return False
     by_owner: dict[str, list[Segment]] = {target: [] for target in by_target}
--- a/packages/coordination/src/pearward_coordination/load_significance.py
+++ b/packages/coordination/src/pearward_coordination/load_significance.py
@@ -1,8 +1,8 @@
 """Whether owners' loads above their share are more than random variation.
 
 Addresses plans that follow random variation: the load of an owner is known from some thirty
-requests and its capacity from some runs, and among sixty owners a few always appear overloaded. Each
-plan makes the moved keys unavailable for half a second. No I/O and no clock.
+requests and its capacity from some runs, and among sixty owners a few always appear overloaded.
+Each plan makes the moved keys unavailable for half a second. No I/O and no clock.
 """
 
 from collections.abc import Iterable
--- a/packages/coordination/src/pearward_coordination/target_speed.py
+++ b/packages/coordination/src/pearward_coordination/target_speed.py
@@ -10,7 +10,7 @@
 used.
 
 A target that becomes slow ends few runs, so that means of completed runs show it late. The
-completed and running requests of the last second are therefore compared with what a slow target
+completed and running requests of the last seconds are therefore compared with what a slow target
 would have done in that time. No I/O and no clock.
 """
 
@@ -48,14 +48,16 @@
 MAX_RUN_MS = 3.6e6
 """Maximum typical running time in ms in a report: an hour, longer than any caller waits."""
 
-WINDOW_S = 1.0
-"""Seconds of runs that are examined for a slow-down: it has to show within a second and a half, of
-which a third passes until the next report is evaluated."""
-SLOW_FACTORS = (2.5, 5.0, 10.0)
-"""Factors of a slow-down that are compared with the usual speed; smaller ones show in the mean."""
-SLOW_EVIDENCE = 9.0
-"""Logarithm of the likelihood ratio from which a target counts as slow. Sixty owners are examined
-150 times a second, so that a probability of exp(-9) is a false alarm in a minute at most."""
+WINDOWS_S = (0.7, 1.0, 1.5, 2.2)
+"""Seconds of runs that are examined for a slow-down, as its beginning is not known. Within the
+shortest, a target with six slots in use usually ends a dozen runs."""
+SLOW_FACTOR = 5.0
+"""Factor of a slow-down that is compared with the usual speed; smaller ones show in the mean."""
+SLOW_EVIDENCE = 7.0
+"""Logarithm of the likelihood ratio from which a target counts as slow: a false alarm, which moves
+some keys, is expected about once in five minutes of a target with all slots in use."""
+SLOW_RUNS = 20.0
+"""Runs that such evidence counts for; the planner then trusts the lower speed for the most part."""
 MIN_RUNS_KNOWN = 10.0
 """Runs from which the usual running time is known well enough to detect a slow-down."""
 TAIL_SHAPE = 2.0
@@ -110,9 +112,7 @@
     def become_slow(self, factor: float) -> None:
         """Replace the mean by one that is *factor* higher and known from few runs."""
         self.log_s += log(factor)
-        kept = min(1.0, PRIOR_RUNS / max(self.weight, PRIOR_RUNS))
-        self.weight *= kept
-        self.squares = self.weight
+        self.weight = self.squares = SLOW_RUNS
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,16 +145,15 @@
             runs = self._routes[route] = _RouteRuns()
         runs.take(log(max(now - started, MIN_RUN_S)))
         self._recent.append(_RecentRun(route, started, now))
-        self._forget_before(now - WINDOW_S)
+        self._forget_before(now - WINDOWS_S[-1])
 
     def summary(self, running: Iterable[RunningRequest], now: float) -> RunSummary:
         """Return the typical running time, after a check for a slow-down."""
-        self._forget_before(now - WINDOW_S)
-        factor = self._slow_factor(tuple(running), now)
-        if factor > 1.0:
+        self._forget_before(now - WINDOWS_S[-1])
+        if self._is_slow(tuple(running), now):
             self._slow_since = now
             for runs in self._routes.values():
-                runs.become_slow(factor)
+                runs.become_slow(SLOW_FACTOR)
         return self._combined()
 
     def _combined(self) -> RunSummary:
@@ -177,27 +176,21 @@
         while self._recent and self._recent[0].ended < oldest:
             self._recent.popleft()
 
-    def _slow_factor(self, running: tuple[RunningRequest, ...], now: float) -> float:
-        """Return the factor of a slow-down that the recent runs show; 1.0 if they show none."""
-        since = max(now - WINDOW_S, self._slow_since)
+    def _is_slow(self, running: tuple[RunningRequest, ...], now: float) -> bool:
+        """Return whether the recent runs show that the target has become slow."""
         if self._combined().runs < MIN_RUNS_KNOWN:
-            return 1.0
-        best, found = SLOW_EVIDENCE, 1.0
-        for factor in SLOW_FACTORS:
-            evidence = sum(
-                self._evidence(run.route, run.started, run.ended, since, factor, ended=True)
-                for run in self._recent
-                if run.ended > since
-            ) + sum(
-                self._evidence(run.route, run.started, now, since, factor, ended=False)
-                for run in running
-            )
-            if evidence > best:
-                best, found = evidence, factor
-        return found
+            return False
+        runs = [(run.route, run.started, run.ended, True) for run in self._recent]
+        runs += [(request.route, request.started, now, False) for request in running]
+        return any(
+            sum(self._evidence(*run, now - window_s) for run in runs if run[2] > now - window_s)
+            > SLOW_EVIDENCE
+            for window_s in WINDOWS_S
+            if now - window_s >= self._slow_since
+        )
 
     def _evidence(
-        self, route: str, started: float, until: float, since: float, factor: float, *, ended: bool
+        self, route: str, started: float, until: float, ended: bool, since: float
     ) -> float:
         """Return by how much one run makes a slow-down that began at *since* more likely.
 
@@ -210,10 +203,10 @@
         scale = exp(-runs.log_s)
         before = max(0.0, since - started) * scale
         usual = max(until - started, MIN_RUN_S) * scale
-        slow = before + (usual - before) / factor
+        slow = before + (usual - before) / SLOW_FACTOR
         evidence = _hazard(usual) - _hazard(slow)
         if ended:
-            evidence += log(_hazard_rate(slow) / _hazard_rate(usual) / factor)
+            evidence += log(_hazard_rate(slow) / _hazard_rate(usual) / SLOW_FACTOR)
         return evidence
 
 
@@ -224,7 +217,7 @@
 
 def _hazard_rate(times: float) -> float:
     """Return the derivative of the cumulative hazard."""
-    power = times**TAIL_SHAPE
+    power: float = times**TAIL_SHAPE
     return TAIL_SHAPE * power / times / (1.0 + power)
 
 
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -171,8 +171,8 @@
       confirmed @52 :List(HeldRow);
       counts @53 :List(KeyCount);
       limited @81 :Bool;
-      typicalRunMs @82 :Float64;
-      runs @83 :Float64;
+      typicalRunMs @83 :Float64;
+      runs @84 :Float64;
     }
     askKeys :group {
       service @54 :Text;
