Plans move expected load, no more than a receiver bears, and only on evidence

Cause: a plan moved the segments with the highest measured rates first, single keys with two or three recent requests, and so relieved nobody; and one owner in sixty exceeds two standard errors at almost every evaluation. Change: with known speeds, the rate of a segment is shrunk towards that of its owner's keys, an owner receives at most a fifth of its free capacity by one plan, and a plan needs an excess that chance gives one of all owners at most once in twenty evaluations.

--- a/features/target_speed.feature
+++ b/features/target_speed.feature
@@ -18,6 +18,11 @@
     When the load is played for 7 s with and without known speeds
     Then at most 0.7 of the refusals of the last 4 s remain
 
+  Scenario: Load is levelled although fewer plans are made
+    Given 59 owners of speeds 0.7, 0.7 and 1.7 that get 11 requests a second each, and moved keys keep their warm state
+    When the load is played for 7 s with and without known speeds
+    Then at most 1.0 of the refusals of the last 4 s remain
+
   Scenario: Few runs show the typical running time
     Given a target whose running times are log-normal with a spread of 0.8, 3 in 100 7 times as long
     When it ends 20 requests, 200 times over
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from math import inf
 
 from pearward_state.eras import next_number
 from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange
@@ -19,6 +20,7 @@
     map_of_segments,
     merged,
     rates_by_owner,
+    smooth_rates,
     split_large,
     split_segment,
 )
@@ -79,6 +81,9 @@
     heavy_keys: int = 4
     """Maximum number of overloaded keys considered per plan: hot keys follow one another within
     seconds."""
+    cold_share: float = 0.2
+    """Part of an owner's free capacity that one plan may use where errors of capacities are known:
+    requests for a key that has just moved may run five times as long for some seconds."""
     min_speedup: float = 1.3
     """Minimum ratio of the new owner's capacity to the present one's; capacities are accurate to a
     tenth."""
@@ -271,6 +276,9 @@
         donors = {t for t in rates if used(t) > mean + limits.tolerance / 3}
     if not donors:
         return False
+    if any(o.capacity_error is not None for o in by_target.values()):
+        smooth_rates(segments, observed_s)
+    room = {t: _room(owner, rates[t], limits) for t, owner in by_target.items()}
     by_owner: dict[str, list[Segment]] = {target: [] for target in by_target}
     for segment in segments:
         if segment.owner in by_owner:
@@ -281,13 +289,17 @@
     most_moves = max(limits.moves, limits.moves_per_owner * len(by_target))
     while moved < most_moves and donors:
         busiest = max(donors, key=used)
-        least_used = min(rates, key=used)
+        least_used = min((t for t in rates if room[t] > 0.0), key=used, default=busiest)
         excess_rate = rates[busiest] - mean * by_target[busiest].capacity
         spare_rate = mean * by_target[least_used].capacity - rates[least_used]
         if used(busiest) - mean <= limits.tolerance / 3:
             donors.discard(busiest)
             continue
-        fitting = _best_fit(by_owner[busiest], min(excess_rate, spare_rate))
+        wanted_rate = min(excess_rate, spare_rate)
+        fitting = _best_fit(by_owner[busiest], min(wanted_rate, room[least_used]))
+        if fitting is None and room[least_used] < wanted_rate:
+            room[least_used] = 0.0
+            continue
         if fitting is None:
             # The remaining keys of this owner are too heavy for any other.
             donors.discard(busiest)
@@ -297,10 +309,18 @@
         fitting.owner = least_used
         rates[busiest] -= fitting.rate
         rates[least_used] += fitting.rate
+        room[least_used] -= fitting.rate
         moved += 1
     return moved > 0
 
 
+def _room(owner: KeyOwner, rate: float, limits: PlanLimits) -> float:
+    """Return the requests per second that an owner may receive by one plan."""
+    if owner.capacity_error is None:
+        return inf
+    return max(0.0, owner.capacity - rate) * limits.cold_share
+
+
 def _give_new_targets(
     segments: list[Segment], by_target: Mapping[str, KeyOwner], rates: dict[str, float]
 ) -> bool:
--- a/packages/coordination/src/pearward_coordination/load_significance.py
+++ b/packages/coordination/src/pearward_coordination/load_significance.py
@@ -7,14 +7,17 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import log, sqrt
+from math import sqrt
 from statistics import NormalDist
 
 __all__ = ["OwnerExcess", "exceeding"]
 
-CHANCE_ERRORS = 2.0
+CHANCE_ERRORS = 3.0
 """Standard deviations by which the number of owners that exceed the limit must be above the number
-that would exceed it by chance."""
+that would exceed it by chance. The loads are examined anew every three seconds, and a plan that
+follows chance is to be rare among these; retries of refused requests add to the variation."""
+CHANCE_OF_ONE = 0.05
+"""Probability that any of all owners exceeds the limit from which a single owner is relieved."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,7 @@
     by_chance = owners * NormalDist().cdf(-significance)
     many = by_chance + CHANCE_ERRORS * sqrt(by_chance)
     highest = max((row.errors for row in found), default=0.0)
-    if len(found) <= many and highest <= max(significance, sqrt(2.0 * log(max(owners, 1)))):
+    of_one = NormalDist().inv_cdf(1.0 - CHANCE_OF_ONE / max(owners, 1))
+    if len(found) <= many and highest <= max(significance, of_one):
         return set()
     return {row.target for row in found}
