--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -23,10 +23,12 @@
     """A target without a free slot is passed over while other targets were not asked yet."""
     COMPRESS_HEADS = "compress-heads"
     """Heads and control messages between daemons are compressed."""
-    NEAR_FIRST = "near-first"
-    """A far target is not asked while near ones are expected to serve the request in time."""
     RETURN_TO_INSTANCE = "return-to-instance"
     """After a loss of many targets their keys wait for the next targets of the same instances."""
+    NEAR_FIRST = "near-first"
+    """A far target is not asked while near ones are expected to serve the request in time."""
+    KNOWN_SPEED = "known-speed"
+    """Keys are assigned by the owners' relative speeds, with regard to their uncertainty."""
 
 
 @dataclass(frozen=True, slots=True)
