Hold no keys for a new target under the lease of the former one

A daemon kept the end of its lease when its target was replaced, and granted keys to the next one under it until the first renewal for that target. The witnesses of the new target do not know of such a lease: if the daemon was isolated then and the keys moved, they confirmed at once that it held none, and two targets held the keys for up to 1.6 s. The lease's end is now forgotten with the target, and the first renewals are requested as soon as a map has witnesses for it.

--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -161,6 +161,8 @@
 
     def _reset_for(self, target: str) -> None:
         self._target = target
+        # The witnesses have renewed the lease of the former incarnation, not of this one.
+        self._lease_ends = NEVER
         self._ledger.clear()
         self._granted.clear()
         self._tokens.clear()
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -427,6 +427,8 @@
     def _map_adopted(self, key_map: KeyMap) -> None:
         if key_map.service == self._settings.service:
             self._local_target.adopt(key_map)
+            if self._lease.map_adopted():
+                self._local_target.update_grants()
 
     def _broadcast_map(self, key_map: KeyMap) -> None:
         """Send every other daemon a map that this one wrote."""
--- a/packages/daemon/src/pearward_daemon/mesh/target_lease.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_lease.py
@@ -121,6 +121,16 @@
                 self._send(member.peer_address, request)
         return self._update_held(now)
 
+    def map_adopted(self) -> bool:
+        """Request the first renewals at once if a map has the first witnesses of the local target.
+
+        Returns whether the lease was regained, as by a renewal that this daemon granted itself.
+        """
+        key_map, target = self._maps.of(self._service), self._grant_manager.target
+        if key_map is None or not target or (target == self._target and self._witness_set):
+            return False
+        return bool(key_map.witnesses_of(target)) and self.renew()
+
     def _update_witnesses(self, key_map: KeyMap, target: str, now: float) -> None:
         """Use the current witness set; drop renewals that were granted to another target."""
         if target != self._target:
