--- a/features/steps/successor_lease_steps.py
+++ b/features/steps/successor_lease_steps.py
@@ -19,7 +19,8 @@
 DOMAINS = ("a", "b", "c")
 
 
-@given("a fleet of {count:d} targets in 3 failure domains, with targets that take their keys by {way}")  # fmt: skip
+@given("a fleet of {count:d} targets in 3 failure domains, with targets that take their keys by "
+       "{way}")  # fmt: skip
 def fleet(context: Any, count: int, way: str) -> None:
     stack = ExitStack()
     context.add_cleanup(stack.close)
