A late renewal of a former target does not extend the next one's lease

Cause: a reply that was on its way when the target was replaced was compared with the target of the last renewal sent, and set the former lease's end on the next target, which was granted keys under it (found in a review).

--- a/packages/daemon/src/pearward_daemon/mesh/target_lease.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_lease.py
@@ -145,10 +145,14 @@
             self._grant_manager.set_lease_end(self._lease.valid_until)
 
     def renewed(self, sender: PeerId, reply: RenewReply) -> bool:
-        """Process a witness's renewal reply; return whether the lease was regained by it."""
+        """Process a witness's renewal reply; return whether the lease was regained by it.
+
+        A reply for a target that has been replaced meanwhile has no effect: the next target has a
+        lease of its own, which other witnesses may renew.
+        """
         now = boot_time()
         name = self._name_of(sender.address)
-        if name is not None and reply.owner == self._target:
+        if name is not None and reply.owner == self._target == self._grant_manager.target:
             self._count_renewal(name, reply, now)
         return self._update_held(now)
 
