The ledger of bytes reads flags of heads only

Cause: the flags of a RESET are its code, and BROKEN has the number of the flag for a body. Counting it raised struct.error in the middle of a write, so that a request whose target broke off kept its slot (found in a review: 1 slot in use after the reset instead of 0). Change: the flag is read in requests and responses only. The feature resets with every code; 1 of 2 failed before.

--- a/features/peer_traffic.feature
+++ b/features/peer_traffic.feature
@@ -23,6 +23,19 @@
     Then the bytes of response_body to other are 900
     And the bytes of all kinds add up to what was written
 
+  # The flags of a RESET are its code, and one code has the number of the flag for a body: counting it
+  # raised an error, and the request that was reset kept its slot.
+  Scenario Outline: A reset is counted, whatever its code
+    Given a counted connection from a daemon in the failure domain "hall-2"
+    When it receives a request and resets it with <code>
+    Then the bytes of reset to other are 12
+    And the bytes of all kinds add up to what was written
+
+    Examples:
+      | code      |
+      | CANCELLED |
+      | BROKEN    |
+
   # A peer's entry may be read only after its first bytes. A sum that decreased when the domain
   # becomes known would be taken for a restart of the daemon by whoever reads the metric.
   Scenario: Bytes to a peer whose failure domain is not known stay counted as such
--- a/features/steps/peer_traffic_steps.py
+++ b/features/steps/peer_traffic_steps.py
@@ -136,6 +136,13 @@
     context.connection.reset(context.stream, ResetCode.CANCELLED)
 
 
+@when("it receives a request and resets it with {code}")
+def reset_received(context: Any, code: str) -> None:
+    stream = context.other.open_stream(HEAD, ended=True)
+    context.connection.dataReceived(b"".join(context.other.take_output()))
+    context.connection.reset(stream, ResetCode[code])
+
+
 @when("the counts are read")
 def read_counts(context: Any) -> None:
     context.ledger.bytes_sent()
--- a/packages/transport/src/pearward_transport/traffic_ledger.py
+++ b/packages/transport/src/pearward_transport/traffic_ledger.py
@@ -30,6 +30,8 @@
 """Kind of each frame that is not a control message or a chunk of a body."""
 _BODIES = ("response_body", "request_body")
 """Kind of the bodies that an end sends, by whether it opens the streams."""
+_HEADS = frozenset({int(FrameKind.REQUEST), int(FrameKind.RESPONSE)})
+"""Frames that may contain a body after the head."""
 _DATA, _CONTROL = int(FrameKind.DATA), int(FrameKind.CONTROL)
 
 
@@ -71,7 +73,8 @@
                 kind = _BODIES[opener]
             else:
                 kind = _KINDS[number]
-                if frame[1] & WITH_BODY:
+                # The flags of a RESET are its code.
+                if number in _HEADS and frame[1] & WITH_BODY:
                     (head,) = _HEAD_LENGTH.unpack_from(frame, HEADER_SIZE)
                     body = size - HEADER_SIZE - _HEAD_LENGTH.size - head
                     pending[address, _BODIES[opener]] += body
