--- a/packages/protocol/src/pearward_protocol/streams.py
+++ b/packages/protocol/src/pearward_protocol/streams.py
@@ -19,6 +19,7 @@
     CLOSING,
     COMPRESSED,
     END,
+    MAX_PAYLOAD,
     WITH_BODY,
     Frame,
     FrameDecoder,
@@ -303,9 +304,14 @@
         self._output.append(pack_frame(kind, stream, payload, flags))
 
     def _compressed(self, payload: bytes) -> tuple[bytes, int]:
-        """Return a payload as it is sent to this peer, and the flags of its frame."""
+        """Return a payload as it is sent to this peer, and the flags of its frame.
+
+        Raises FrameError for a payload that the peer would refuse once it is decompressed.
+        """
         if self._compressor is None:
             return payload, 0
+        if len(payload) > MAX_PAYLOAD:
+            raise FrameError(f"payload of {len(payload)} bytes is over {MAX_PAYLOAD}")
         return self._compressor.compress(payload), COMPRESSED
 
     def _flush(self, stream: int, state: _Stream) -> None:
