A service of two owners has no loss of many

Change: the number of lost owners is checked first. 2 keys' owners were reserved in the new scenario before, 0 after.

--- a/features/mass_loss.feature
+++ b/features/mass_loss.feature
@@ -61,6 +61,12 @@
     Given a new planner to which 48 of 68 owners report, which would be used at 0.9
     Then the keys of 20 owners are reserved
 
+  # Guards against a service of two owners whose keys wait for 4 s when the planner is started again and
+  # one owner is lost for good: too few owners for a loss of many.
+  Scenario: A new planner of a service with two owners
+    Given a new planner to which 0 of 2 owners report, which would be used at 0.9
+    Then the keys of 0 owners are reserved
+
   # Guards against a successor that has ended itself and gets the keys of the former one.
   Scenario: A successor ends in turn
     Given a service of 4 owners, none of which has reported yet
--- a/packages/coordination/src/pearward_coordination/mass_loss.py
+++ b/packages/coordination/src/pearward_coordination/mass_loss.py
@@ -165,11 +165,11 @@
             return False
         if not missing or now - self._began_at >= MAX_RESERVATION_S:
             return True
-        if 2 * len(missing) >= len(evidence.owners):
-            return False
         if len(self._lost | missing) < _least_lost(evidence.owners):
             # The planner had just become active, and few or no owners are lost.
             return True
+        if 2 * len(missing) >= len(evidence.owners):
+            return False
         if self._returned_at is None:
             return now - self._began_at >= FIRST_RETURN_S
         return now - self._returned_at >= QUIET_S
