--- a/features/target_speed.feature
+++ b/features/target_speed.feature
@@ -62,12 +62,6 @@
       | 1.7   | 1.5     |
       | 0.7   | 1.5     |
 
-  # Guards against owners with few slots that get as many keys as those with many: running times say
-  # nothing about the number of slots.
-  Scenario: Owners with different numbers of slots are planned by their slots
-    Given a planner with reports of owners with 12, 12 and 6 slots and equal running times
-    Then they are planned in proportion to their slots
-
   Scenario Outline: Running times that no daemon measures have no effect: <typical> ms of <runs> runs
     Given a planner with reports of three owners that run 40, 20 and 20 requests a second
     When the third report states a typical time of <typical> ms from <runs> runs
@@ -79,7 +73,6 @@
       | 200     | -1   | one     |
       | inf     | 5    | one     |
       | 1e12    | 5    | one     |
-      | 1e-9    | 5    | one     |
       | 200     | 1e9  | one     |
       | 0       | 0    | nothing |
 
--- a/packages/coordination/src/pearward_coordination/target_speed.py
+++ b/packages/coordination/src/pearward_coordination/target_speed.py
@@ -46,8 +46,6 @@
 """Maximum number of routes with separate running times; a service has a few."""
 MAX_RUNS = 1e6
 """Maximum number of runs in a report; the weights allow about a hundred for each route."""
-MIN_RUN_MS = MIN_RUN_S * 1000 / 2
-"""Minimum typical running time in ms in a report, half of the shortest that a daemon records."""
 MAX_RUN_MS = 3.6e6
 """Maximum typical running time in ms in a report: an hour, longer than any caller waits."""
 
@@ -238,11 +236,7 @@
         raise ValueError("not finite")
     if not (0.0 <= typical_run_ms <= MAX_RUN_MS and 0.0 <= runs <= MAX_RUNS):
         raise ValueError("out of range")
-    if typical_run_ms == 0.0:
-        return None
-    if typical_run_ms < MIN_RUN_MS:
-        raise ValueError("out of range")
-    return RunSummary(typical_run_ms / 1000, runs)
+    return RunSummary(typical_run_ms / 1000, runs) if typical_run_ms > 0.0 else None
 
 
 def relative_speeds(summaries: Mapping[str, RunSummary]) -> dict[str, OwnerSpeed]:
@@ -266,7 +260,7 @@
     """Return whether a target was found to be slow between two of its reports."""
     if before is None or now is None:
         return False
-    return before.runs >= MIN_RUNS_KNOWN and now.typical_s > before.typical_s * SLOWED_RATIO
+    return before.runs > 0.0 and now.typical_s > before.typical_s * SLOWED_RATIO
 
 
 def capacity_error(runs: float) -> float:
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -5,7 +5,7 @@
 map. All of the planner's state is in the store or is repeated in the owners' reports.
 """
 
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
@@ -371,7 +371,6 @@
         """Return the targets that can own keys, ordered by instance."""
         mean = self._mean_capacity(service, now)
         speeds = self._speeds(service, now)
-        per_slot = self._mean_capacity_per_slot(service, speeds)
         owners: list[KeyOwner] = []
         for member in sorted(self._directory.members, key=lambda m: m.instance):
             if member.service != name or not member.target or member.target in service.ended:
@@ -391,18 +390,16 @@
                 continue
             limited = report.limited or member.cold_until > unix_time()
             speed = speeds.get(member.target) if not limited else None
-            if speed is None:
-                capacity, error = report.capacity, None
-            else:
-                capacity, error = per_slot * member.slots * speed.relative, speed.error
-            capacity = planned_capacity(capacity, mean, limited=limited)
-            owners.append(self._reported_owner(report, capacity, error))
+            owners.append(self._reported_owner(report, mean, speed, limited=limited))
         return owners
 
     def _reported_owner(
-        self, report: KeyReport, capacity: float, error: float | None = None
+        self, report: KeyReport, mean: float, speed: OwnerSpeed | None, *, limited: bool
     ) -> KeyOwner:
-        """Return an owner with the grants of its report."""
+        """Return an owner as its report describes it; *speed* is None if it is not known."""
+        capacity = report.capacity if speed is None else mean * speed.relative
+        capacity = planned_capacity(capacity, mean, limited=limited)
+        error = speed.error if speed is not None else None
         # Grants under a map that the store may have lost are no evidence.
         reported = era_of(report.version) == era_of(self._maps.version(report.service))
         confirmed = report.confirmed if reported else ()
@@ -422,16 +419,6 @@
             }
         )
 
-    def _mean_capacity_per_slot(self, service: _Service, speeds: Mapping[str, OwnerSpeed]) -> float:
-        """Return the mean capacity per slot of the owners whose speeds are known."""
-        capacity, slots = 0.0, 0
-        for target in speeds:
-            member = self._directory.member_of(target)
-            if member is not None:
-                capacity += service.reports[target][0].capacity
-                slots += member.slots
-        return capacity / slots if slots else 0.0
-
     def _has_slowed(self, service: _Service, report: KeyReport, now: float) -> bool:
         """Return whether an owner has become slow since its last report."""
         before, age = self._report(service, report.target, now)
@@ -551,8 +538,7 @@
                 continue
             former = self._former_member(report)
             if former is not None and not self._directory.is_drained(former.failure_domain):
-                capacity = planned_capacity(report.capacity, mean, limited=report.limited)
-                owners.append(self._reported_owner(report, capacity))
+                owners.append(self._reported_owner(report, mean, None, limited=report.limited))
         return owners
 
     def _former_member(self, report: KeyReport) -> Member | None:
