--- a/features/steps/target_speed_steps.py
+++ b/features/steps/target_speed_steps.py
@@ -23,6 +23,7 @@
 from pearward_coordination.overload.policy import Mechanism, OverloadPolicy
 from pearward_coordination.slots import SlotTicket
 from pearward_coordination.target_speed import (
+    RunningRequest,
     RunStatistics,
     RunSummary,
     relative_speeds,
@@ -34,7 +35,7 @@
 from pearward_protocol.heads import RequestHead
 from pearward_state.members import Member, TargetState
 from tests.fuzz.mesh_world import KEYS, begin_world
-from tests.speed_replay import START, BusyTarget, Replay, ReplayLoad, running_time
+from tests.speed_replay import START, Replay, ReplayLoad
 
 NOW = 100.0
 SEEDS = (1, 2, 3)
@@ -42,6 +43,11 @@
 """Mean running time in s of the keyed requests of a deployment with two routes."""
 
 
+def _running_time(rng: Random, typical_s: float) -> float:
+    run_s = typical_s * rng.lognormvariate(0.0, 0.8)
+    return run_s * (7.0 if rng.random() < 0.03 else 1.0)
+
+
 # -- replays ---------------------------------------------------------------------------
 
 
@@ -133,7 +139,7 @@
 def end_requests(context: Any, count: int, times: int) -> None:
     context.typical, context.means = [], []
     for _ in range(times):
-        runs = [running_time(context.rng, 1.0) for _ in range(count)]
+        runs = [_running_time(context.rng, 1.0) for _ in range(count)]
         statistics = RunStatistics()
         for run_s in runs:
             statistics.ended("quote", NOW - run_s, NOW)
@@ -227,12 +233,45 @@
 # -- slow-downs --------------------------------------------------------------------------
 
 
+class _BusyTarget:
+    """A target all of whose slots are always in use."""
+
+    def __init__(self, rng: Random, slots: int, typical_s: float) -> None:
+        self._rng = rng
+        self._typical_s = typical_s
+        self._statistics = RunStatistics()
+        self.now = NOW
+        self.factor = 1.0
+        self._running = [self._next() for _ in range(slots)]
+
+    def _next(self) -> tuple[float, float]:
+        """Return start and end of a request that starts now."""
+        return self.now, self.now + _running_time(self._rng, self._typical_s) * self.factor
+
+    def slow_down(self, factor: float) -> None:
+        """Let the running and all further requests take *factor* times as long."""
+        self.factor = factor
+        self._running = [(s, self.now + (e - self.now) * factor) for s, e in self._running]
+
+    def report(self, interval_s: float) -> float:
+        """Return the typical running time that is reported after *interval_s*."""
+        until = self.now + interval_s
+        while (row := min(self._running, key=lambda r: r[1]))[1] <= until:
+            self.now = row[1]
+            self._running.remove(row)
+            self._statistics.ended("quote", *row)
+            self._running.append(self._next())
+        self.now = until
+        running = [RunningRequest("quote", started) for started, _ in self._running]
+        return self._statistics.summary(running, self.now).typical_s
+
+
 @given("a target that keeps {slots:d} slots in use, with a typical running time of {run_s:g} s")
 def busy_target(context: Any, slots: int, run_s: float) -> None:
-    context.busy = lambda seed: BusyTarget(Random(seed), slots, run_s)
+    context.busy = lambda seed: _BusyTarget(Random(seed), slots, run_s)
 
 
-def _jump_s(target: BusyTarget, seconds: float) -> float | None:
+def _jump_s(target: _BusyTarget, seconds: float) -> float | None:
     """Return the seconds until a report states twice the typical time of the one before."""
     start, before = target.now, target.report(0.2)
     while target.now < start + seconds:
--- a/tests/speed_replay.py
+++ b/tests/speed_replay.py
@@ -22,14 +22,13 @@
 from pearward_coordination.messages import KeyReport
 from pearward_coordination.overload.policy import Mechanism, OverloadPolicy
 from pearward_coordination.slots import Refused, SlotTicket
-from pearward_coordination.target_speed import RunningRequest, RunStatistics
 from pearward_daemon.mesh import key_planner, target_slots
 from pearward_daemon.mesh.key_planner import REPORT_INTERVAL_S, TICK_S, KeyPlanner
 from pearward_daemon.mesh.target_slots import TargetSlots
 from pearward_state.keymap import KEY_SPACE, KeyMap
 from pearward_state.members import Member, TargetState
 
-__all__ = ["START", "BusyTarget", "Replay", "ReplayLoad", "running_time"]
+__all__ = ["START", "Replay", "ReplayLoad"]
 
 SERVICE = "roster-app"
 START = 1000.0
@@ -272,42 +271,3 @@
             if planned.range_of(key).owner != self.key_map.range_of(key).owner:
                 self._moved_at[part] = self.now
         self.key_map = planned
-
-
-def running_time(rng: Random, typical_s: float) -> float:
-    """Return a random running time: log-normal, and 3 in 100 seven times as long."""
-    run_s = typical_s * rng.lognormvariate(0.0, 0.8)
-    return run_s * (7.0 if rng.random() < 0.03 else 1.0)
-
-
-class BusyTarget:
-    """A target all of whose slots are always in use."""
-
-    def __init__(self, rng: Random, slots: int, typical_s: float) -> None:
-        self._rng = rng
-        self._typical_s = typical_s
-        self._statistics = RunStatistics()
-        self.now = START
-        self.factor = 1.0
-        self._running = [self._next() for _ in range(slots)]
-
-    def _next(self) -> tuple[float, float]:
-        """Return start and end of a request that starts now."""
-        return self.now, self.now + running_time(self._rng, self._typical_s) * self.factor
-
-    def slow_down(self, factor: float) -> None:
-        """Let the running and all further requests take *factor* times as long."""
-        self.factor = factor
-        self._running = [(s, self.now + (e - self.now) * factor) for s, e in self._running]
-
-    def report(self, interval_s: float) -> float:
-        """Return the typical running time that is reported after *interval_s*."""
-        until = self.now + interval_s
-        while (row := min(self._running, key=lambda r: r[1]))[1] <= until:
-            self.now = row[1]
-            self._running.remove(row)
-            self._statistics.ended("quote", *row)
-            self._running.append(self._next())
-        self.now = until
-        running = [RunningRequest("quote", started) for started, _ in self._running]
-        return self._statistics.summary(running, self.now).typical_s
