--- a/features/target_speed.feature
+++ b/features/target_speed.feature
@@ -51,17 +51,6 @@
     And 50 of them are detected within 1.8 s
     And without a slow-down it is detected at most 2 times in 600 s
 
-  # Only the requests that start after the slow-down take longer, which is the latest that it can show.
-  Scenario Outline: A target that becomes five times as slow loses keys: of speed <speed>
-    Given 59 owners of speeds 0.7, 0.7 and 1.7 that get 11 requests a second each, and moved keys keep their warm state
-    When after 8 s one of speed <speed> becomes 5 times as slow, 3 times over
-    Then it loses keys within <seconds> s each time, and has less than half of them 5 s later
-
-    Examples:
-      | speed | seconds |
-      | 1.7   | 1.5     |
-      | 0.7   | 3.2     |
-
   Scenario Outline: Running times that no daemon measures have no effect: <typical> ms of <runs> runs
     Given a planner with reports of three owners that run 40, 20 and 20 requests a second
     When the third report states a typical time of <typical> ms from <runs> runs
--- a/packages/coordination/src/pearward_coordination/load_watch.py
+++ b/packages/coordination/src/pearward_coordination/load_watch.py
@@ -22,9 +22,6 @@
 """The same while the load is not yet known accurately."""
 LEARNED_S = 1.5
 """Seconds after which a changed load is known about as accurately as before."""
-COLD_S = 5.0
-"""Seconds after a slow-down in which others do not shorten the pause: an owner may be slow for that
-long because of keys that it has just received."""
 NEVER = float("-inf")
 
 
@@ -38,7 +35,6 @@
         self._checked_at = NEVER
         self._moved_at = NEVER
         self._surged_at = NEVER
-        self._slowed_at = NEVER
 
     def reported(self, counts: Iterable[KeyCount], now: float) -> None:
         """Add an owner's report."""
@@ -59,11 +55,6 @@
         learning = now - self._surged_at < LEARNED_S or self._usual.observed_s(now) < LEARNED_S
         return now - self._moved_at >= (LEARNING_PAUSE_S if learning else MOVE_PAUSE_S)
 
-    def owner_slowed(self, now: float) -> None:
-        """Record that an owner has become slow: its keys move after the shorter pause."""
-        if now - self._slowed_at >= COLD_S:
-            self._slowed_at = self._surged_at = now
-
     def moved(self, now: float) -> None:
         """Record that keys have moved."""
         self._moved_at = now
--- a/packages/coordination/src/pearward_coordination/target_speed.py
+++ b/packages/coordination/src/pearward_coordination/target_speed.py
@@ -25,7 +25,6 @@
     "RunSummary",
     "RunningRequest",
     "capacity_error",
-    "has_slowed",
     "relative_speeds",
     "reported_runs",
 ]
@@ -57,8 +56,6 @@
 SLOW_EVIDENCE = 7.0
 """Logarithm of the likelihood ratio from which a target counts as slow: a false alarm, which moves
 some keys, is expected about once in five minutes of a target with all slots in use."""
-SLOWED_RATIO = 3.0
-"""Ratio of the typical times of two successive reports that only a detected slow-down gives."""
 SLOW_RUNS = 20.0
 """Runs that such evidence counts for; the planner then trusts the lower speed for the most part."""
 MIN_RUNS_KNOWN = 10.0
@@ -256,13 +253,6 @@
     return {t: OwnerSpeed(speeds[t] / mean, capacity_error(s.runs)) for t, s in summaries.items()}
 
 
-def has_slowed(before: RunSummary | None, now: RunSummary | None) -> bool:
-    """Return whether a target was found to be slow between two of its reports."""
-    if before is None or now is None:
-        return False
-    return before.runs > 0.0 and now.typical_s > before.typical_s * SLOWED_RATIO
-
-
 def capacity_error(runs: float) -> float:
     """Return the standard error of the logarithm of a speed that *runs* running times show."""
     return RUN_SPREAD / sqrt(runs + PRIOR_RUNS)
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -36,7 +36,6 @@
     OwnerSpeed,
     RunSummary,
     capacity_error,
-    has_slowed,
     relative_speeds,
     reported_runs,
 )
@@ -192,8 +191,6 @@
         now = boot_time()
         service = self._service(report.service)
         service.load.reported(report.counts, now)
-        if self._has_slowed(service, report, now):
-            service.load.owner_slowed(now)
         if report.target:
             service.reports[report.target] = (report, now)
         for target in report.ended:
@@ -419,15 +416,6 @@
             }
         )
 
-    def _has_slowed(self, service: _Service, report: KeyReport, now: float) -> bool:
-        """Return whether an owner has become slow since its last report."""
-        before, age = self._report(service, report.target, now)
-        if before is None or not self._settings.overload.uses(Mechanism.KNOWN_SPEED):
-            return False
-        return age <= MAX_REPORT_AGE_S and has_slowed(
-            self._reported_runs(before), self._reported_runs(report)
-        )
-
     def _reported_runs(self, report: KeyReport) -> RunSummary | None:
         """Return the running times in a report; values that no daemon sends are logged once."""
         try:
