--- a/packages/coordination/src/pearward_coordination/key_segments.py
+++ b/packages/coordination/src/pearward_coordination/key_segments.py
@@ -20,17 +20,11 @@
     "map_of_segments",
     "merged",
     "rates_by_owner",
-    "smooth_rates",
     "split_large",
     "split_segment",
 ]
 
 
-SMOOTHING_REQUESTS = 4.0
-"""Requests from which half of a segment's measured rate is believed: a single key with two recent
-requests, often a request and its retry, looks heavier than a hundred keys with one."""
-
-
 @dataclass(frozen=True, slots=True)
 class KeyOwner:
     """A target that can own keys."""
@@ -42,8 +36,6 @@
     """Keys that it was granted under a map of the store's present era."""
     reported: bool = False
     """Whether it has sent a report based on such a map."""
-    capacity_error: float | None = None
-    """Relative standard error of the capacity; None if it is not known."""
 
     def was_granted(self, key_range: KeyRange) -> bool:
         """Return whether the target holds, or held, a range under its present fence."""
@@ -97,27 +89,6 @@
     return result
 
 
-def smooth_rates(segments: Sequence[Segment], observed_s: float) -> None:
-    """Replace the rates of segments by expected ones; the total of each owner is kept.
-
-    The fewer requests a segment got, the more it is expected to get what all keys of its owner get.
-    """
-    by_owner: dict[str, list[Segment]] = {}
-    for segment in segments:
-        by_owner.setdefault(segment.owner, []).append(segment)
-    for owned in by_owner.values():
-        total = sum(segment.rate for segment in owned)
-        per_key = total / sum(segment.last - segment.first + 1 for segment in owned)
-        for segment in owned:
-            requests = segment.rate * observed_s
-            usual = per_key * (segment.last - segment.first + 1)
-            believed = requests / (requests + SMOOTHING_REQUESTS)
-            segment.rate = believed * segment.rate + (1.0 - believed) * usual
-        expected = sum(segment.rate for segment in owned)
-        for segment in owned if expected > 0.0 else ():
-            segment.rate *= total / expected
-
-
 def split_large(unowned: list[Segment], segments: list[Segment], parts: int) -> list[Segment]:
     """Cut segments without measured load so that several targets can share them."""
     result: list[Segment] = []
--- a/packages/coordination/src/pearward_coordination/keyplan.py
+++ b/packages/coordination/src/pearward_coordination/keyplan.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
-from math import inf
 
 from pearward_state.eras import next_number
 from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange
@@ -20,11 +19,9 @@
     map_of_segments,
     merged,
     rates_by_owner,
-    smooth_rates,
     split_large,
     split_segment,
 )
-from .load_significance import OwnerExcess, exceeding
 from .mass_loss import LossDecision
 
 __all__ = [
@@ -83,9 +80,6 @@
     heavy_keys: int = 4
     """Maximum number of overloaded keys considered per plan: hot keys follow one another within
     seconds."""
-    cold_share: float = 0.2
-    """Part of an owner's free capacity that one plan may use where errors of capacities are known:
-    requests for a key that has just moved may run five times as long for some seconds."""
     min_speedup: float = 1.3
     """Minimum ratio of the new owner's capacity to the present one's; capacities are accurate to a
     tenth."""
@@ -285,23 +279,16 @@
     def used(target: str) -> float:
         return _utilisation(target, by_target, rates)
 
-    def excess(owner: KeyOwner) -> OwnerExcess:
-        received = rates[owner.target] * observed_s
-        share = mean * owner.capacity * observed_s
-        return OwnerExcess(owner.target, received, share, owner.capacity_error)
-
-    # Only load that causes queueing justifies a move.
-    busy = [t for t in rates if used(t) > max(mean + limits.tolerance, limits.idle_utilisation)]
-    rows = [excess(by_target[target]) for target in busy]
-    donors = exceeding(rows, len(rates), limits.significance)
-    if donors and all(row.capacity_error is not None for row in rows):
-        # One plan for all owners above the mean replaces the later ones for each of them.
-        donors = {t for t in rates if used(t) > mean + limits.tolerance / 3}
+    def is_overloaded(target: str) -> bool:
+        """Return whether a target's excess load is significant and causes queueing."""
+        if used(target) <= max(mean + limits.tolerance, limits.idle_utilisation):
+            return False
+        excess = (rates[target] - mean * by_target[target].capacity) * observed_s
+        return excess > limits.significance * float((rates[target] * observed_s) ** 0.5)
+
+    donors = {target for target in rates if is_overloaded(target)}
     if not donors:
         return False
-    if any(o.capacity_error is not None for o in by_target.values()):
-        smooth_rates(segments, observed_s)
-    room = {t: _room(owner, rates[t], limits) for t, owner in by_target.items()}
     by_owner: dict[str, list[Segment]] = {target: [] for target in by_target}
     for segment in segments:
         if segment.owner in by_owner:
@@ -312,17 +299,13 @@
     most_moves = max(limits.moves, limits.moves_per_owner * len(by_target))
     while moved < most_moves and donors:
         busiest = max(donors, key=used)
-        least_used = min((t for t in rates if room[t] > 0.0), key=used, default=busiest)
-        excess_rate = rates[busiest] - mean * by_target[busiest].capacity
+        least_used = min(rates, key=used)
+        excess = rates[busiest] - mean * by_target[busiest].capacity
         spare_rate = mean * by_target[least_used].capacity - rates[least_used]
         if used(busiest) - mean <= limits.tolerance / 3:
             donors.discard(busiest)
             continue
-        wanted_rate = min(excess_rate, spare_rate)
-        fitting = _best_fit(by_owner[busiest], min(wanted_rate, room[least_used]))
-        if fitting is None and room[least_used] < wanted_rate:
-            room[least_used] = 0.0
-            continue
+        fitting = _best_fit(by_owner[busiest], min(excess, spare_rate))
         if fitting is None:
             # The remaining keys of this owner are too heavy for any other.
             donors.discard(busiest)
@@ -332,18 +315,10 @@
         fitting.owner = least_used
         rates[busiest] -= fitting.rate
         rates[least_used] += fitting.rate
-        room[least_used] -= fitting.rate
         moved += 1
     return moved > 0
 
 
-def _room(owner: KeyOwner, rate: float, limits: PlanLimits) -> float:
-    """Return the requests per second that an owner may receive by one plan."""
-    if owner.capacity_error is None:
-        return inf
-    return max(0.0, owner.capacity - rate) * limits.cold_share
-
-
 def _give_new_targets(
     segments: list[Segment], by_target: Mapping[str, KeyOwner], rates: dict[str, float]
 ) -> bool:
--- a/packages/coordination/src/pearward_coordination/messages.py
+++ b/packages/coordination/src/pearward_coordination/messages.py
@@ -207,10 +207,6 @@
     """Number of requests by key since the last report."""
     limited: bool = False
     """Whether the capacity is a rate limit in force, not a measured speed."""
-    typical_run_ms: float = 0.0
-    """Geometric mean of the target's running times in ms; 0 if it is not known."""
-    runs: float = 0.0
-    """Number of runs behind that mean."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coordination/src/pearward_coordination/overload/policy.py
+++ b/packages/coordination/src/pearward_coordination/overload/policy.py
@@ -23,12 +23,10 @@
     """A target without a free slot is passed over while other targets were not asked yet."""
     COMPRESS_HEADS = "compress-heads"
     """Heads and control messages between daemons are compressed."""
-    RETURN_TO_INSTANCE = "return-to-instance"
-    """After a loss of many targets their keys wait for the next targets of the same instances."""
     NEAR_FIRST = "near-first"
     """A far target is not asked while near ones are expected to serve the request in time."""
-    KNOWN_SPEED = "known-speed"
-    """Keys are assigned by the owners' relative speeds, with regard to their uncertainty."""
+    RETURN_TO_INSTANCE = "return-to-instance"
+    """After a loss of many targets their keys wait for the next targets of the same instances."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -32,13 +32,6 @@
 from pearward_coordination.mass_loss import LossDecision, LossEvidence, MassLoss
 from pearward_coordination.messages import AskRelease, KeyReport, ReleaseReply
 from pearward_coordination.overload.policy import Mechanism
-from pearward_coordination.target_speed import (
-    OwnerSpeed,
-    RunSummary,
-    capacity_error,
-    relative_speeds,
-    reported_runs,
-)
 from pearward_coordination.witness_sets import WitnessCandidate, with_witnesses
 from pearward_state.eras import era_of
 from pearward_state.keymap import KeyMap
@@ -154,8 +147,6 @@
         """Failure domain of each instance, and time at which its entry was last seen."""
         self._limits = PlanLimits()
         self._returns_to_instance = settings.overload.uses(Mechanism.RETURN_TO_INSTANCE)
-        self._invalid_senders: set[str] = set()
-        """Targets whose invalid running times have been logged."""
         self._era = -1
         self._era_since = float("-inf")
         """Time at which this daemon first saw the current era of the store."""
@@ -367,7 +358,6 @@
     def _owners(self, name: str, service: _Service, now: float) -> list[KeyOwner]:
         """Return the targets that can own keys, ordered by instance."""
         mean = self._mean_capacity(service, now)
-        speeds = self._speeds(service, now)
         owners: list[KeyOwner] = []
         for member in sorted(self._directory.members, key=lambda m: m.instance):
             if member.service != name or not member.target or member.target in service.ended:
@@ -379,55 +369,21 @@
             report, age = self._report(service, member.target, now)
             if report is None or age > MAX_REPORT_AGE_S:
                 if self._directory.is_registered(member.target):
-                    error = capacity_error(0.0) if speeds else None
-                    capacity = mean or float(member.slots)
-                    owners.append(KeyOwner(member.target, capacity, capacity_error=error))
+                    owners.append(KeyOwner(member.target, mean or float(member.slots)))
                 continue
             if report.draining:
                 continue
             limited = report.limited or member.cold_until > unix_time()
-            speed = speeds.get(member.target) if not limited else None
-            owners.append(self._reported_owner(report, mean, speed, limited=limited))
+            owners.append(self._reported_owner(report, mean, limited=limited))
         return owners
 
-    def _reported_owner(
-        self, report: KeyReport, mean: float, speed: OwnerSpeed | None, *, limited: bool
-    ) -> KeyOwner:
-        """Return an owner as its report describes it; *speed* is None if it is not known."""
-        capacity = report.capacity if speed is None else mean * speed.relative
-        capacity = planned_capacity(capacity, mean, limited=limited)
-        error = speed.error if speed is not None else None
+    def _reported_owner(self, report: KeyReport, mean: float, *, limited: bool) -> KeyOwner:
+        """Return an owner as its report describes it."""
+        capacity = planned_capacity(report.capacity, mean, limited=limited)
         # Grants under a map that the store may have lost are no evidence.
         reported = era_of(report.version) == era_of(self._maps.version(report.service))
         confirmed = report.confirmed if reported else ()
-        return KeyOwner(report.target, capacity, confirmed, reported, error)
-
-    def _speeds(self, service: _Service, now: float) -> dict[str, OwnerSpeed]:
-        """Return the relative speeds of the owners whose reports state their running times."""
-        if not self._settings.overload.uses(Mechanism.KNOWN_SPEED):
-            return {}
-        return relative_speeds(
-            {
-                target: summary
-                for target, (report, at) in service.reports.items()
-                if now - at <= MAX_REPORT_AGE_S
-                and not report.limited
-                and (summary := self._reported_runs(report)) is not None
-            }
-        )
-
-    def _reported_runs(self, report: KeyReport) -> RunSummary | None:
-        """Return the running times in a report; values that no daemon sends are logged once."""
-        try:
-            return reported_runs(report.typical_run_ms, report.runs)
-        except ValueError as error:
-            if report.target not in self._invalid_senders:
-                self._invalid_senders.add(report.target)
-                self._log.emit(
-                    "run_statistics_ignored", failure=True, target=report.target, error=str(error),
-                    typical_run_ms=str(report.typical_run_ms), runs=str(report.runs),
-                )  # fmt: skip
-            return None
+        return KeyOwner(report.target, capacity, confirmed, reported)
 
     def _report(self, service: _Service, target: str, now: float) -> tuple[KeyReport | None, float]:
         found = service.reports.get(target)
@@ -526,7 +482,7 @@
                 continue
             former = self._former_member(report)
             if former is not None and not self._directory.is_drained(former.failure_domain):
-                owners.append(self._reported_owner(report, mean, None, limited=report.limited))
+                owners.append(self._reported_owner(report, mean, limited=report.limited))
         return owners
 
     def _former_member(self, report: KeyReport) -> Member | None:
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -254,7 +254,6 @@
         self._client.close()
         self._departure.forget()
         self._slots.rate.advertised.target_changed(known=bool(former))
-        self._slots.target_changed()
         self._slots.set_slots(target_heartbeat.slots)
         self._log.emit(
             "target_first_heartbeat", target=target_heartbeat.target, former=former,
@@ -390,7 +389,6 @@
     def take_report(self) -> KeyReport:
         """Return the report for the key planner, with the key counts since the last report."""
         info = self._info
-        summary = self._slots.run_summary()
         return KeyReport(
             service=self._settings.service,
             target=info.target if info is not None else "",
@@ -401,8 +399,6 @@
             confirmed=tuple(self._grant_manager.confirmed()),
             counts=self._counter.take(),
             limited=self._slots.rate.per_s(boot_time()) is not None,
-            typical_run_ms=summary.typical_s * MS_PER_S,
-            runs=summary.runs,
         )
 
     def set_former_incarnations(self, targets: list[str]) -> None:
@@ -421,19 +417,10 @@
         """Create a request for the target; its begin() starts it."""
         request = TargetRequest(self, head, ended, body, reply)
         self._open.add(request)
-        if self._keyed and head.key and self._owns(head.position):
+        if self._keyed and head.key:
             self._counter.count(head.position)
         return request
 
-    def _owns(self, position: int) -> bool:
-        """Return whether the target owns a key by the map in force.
-
-        A request that is refused as moved and sent again to its former owner is not load.
-        """
-        key_map = self._grant_manager.key_map
-        owned = key_map.range_of(position) if key_map is not None else None
-        return owned is not None and self._info is not None and owned.owner == self._info.target
-
     def rejection(self, head: RequestHead) -> Reason | None:
         """Return the reason to reject a request now, or None if the target may run it."""
         info = self._info
@@ -450,7 +437,11 @@
             return None
         if self._grant_manager.serves(head.position, now):
             return None
-        return Reason.NOT_READY if self._owns(head.position) else Reason.MOVED
+        key_map = self._grant_manager.key_map
+        owned = key_map.range_of(head.position) if key_map is not None else None
+        if owned is not None and owned.owner == info.target:
+            return Reason.NOT_READY
+        return Reason.MOVED
 
     def _is_drained_for(self, head: RequestHead, now: float) -> bool:
         """Return whether a request is rejected because the failure domain is drained.
--- a/packages/daemon/src/pearward_daemon/mesh/target_slots.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_slots.py
@@ -8,7 +8,6 @@
 from pearward_coordination.selection import TargetLoad
 from pearward_coordination.slots import Refused, SlotLimits, SlotQueue, SlotTicket
 from pearward_coordination.target_rate import TargetRate
-from pearward_coordination.target_speed import RunningRequest, RunStatistics, RunSummary
 from pearward_transport.clock import boot_time
 
 __all__ = ["SlotUser", "TargetSlots"]
@@ -56,7 +55,6 @@
         self._rate = TargetRate()
         self._queue = SlotQueue(SlotLimits(DEFAULT_SLOTS, policy=policy), self._rate)
         self._users: dict[SlotTicket, SlotUser] = {}
-        self._runs = RunStatistics()
         self._slots = DEFAULT_SLOTS
         self._start_timer: Any = None
         self._delayed = 0
@@ -112,15 +110,6 @@
         per_s = self._rate.per_s(now)
         return warm if per_s is None else min(warm, per_s)
 
-    def run_summary(self) -> RunSummary:
-        """Return the typical running time of the target and how well it is known."""
-        running = (RunningRequest(t.route, t.started) for t in self._users if not t.waiting)
-        return self._runs.summary(running, boot_time())
-
-    def target_changed(self) -> None:
-        """Forget the running times of the former target."""
-        self._runs.reset()
-
     def set_slots(self, slots: int) -> None:
         """Set the number of requests that the target processes concurrently."""
         self._slots = max(1, slots)
@@ -176,8 +165,7 @@
     def finished(self, ticket: SlotTicket, *, measured: bool) -> None:
         """Release the slot or queue position of a request, and start the next requests."""
         now = boot_time()
-        if self._users.pop(ticket, None) is not None and measured and not ticket.waiting:
-            self._runs.ended(ticket.route, ticket.started, now)
+        self._users.pop(ticket, None)
         self._queue.finish(ticket, now, measured=measured)
         self.start_next()
 
--- a/packages/protocol/src/pearward_protocol/peer.capnp
+++ b/packages/protocol/src/pearward_protocol/peer.capnp
@@ -172,8 +172,6 @@
       confirmed @52 :List(HeldRow);
       counts @53 :List(KeyCount);
       limited @81 :Bool;
-      typicalRunMs @83 :Float64;
-      runs @84 :Float64;
     }
     askKeys :group {
       service @54 :Text;
