--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -417,10 +417,19 @@
         """Create a request for the target; its begin() starts it."""
         request = TargetRequest(self, head, ended, body, reply)
         self._open.add(request)
-        if self._keyed and head.key:
+        if self._keyed and head.key and self._owns(head.position):
             self._counter.count(head.position)
         return request
 
+    def _owns(self, position: int) -> bool:
+        """Return whether the target owns a key by the map in force.
+
+        A request that is refused as moved and sent again to its former owner is not load.
+        """
+        key_map = self._grant_manager.key_map
+        owned = key_map.range_of(position) if key_map is not None else None
+        return owned is not None and self._info is not None and owned.owner == self._info.target
+
     def rejection(self, head: RequestHead) -> Reason | None:
         """Return the reason to reject a request now, or None if the target may run it."""
         info = self._info
@@ -437,11 +446,7 @@
             return None
         if self._grant_manager.serves(head.position, now):
             return None
-        key_map = self._grant_manager.key_map
-        owned = key_map.range_of(head.position) if key_map is not None else None
-        if owned is not None and owned.owner == info.target:
-            return Reason.NOT_READY
-        return Reason.MOVED
+        return Reason.NOT_READY if self._owns(head.position) else Reason.MOVED
 
     def _is_drained_for(self, head: RequestHead, now: float) -> bool:
         """Return whether a request is rejected because the failure domain is drained.
