--- a/packages/coordination/src/pearward_coordination/mass_loss.py
+++ b/packages/coordination/src/pearward_coordination/mass_loss.py
@@ -40,7 +40,7 @@
     owners: frozenset[str]
     """Targets that own keys by the present map."""
     reported: frozenset[str]
-    """Targets with a current report."""
+    """Targets with a current report, and those whose daemons are in a planned stop."""
     ended: frozenset[str]
     """Targets that are known to have ended."""
     successors: Mapping[str, str]
@@ -179,6 +179,7 @@
         self._began_at = self._returned_at = None
         self._returned = frozenset()
         self._lost.clear()
+        # Owners that are still lost stay known, but too long ago for another mass loss.
         self._lost_at = dict.fromkeys(self._lost_at, float("-inf"))
 
 
--- a/packages/daemon/src/pearward_daemon/mesh/key_planner.py
+++ b/packages/daemon/src/pearward_daemon/mesh/key_planner.py
@@ -258,7 +258,7 @@
             silent = frozenset(self._silent_targets(key_map, service, now))
             service.loss = self._observe_losses(key_map, service, now)
             if service.loss.active:
-                planned = self._returned(key_map, service, now)
+                planned = self._map_with_successors(key_map, service, now)
             else:
                 planned = self._rebalanced(key_map, service, silent, now)
             if planned is None:
@@ -497,7 +497,7 @@
             return float("inf") if asked > 0.0 else 0.0
         return asked / can
 
-    def _returned(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap | None:
+    def _map_with_successors(self, key_map: KeyMap, service: _Service, now: float) -> KeyMap | None:
         """Return a map that gives the keys of lost owners to their successors, or None."""
         owners = self._possible_successors(service, now)
         planned = move_to_successors(key_map, service.loss, owners, frozenset(service.ended))
--- a/packages/protocol/src/pearward_protocol/compression.py
+++ b/packages/protocol/src/pearward_protocol/compression.py
@@ -15,7 +15,7 @@
 WINDOW_BITS = 11
 """Base-two logarithm of the window in bytes: some four heads, which repeat each other's fields."""
 MEMORY_LEVEL = 4
-"""Memory level of the compressor. With this window a connection takes 35 kB for both directions,
+"""Memory level of the compressor. With this window a connection takes 30 kB for both directions,
 and a daemon has two connections to each of its peers."""
 LEVEL = 1
 """The fastest level, as a head is compressed for each request."""
--- a/packages/protocol/src/pearward_protocol/frames.py
+++ b/packages/protocol/src/pearward_protocol/frames.py
@@ -73,6 +73,7 @@
 
     kind: FrameKind
     flags: int
+    """Flags of this module; in a RESET, its code."""
     stream: int
     payload: bytes
 
