--- a/packages/coordination/src/pearward_coordination/mass_loss.py
+++ b/packages/coordination/src/pearward_coordination/mass_loss.py
@@ -81,13 +81,6 @@
         self._armed = True
         """Whether too few reports may begin a reservation; afterwards most must report first."""
 
-    # -- properties -------------------------------------------------------------
-
-    @property
-    def is_active(self) -> bool:
-        """Whether a reservation is in force."""
-        return self._began_at is not None
-
     # -- observations -----------------------------------------------------------
 
     def observe(self, evidence: LossEvidence, now: float) -> LossDecision:
