A first heartbeat after a daemon's start may come from the next process

What callers saw: a target that reports no start time and restarts under its id around a restart of its daemon got its keys under the former process's fences, so a write of the former process could not be told from one of the next.

Cause: the first heartbeat that a new daemon received under an id always counted as one of the incarnation that the holder entries in the store named last. Nothing that the heartbeat says was compared with it.

Change: the first heartbeat counts as the former incarnation's if that one owns no key by the map, if the keys it reports are those that only this incarnation was granted, or if its call count shows that its sender already ran when the former daemon last renewed its member entry. The entry is there for the length of a lease after that, so this costs no call and no new field. Otherwise it is the next incarnation, and the former one counts as ended once its holds have expired. No lease is requested and nothing is published before the holder entries are read.

--- /dev/null
+++ b/features/steps/restart_order_steps.py
@@ -0,0 +1,140 @@
+"""Steps for restarts of targets under their ids and of daemons in a given order."""
+
+import sys
+from contextlib import ExitStack
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+
+sys.path.insert(0, str(Path(__file__).parents[2]))
+
+from pearward_coordination.former_incarnation import (
+    FirstHeartbeat,
+    FormerIncarnation,
+    Registration,
+)
+from pearward_coordination.grants import HeldRow
+from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange
+from tests.fuzz.mesh_machine import DOMAINS, TIMING
+from tests.fuzz.mesh_world import KEYS, Node, World, begin_world
+
+FORMER, OTHER = "t", "other"
+STARTED_AT = 100.0
+
+
+@given("{count:d} targets in two failure domains that have served for {seconds:g} s")
+def fleet(context: Any, count: int, seconds: float) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    world = context.world = begin_world(
+        stack, count, TIMING, way=context.grant_mode, domains=DOMAINS,
+        born=getattr(context, "born", False),
+    )  # fmt: skip
+    world.run(seconds)
+    assert world.served() == len(KEYS), world.served()
+    context.unserved = []
+    context.holders, context.fences = world.holders(), world.highest_fences()
+
+
+@when("these follow each other: {order}")
+def follow(context: Any, order: str) -> None:
+    for event in order.split("; "):
+        _play(context.world, event)
+
+
+def _play(world: World, event: str) -> None:
+    """Play one event: a pause, or what happens to the store or to some daemons or targets."""
+    if event.endswith(" s"):
+        world.run(float(event.removesuffix(" s")))
+        return
+    subject, _, happens = event.rpartition(" ")
+    if subject == "the store":
+        world.store_down = happens == "fails"
+        return
+    words = subject.removesuffix(" is").split(" ")
+    nodes = world.nodes if words[0] == "all" else [world.nodes[int(words[1])]]
+    what = words[1] if words[0] == "all" else f"{words[0]}s"
+    for node in nodes:
+        _happen(world, node, f"{what} {happens}")
+
+
+def _happen(world: World, node: Node, event: str) -> None:
+    match event.replace("restarts", "restart").replace("ends", "end"):
+        case "daemons restart":
+            world.start_daemon(node)
+        case "daemons end":
+            world.end_daemon(node)
+        case "daemons freeze":
+            world.freeze(node)
+        case "daemons thaw":
+            world.thaw(node)
+        case "targets restart":
+            world.restart_target(node, born=False)
+        case "targets replaced":
+            world.end_target(node)
+            world.start_target(node)
+        case unknown:
+            raise ValueError(unknown)
+
+
+@then("no key is without its holder in the next {seconds:g} s")
+def no_gap(context: Any, seconds: float) -> None:
+    world = context.world
+    end = world.now + seconds
+    while world.now < end:
+        world.step()
+        world.check()
+        assert world.holders() == context.holders, round(world.now, 2)
+
+
+@then("no fence has risen")
+def no_higher_fence(context: Any) -> None:
+    assert context.world.highest_fences() == context.fences
+
+
+# -- the first heartbeat after a start ---------------------------------------------------
+
+
+@given("a daemon that starts {seconds:g} s after the last renewal of its former process's entry")
+def daemon_starts(context: Any, seconds: float) -> None:
+    context.registration = Registration(FORMER, STARTED_AT - seconds)
+
+
+@given("its target owned keys {first:d} to {last:d} under fence {fence:d}")
+def target_owned(context: Any, first: int, last: int, fence: int) -> None:
+    ranges = (KeyRange(first, last, FORMER, fence), KeyRange(last + 1, KEY_SPACE - 1, OTHER, fence))
+    context.key_map = KeyMap("roster-app", fence, ranges, fence)
+
+
+@when("the first heartbeat is received after {seconds:g} s, number {evidence}")
+def first_heartbeat(context: Any, seconds: float, evidence: str) -> None:
+    number, _, condition = evidence.partition(", ")
+    held: tuple[HeldRow, ...] = ()
+    key_map, registration = context.key_map, context.registration
+    words = condition.split(" ")
+    if "held" in words:
+        held = (HeldRow(int(words[2]), int(words[4]), int(words[-1])),)
+    elif condition == "with the key map of a restored store":
+        key_map = replace(key_map, unsettled=True)
+    elif condition == "with the entry of another incarnation":
+        registration = replace(registration, target=f"{FORMER}~5")
+    elif condition == "with no entry":
+        registration = None
+    elif condition == "with all keys moved to others":
+        ranges = (KeyRange(0, KEY_SPACE - 1, OTHER, 6),)
+        key_map = replace(key_map, ranges=ranges, fence=6)
+    cold_s = 1.0 if condition == "still cold" else 0.0
+    heartbeat = FirstHeartbeat(STARTED_AT + seconds, int(number), cold_s, held)
+    context.counts = FormerIncarnation(FORMER, key_map, registration).has_sent(heartbeat)
+
+
+@then("the former process has sent it")
+def sent_by_former(context: Any) -> None:
+    assert context.counts
+
+
+@then("the next process has sent it")
+def sent_by_next(context: Any) -> None:
+    assert not context.counts
--- a/packages/coordination/src/pearward_coordination/grants.py
+++ b/packages/coordination/src/pearward_coordination/grants.py
@@ -173,11 +173,25 @@
         """Note that the target's process has terminated."""
         self.target_changed("")
 
+    def target_identified(self, target: str) -> None:
+        """Replace a provisional id of the target, under which it was granted nothing."""
+        self._reset_for(target)
+
     def note_ended(self, target: str) -> None:
         """Note the end of an incarnation that an earlier process of this daemon served."""
-        if target != self._target:
+        if target != self._target and target not in self._lingering:
             self._ended.add(target)
 
+    def note_presumed_ended(self, target: str, transit_s: float) -> None:
+        """Note an incarnation, served by an earlier process of this daemon, that possibly runs.
+
+        It counts as ended when all holds have expired that were granted before this process
+        started, by calls that were in transit for *transit_s* seconds.
+        """
+        if target not in self._ended:
+            until = self._started + transit_s + self._timing.hold_s * CLOCK_SLACK
+            self._lingering.setdefault(target, until)
+
     def has_ended(self, target: str) -> bool:
         """Return whether an incarnation of the local target has certainly ended."""
         return target in self._ended
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -35,6 +35,8 @@
     """Call count, which rises with each call of one incarnation."""
     holds_nothing: bool
     """Whether it reports that it holds no key."""
+    outlived_daemon: bool = True
+    """Whether a first heartbeat without a start time counts as the former incarnation's."""
 
 
 @dataclass(slots=True)
@@ -70,19 +72,25 @@
     def set_former_incarnations(self, names: list[str]) -> None:
         """Set the incarnations that earlier processes of this daemon served, the newest last."""
         self._former = tuple(names)
-        for target, incarnation in self._newest.items():
-            if incarnation.started_ms is None and incarnation.name == target:
-                incarnation.name = self._served_last(target)
+
+    def is_known(self, target: str) -> bool:
+        """Return whether a heartbeat of an id has been received."""
+        return target in self._newest
+
+    def served_last(self, target: str) -> str:
+        """Return the newest incarnation of an id that an earlier process served, or an empty id."""
+        served = [name for name in self._former if target_id(name) == target]
+        return served[-1] if served else ""
+
+    def forget(self, target: str) -> None:
+        """Treat the next heartbeat of an id as the first one."""
+        self._newest.pop(target, None)
 
     def incarnation_of(self, identity: HeartbeatIdentity, now: float, unix_ms: int) -> str | None:
         """Return the incarnation that sent a heartbeat, or None if the heartbeat is outdated."""
         incarnation = self._newest.get(identity.target)
         if incarnation is None:
-            if identity.started_ms is None:
-                return self._track(identity, self._served_last(identity.target), now)
-            return self._track(
-                identity, _incarnation_name(identity.target, identity.started_ms), now
-            )
+            return self._identify_first(identity, now, unix_ms)
         if (
             identity.started_ms is not None
             and incarnation.started_ms is not None
@@ -120,10 +128,18 @@
         incarnation = self._newest.get(target)
         return incarnation is not None and incarnation.presumed
 
-    def _served_last(self, target: str) -> str:
-        """Return the newest known incarnation of an id without heartbeats to this process."""
-        served = [name for name in self._former if target_id(name) == target]
-        return served[-1] if served else target
+    def _identify_first(self, identity: HeartbeatIdentity, now: float, unix_ms: int) -> str:
+        """Return the incarnation that sent the first heartbeat of an id to this process."""
+        if identity.started_ms is not None:
+            return self._track(
+                identity, _incarnation_name(identity.target, identity.started_ms), now
+            )
+        former = self.served_last(identity.target)
+        if not former or identity.outlived_daemon:
+            return self._track(identity, former or identity.target, now)
+        return self._track(
+            identity, _incarnation_name(identity.target, unix_ms), now, presumed=True
+        )
 
     def _track(
         self, identity: HeartbeatIdentity, name: str, now: float, *, presumed: bool = False
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from pearward_coordination.directory import Directory
+from pearward_coordination.former_incarnation import Registration
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import (
     Announce,
@@ -227,7 +228,7 @@
     def _renew(self) -> None:
         """Renew the lease under which keys are granted, and schedule the next renewal."""
         self._reactor.callLater(self._settings.holds.lease.renew_s, self._renew)
-        if self._lease.renew():
+        if self._local_target.is_identified and self._lease.renew():
             self._local_target.update_grants()
 
     def _report(self) -> None:
@@ -241,6 +242,8 @@
         holder = self._planner.active_planner()
         if holder is None:
             return
+        if not self._local_target.is_identified:
+            return
         report = self._local_target.take_report()
         if not report.target and not report.ended:
             return
@@ -330,11 +333,12 @@
         """Note since when the store has been available; None if it is not."""
         self._directory.store_answers(since)
 
-    def former_targets(self, targets: list[str]) -> None:
+    def former_targets(self, targets: list[str], registration: Registration | None) -> None:
         """Note the targets to which earlier incarnations of this daemon granted keys."""
         self._former_targets = targets
-        self._local_target.set_former_incarnations(targets)
+        self._local_target.set_former_incarnations(targets, registration)
         self._note_ended_targets()
+        self._publish()
 
     # -- the target --------------------------------------------------------------------
 
@@ -420,6 +424,8 @@
             link_mbit_per_s=self._settings.link_mbit_per_s,
         )
         keyed = self._settings.service in table.keyed_services
+        if keyed and not self._local_target.is_identified:
+            return
         # The local directory is updated at once, other daemons follow through the store.
         self._directory.entry_written(member)
         self._session.publish(member, keyed and bool(info.target))
@@ -429,7 +435,7 @@
     def _map_adopted(self, key_map: KeyMap) -> None:
         if key_map.service == self._settings.service:
             self._local_target.adopt(key_map)
-            if self._lease.map_adopted():
+            if self._local_target.is_identified and self._lease.map_adopted():
                 self._local_target.update_grants()
 
     def _broadcast_map(self, key_map: KeyMap) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -6,6 +6,12 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from pearward_coordination.former_incarnation import (
+    FirstHeartbeat,
+    FormerIncarnation,
+    Registration,
+)
+from pearward_coordination.grant_calls import CALL_TRANSIT_S
 from pearward_coordination.grants import GrantManager, ReleasedRow
 from pearward_coordination.incarnations import HeartbeatIdentity, IncarnationTracker
 from pearward_coordination.key_load import KeyCounter
@@ -90,6 +96,11 @@
         self._termination = TerminationDetector(client, self._target_listening, self._target_ended)
         self._delivery = self._make_delivery(settings.grant_mode, grants)
         self._incarnations = IncarnationTracker()
+        self._registration: Registration | None = None
+        self._former_known = False
+        """Whether the incarnations that earlier runs of this daemon served are known."""
+        self._unidentified: tuple[TargetHeartbeat, float] | None = None
+        """Last heartbeat whose sender is not known for certain, and the time of its receipt."""
         self._info: TargetInfo | None = None
         self._keyed = False
         self._drained_since: float | None = None
@@ -125,6 +136,11 @@
         """Manager of the keys that are granted to the target."""
         return self._grant_manager
 
+    @property
+    def is_identified(self) -> bool:
+        """Whether it is certain which incarnation of the target sent the last heartbeat."""
+        return self._unidentified is None
+
     @property
     def slots(self) -> TargetSlots:
         """Slots of the target, with running and queued requests."""
@@ -175,16 +191,12 @@
                 target_heartbeat.target, f"service {target_heartbeat.service!r} does not run here"
             )
             return succeed(HeartbeatResponse())
-        told = self._settings.grant_mode is GrantMode.HEARTBEAT
-        sign = HeartbeatIdentity(
-            target_heartbeat.target,
-            target_heartbeat.started_ms,
-            target_heartbeat.sequence,
-            told and not target_heartbeat.held,
-        )
-        incarnation = self._incarnations.incarnation_of(sign, now, round(unix_time() * MS_PER_S))
+        incarnation = self._incarnation_of(target_heartbeat, now)
         if incarnation is None:
             return succeed(HeartbeatResponse())
+        self._unidentified = None
+        if not self._former_known and target_heartbeat.started_ms is None:
+            self._unidentified = target_heartbeat, now
         target_heartbeat = replace(target_heartbeat, target=incarnation)
         if self._grant_manager.has_ended(target_heartbeat.target) or self._is_stale(
             target_heartbeat, now
@@ -213,6 +225,40 @@
         self.update_grants()
         return response
 
+    def _incarnation_of(self, target_heartbeat: TargetHeartbeat, received: float) -> str | None:
+        """Return the incarnation that sent a heartbeat, or None if the heartbeat is outdated."""
+        target, told = target_heartbeat.target, self._settings.grant_mode is GrantMode.HEARTBEAT
+        identity = HeartbeatIdentity(
+            target,
+            target_heartbeat.started_ms,
+            target_heartbeat.sequence,
+            told and not target_heartbeat.held,
+            self._incarnations.is_known(target)
+            or self._has_outlived_daemon(target_heartbeat, received),
+        )
+        unix_ms = round(unix_time() * MS_PER_S)
+        return self._incarnations.incarnation_of(identity, received, unix_ms)
+
+    def _has_outlived_daemon(self, target_heartbeat: TargetHeartbeat, received: float) -> bool:
+        """Return whether a first heartbeat counts as one of the incarnation served last."""
+        former = FormerIncarnation(
+            self._incarnations.served_last(target_heartbeat.target),
+            self._grant_manager.key_map,
+            self._registration,
+        )
+        first = FirstHeartbeat(
+            received, target_heartbeat.sequence, target_heartbeat.cold_s, target_heartbeat.held
+        )
+        outlived = target_heartbeat.started_ms is not None or former.has_sent(first)
+        if not outlived:
+            seen = self._registration
+            self._log.emit(
+                "target_presumed_replaced", former=former.target, sequence=first.sequence,
+                cold_s=first.cold_s, held=len(first.held), map=self.map_version,
+                registered_age_s=round(received - seen.at, 3) if seen is not None else None,
+            )  # fmt: skip
+        return outlived
+
     def log_invalid_heartbeat(self, target: str, error: str) -> None:
         """Log an unreadable heartbeat once for each target id; it changes nothing else."""
         if target not in self._unreadable and len(self._unreadable) < MAX_LOGGED_IDS:
@@ -401,12 +447,46 @@
             limited=self._slots.rate.per_s(boot_time()) is not None,
         )
 
-    def set_former_incarnations(self, targets: list[str]) -> None:
-        """Set the incarnations that earlier runs of this daemon served, the newest last."""
+    def set_former_incarnations(
+        self, targets: list[str], registration: Registration | None
+    ) -> None:
+        """Set the incarnations that earlier runs of this daemon served, the newest last.
+
+        *registration* is the recent entry of the last one, if there is one.
+        """
         self._incarnations.set_former_incarnations(targets)
+        if self._former_known:
+            return
+        self._former_known = True
+        self._registration = registration
+        if self._unidentified is not None:
+            target_heartbeat, received = self._unidentified
+            self._unidentified = None
+            self._identify(target_heartbeat, received)
+
+    def _identify(self, target_heartbeat: TargetHeartbeat, received: float) -> None:
+        """Determine the sender of a heartbeat that was received under a provisional id."""
+        self._incarnations.forget(target_heartbeat.target)
+        incarnation = self._incarnation_of(target_heartbeat, received)
+        if incarnation is None or incarnation == self._grant_manager.target:
+            return
+        self._grant_manager.target_identified(incarnation)
+        self._grant_manager.heartbeat(received, target_heartbeat.held, target_heartbeat.released)
+        self._delivery.target_changed()
+        if self._info is not None:
+            self._publish(replace(self._info, target=incarnation))
 
     def note_ended(self, target: str) -> None:
-        """Record that an incarnation served by an earlier run of this daemon has terminated."""
+        """Record that an incarnation served by an earlier run of this daemon has terminated.
+
+        One with the id of the present target may still run if the two are only presumed to differ.
+        """
+        shared_id = target_id(target)
+        if shared_id == target_id(self._grant_manager.target) and self._incarnations.is_presumed(
+            shared_id
+        ):
+            self._grant_manager.note_presumed_ended(target, CALL_TRANSIT_S)
+            return
         self._grant_manager.note_ended(target)
         if self._grant_manager.has_ended(target) and target not in self._reported_ended:
             self._reported_ended.append(target)
--- a/packages/daemon/src/pearward_daemon/mesh/store_session.py
+++ b/packages/daemon/src/pearward_daemon/mesh/store_session.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from pearward_coordination.former_incarnation import Registration
 from pearward_protocol.entries import (
     CRASHES,
     HOLDERS,
@@ -87,8 +88,11 @@
     def store_availability_changed(self, since: float | None) -> None:
         """Process a change of availability: since when the store is available, or None."""
 
-    def former_targets(self, targets: list[str]) -> None:
-        """Process the targets to which earlier incarnations granted keys, the newest last."""
+    def former_targets(self, targets: list[str], registration: Registration | None) -> None:
+        """Process the targets to which earlier incarnations granted keys, the newest last.
+
+        *registration* is the member entry that the last of them left, if it is certainly recent.
+        """
 
 
 class StoreSession:
@@ -113,6 +117,8 @@
         self._own_entry = OwnEntry(settings.instance, store, log, self._run, self._call_failed)
         self._lease = 0
         self._available = True
+        self._calls_failed = False
+        """Whether the store has been unavailable since this daemon started."""
         self._stopped = False
         self._watch_generation = 0
         self._era: int | None = None
@@ -221,16 +227,32 @@
 
     # -- entries ------------------------------------------------------------------------
 
-    def _note_former_targets(self, items: Iterable[KeyValue]) -> None:
+    def _note_former_targets(self, items: Iterable[KeyValue], asked_at: float) -> None:
         """Pass on the targets to which earlier incarnations of this daemon granted keys."""
         entries = sorted(
             (item for item in items if item.key.startswith(HOLDERS)), key=lambda i: i.revision
         )
         holders = self._decoded(entries, decode_holder)
         self._listener.former_targets(
-            [h.target for h in holders if h.instance == self._settings.instance]
+            [h.target for h in holders if h.instance == self._settings.instance],
+            self._former_registration(items, asked_at),
         )
 
+    def _former_registration(
+        self, items: Iterable[KeyValue], asked_at: float
+    ) -> Registration | None:
+        """Return the entry that an earlier incarnation of this daemon renewed until recently.
+
+        The lease of an entry that is still there had been renewed within its term, unless the store
+        was unavailable, as leases may not expire meanwhile.
+        """
+        if self._calls_failed or self._own_entry.is_written:
+            return None
+        own = [item for item in items if item.key == self._own_entry.key]
+        for member in self._decoded_members(own):
+            return Registration(member.target, asked_at - self._settings.store.lease_ttl_s)
+        return None
+
     def _decoded(self, items: Any, decode: Callable[[bytes], Any]) -> list[Any]:
         """Decode entries; log and omit those that cannot be decoded."""
         result = []
@@ -299,6 +321,7 @@
 
     async def _follow_members(self, number: int) -> None:
         async def read() -> int:
+            asked_at = boot_time()
             # One call for all entries: the store limits the rate of calls, not their size.
             snapshot = await self._store.scan("")
             followed = [i for i in snapshot.items if i.key.startswith(MEMBERS)]
@@ -318,7 +341,7 @@
                 members=len(members), key_maps={m.service: m.version for m in key_maps},
             )  # fmt: skip
             self._listener.key_maps_read(key_maps, self._store.era)
-            self._note_former_targets(snapshot.items)
+            self._note_former_targets(snapshot.items, asked_at)
             self._feed.entries_read(snapshot.revision)
             return snapshot.revision
 
@@ -397,6 +420,7 @@
             except PlatformError as error:
                 # The next call continues after the last revision: changes missed meanwhile are
                 # returned, or HistoryUnavailable is raised if the store has compacted them.
+                self._calls_failed = True
                 self._log.emit("watch_failed", after=after, error=str(error))
                 if not self._available and not (fed_by_peers and after is not None):
                     # The lease loop keeps calling, and restarts the watches on the first success.
@@ -441,6 +465,7 @@
             self._start_watches()
 
     def _call_failed(self, error: PlatformError) -> None:
+        self._calls_failed = True
         if self._available:
             self._available = False
             self._feed.set_store_available(False)
