Counts above the known one may be the next process's after restarted ones

What callers saw: after all daemons had stood still for longer than the former process of a target had run, its next process under the same id got keys under the former one's fences.

Cause: a call count above the newest known one always counted as the known process's, also right after lower ones. A daemon that is thawed receives the heartbeats 1, 2, ... of the next process at once, and the first one above the former process's last count was taken for that process.

Change: once counts that may be the next process's have arrived, a higher one of a target that holds no key belongs to the known process only if the next one cannot have counted so far in the time since. A count that no process younger than the last known heartbeat can have reached is no restarted one; a late heartbeat is therefore less likely to be taken for the next process's.

--- a/features/restart_orders.feature
+++ b/features/restart_orders.feature
@@ -31,6 +31,7 @@
       | targets that take keys by heartbeats | 4     | all daemons end; all targets restart; 3 s; all daemons restart |
       | targets that take keys by heartbeats | 4     | all daemons end; all targets restart; 9 s; all daemons restart |
       | targets that take keys by heartbeats | 4     | target 1 restarts; 2.5 s; target 1 restarts; daemon 1 restarts |
+      | targets that take keys by heartbeats | 4     | all daemons freeze; target 1 restarts; 7 s; all daemons thaw |
       | targets that take keys by heartbeats | 4     | the store fails; target 1 restarts; 0.5 s; daemon 1 restarts; 8 s; the store recovers |
 
     Examples: targets that take their keys by calls
@@ -97,3 +98,9 @@
       | number 40, with the entry of another incarnation       | next   |
       | number 40, with no entry                               | next   |
       | number 1, with all keys moved to others                | former |
+
+  # Heartbeats that a frozen daemon receives at once may reach the count of the former process.
+  Scenario: Counts that rise past the known ones after restarted ones are not the known process's
+    Given a daemon that has received heartbeats 1 to 7 of "t"
+    When heartbeats 1 to 8 arrive together 7 s later
+    Then heartbeat 9 belongs to another incarnation of "t"
--- a/features/steps/restart_order_steps.py
+++ b/features/steps/restart_order_steps.py
@@ -16,6 +16,7 @@
     Registration,
 )
 from pearward_coordination.grants import HeldRow
+from pearward_coordination.incarnations import HeartbeatIdentity
 from pearward_state.keymap import KEY_SPACE, KeyMap, KeyRange
 from tests.fuzz.mesh_machine import DOMAINS, TIMING
 from tests.fuzz.mesh_world import KEYS, Node, World, begin_world
@@ -138,3 +139,24 @@
 @then("the next process has sent it")
 def sent_by_next(context: Any) -> None:
     assert not context.counts
+
+
+# -- heartbeats at one daemon ---------------------------------------------------------------------
+
+
+def _incarnation(context: Any, sequence: int) -> str | None:
+    identity = HeartbeatIdentity("t", None, sequence, holds_nothing=True)
+    return context.clock.incarnation_of(identity, context.now, 99_000)
+
+
+@when("heartbeats {first:d} to {last:d} arrive together {seconds:g} s later")
+def arrive_together(context: Any, first: int, last: int, seconds: float) -> None:
+    context.now += seconds
+    for sequence in range(first, last + 1):
+        assert _incarnation(context, sequence) is None, sequence
+
+
+@then('heartbeat {sequence:d} belongs to another incarnation of "t"')
+def belongs_to_another(context: Any, sequence: int) -> None:
+    context.now += 0.87
+    assert _incarnation(context, sequence) == "t~99000"
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -21,6 +21,8 @@
 late ones that were delayed together arrive at once."""
 MISSED_S = 1.2
 """Seconds since the last heartbeat of the known incarnation after which it has missed one."""
+MIN_INTERVAL_S = 0.15
+"""Minimum seconds between two heartbeats of one process, even if they get no answers."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +51,9 @@
     last_heartbeat: float
     presumed: bool = False
     restart_sequence: int = 0
-    """Count of the last heartbeat that was not above the newest; 0 if there was none."""
+    """Highest count that may be the next process's; 0 if there was none."""
     restart_at: float = 0.0
+    """Time at which heartbeats with such counts were last received."""
 
 
 class IncarnationTracker:
@@ -101,7 +104,12 @@
             return self._track(
                 identity, _incarnation_name(identity.target, identity.started_ms), now
             )
-        if identity.sequence > incarnation.sequence:
+        same_start = identity.started_ms is not None and (
+            identity.started_ms == incarnation.started_ms
+        )
+        if identity.sequence > incarnation.sequence and (
+            same_start or not self._may_be_next(incarnation, identity, now)
+        ):
             incarnation.sequence, incarnation.last_heartbeat, incarnation.restart_sequence = (
                 identity.sequence,
                 now,
@@ -111,7 +119,7 @@
                 incarnation.started_ms if identity.started_ms is None else identity.started_ms
             )
             return incarnation.name
-        if identity.started_ms is not None and identity.started_ms == incarnation.started_ms:
+        if same_start:
             return None
         if self._has_restarted(incarnation, identity, now):
             name = _incarnation_name(
@@ -149,6 +157,20 @@
         )
         return name
 
+    @staticmethod
+    def _may_be_next(incarnation: _Incarnation, identity: HeartbeatIdentity, now: float) -> bool:
+        """Return whether a higher count may be the next process's, heard before with lower ones.
+
+        Heartbeats that were held up together arrive at once, whatever the time between them.
+        """
+        if not incarnation.restart_sequence or not identity.holds_nothing:
+            return False
+        if _is_older(identity, now - incarnation.last_heartbeat):
+            return False
+        elapsed_s = now - incarnation.restart_at
+        counted_s = (identity.sequence - incarnation.restart_sequence) * MIN_INTERVAL_S
+        return elapsed_s < RESTART_SPACING_S or counted_s <= elapsed_s
+
     @staticmethod
     def _has_restarted(incarnation: _Incarnation, identity: HeartbeatIdentity, now: float) -> bool:
         """Return whether a target has restarted, if one of its incarnations reports no start time.
@@ -156,17 +178,16 @@
         Two successive heartbeats must have restarted counts, while the known incarnation misses one
         of its own.
         """
+        silent_s = now - incarnation.last_heartbeat
+        if _is_older(identity, silent_s):
+            return False
         rises = 0 < incarnation.restart_sequence < identity.sequence
         apart = now - incarnation.restart_at >= RESTART_SPACING_S
-        if (
-            rises
-            and apart
-            and identity.holds_nothing
-            and now - incarnation.last_heartbeat >= MISSED_S
-        ):
+        if rises and apart and identity.holds_nothing and silent_s >= MISSED_S:
             return True
         if not rises or apart:
-            incarnation.restart_sequence, incarnation.restart_at = identity.sequence, now
+            incarnation.restart_at = now
+        incarnation.restart_sequence = identity.sequence
         return False
 
     # -- incarnations at one address -------------------------------------------
@@ -194,6 +215,11 @@
         return sequence > MAX_INITIAL_SEQUENCE or connections > 0
 
 
+def _is_older(identity: HeartbeatIdentity, age_s: float) -> bool:
+    """Return whether the count of a heartbeat shows that its process is older than *age_s*."""
+    return (identity.sequence - 1) * MIN_INTERVAL_S > age_s
+
+
 def _incarnation_name(target: str, start_ms: int) -> str:
     """Return the name of a target's incarnation that started at a Unix time in ms."""
     return f"{target}{ID_SEPARATOR}{start_ms}"
