By calls, a process whose connections have closed is replaced by restarted counts

What callers saw: where targets take keys by calls and report no start time, the next process of a young target, or of one whose keys could not be moved as the store was away, got the former one's fences.

Cause: two heartbeats with restarted counts show the next process only if the target reports that it holds nothing, and by calls it reports no keys at all. So the next process stayed unknown until its count had passed the former one's, and was then taken for it. Nobody had taken its keys meanwhile if that took under four seconds, or if no key map could be written.

Change: once all connections that the daemon had made to the former process have closed, a restarted count is the next process's first heartbeat.

--- a/features/restart_orders.feature
+++ b/features/restart_orders.feature
@@ -55,7 +55,10 @@
       | targets that take their keys by calls | 4     | all daemons end; all targets restart; 3 s; all daemons restart |
       | targets that take their keys by calls | 4     | all daemons end; all targets restart; 9 s; all daemons restart |
       | targets that take their keys by calls | 4     | target 1 restarts; 2.5 s; target 1 restarts; daemon 1 restarts |
+      | targets that take their keys by calls | 4     | target 1 is replaced; 2.5 s; target 1 restarts        |
+      | targets that take their keys by calls | 4     | all daemons freeze; target 1 restarts; 7 s; all daemons thaw |
       | targets that take their keys by calls | 4     | the store fails; target 1 restarts; 0.5 s; daemon 1 restarts; 8 s; the store recovers |
+      | targets that take their keys by calls | 4     | the store fails; target 1 restarts; 8 s; the store recovers |
 
   # A restart of daemons alone must cost their targets nothing.
   Scenario Outline: Targets that outlive their daemons keep their keys: <order> (<way>, start time: <report>)
@@ -104,3 +107,10 @@
     Given a daemon that has received heartbeats 1 to 7 of "t"
     When heartbeats 1 to 8 arrive together 7 s later
     Then heartbeat 9 belongs to another incarnation of "t"
+
+  Scenario: A late heartbeat is not the first one of another process, though all connections closed
+    Given a daemon that has received heartbeats 1 to 9 of "t"
+    When all connections to "t" have closed
+    Then heartbeat 8 is late
+    And heartbeat 10 belongs to "t"
+    And heartbeat 1 belongs to another incarnation of "t"
--- a/features/steps/restart_order_steps.py
+++ b/features/steps/restart_order_steps.py
@@ -145,7 +145,8 @@
 
 
 def _incarnation(context: Any, sequence: int) -> str | None:
-    identity = HeartbeatIdentity("t", None, sequence, holds_nothing=True)
+    ended = getattr(context, "process_ended", False)
+    identity = HeartbeatIdentity("t", None, sequence, holds_nothing=not ended, process_ended=ended)
     return context.clock.incarnation_of(identity, context.now, 99_000)
 
 
@@ -156,6 +157,17 @@
         assert _incarnation(context, sequence) is None, sequence
 
 
+@when('all connections to "t" have closed')
+def connections_closed(context: Any) -> None:
+    context.process_ended = True
+    context.now += 0.3
+
+
+@then("heartbeat {sequence:d} is late")
+def is_late(context: Any, sequence: int) -> None:
+    assert _incarnation(context, sequence) is None
+
+
 @then('heartbeat {sequence:d} belongs to another incarnation of "t"')
 def belongs_to_another(context: Any, sequence: int) -> None:
     context.now += 0.87
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -37,6 +37,8 @@
     """Call count, which rises with each call of one incarnation."""
     holds_nothing: bool
     """Whether it reports that it holds no key."""
+    process_ended: bool = False
+    """Whether all connections to the process that was heard last have closed."""
     outlived_daemon: bool = True
     """Whether a first heartbeat without a start time counts as the former incarnation's."""
 
@@ -175,12 +177,14 @@
     def _has_restarted(incarnation: _Incarnation, identity: HeartbeatIdentity, now: float) -> bool:
         """Return whether a target has restarted, if one of its incarnations reports no start time.
 
-        Two successive heartbeats must have restarted counts, while the known incarnation misses one
-        of its own.
+        The connections to its process must have closed, or two successive heartbeats must have
+        restarted counts while the known incarnation misses one of its own.
         """
         silent_s = now - incarnation.last_heartbeat
         if _is_older(identity, silent_s):
             return False
+        if identity.process_ended:
+            return True
         rises = 0 < incarnation.restart_sequence < identity.sequence
         apart = now - incarnation.restart_at >= RESTART_SPACING_S
         if rises and apart and identity.holds_nothing and silent_s >= MISSED_S:
--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -50,8 +50,15 @@
         self._on_other_target = on_other_target
         self._calls = GrantCalls(grant_manager)
         self._keyed = False
+        self._was_attached = False
+        """Whether a connection to the present process has been made."""
         self._timer: Any = None
 
+    @property
+    def process_ended(self) -> bool:
+        """Whether all connections to the process that sent the last heartbeat have closed."""
+        return self._was_attached and not self._port.attached
+
     def set_keyed(self, keyed: bool) -> None:
         """Set whether the target's service is keyed; start the periodic check if it is."""
         self._keyed = keyed
@@ -61,15 +68,20 @@
     def target_changed(self) -> None:
         """Drop calls in transit, which concern the former incarnation."""
         self._port.close()
+        self._was_attached = False
         self._calls.target_changed()
         self._grant_manager.assume_unknown_grants(CALL_TRANSIT_S)
 
     def respond(self, received: float, *, at_once: bool) -> "Deferred[HeartbeatResponse]":
         """Answer a heartbeat at once, without keys; attach to the process that sent it."""
         if self._keyed:
-            self._port.attach().addCallbacks(lambda _: self.deliver(), self._not_attached)
+            self._port.attach().addCallbacks(lambda _: self._attached(), self._not_attached)
         return succeed(HeartbeatResponse())
 
+    def _attached(self) -> None:
+        self._was_attached = self._port.attached
+        self.deliver()
+
     def _not_attached(self, failure: Failure) -> None:
         failure.trap(ServerUnreachable)
         self._log.emit(
--- a/packages/daemon/src/pearward_daemon/mesh/grant_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/grant_delivery.py
@@ -12,6 +12,10 @@
 class GrantDelivery(Protocol):
     """Delivers grants and releases to a target, in heartbeat responses or by calls."""
 
+    @property
+    def process_ended(self) -> bool:
+        """Whether the process to which keys were delivered is known to have ended."""
+
     def set_keyed(self, keyed: bool) -> None:
         """Set whether the target's service is keyed."""
 
--- a/packages/daemon/src/pearward_daemon/mesh/heartbeat_responses.py
+++ b/packages/daemon/src/pearward_daemon/mesh/heartbeat_responses.py
@@ -48,6 +48,11 @@
         self._pending: _PendingResponse | None = None
         self._keyed = False
 
+    @property
+    def process_ended(self) -> bool:
+        """Never: no connection to the target is kept."""
+        return False
+
     def set_keyed(self, keyed: bool) -> None:
         """Set whether the target's service is keyed; otherwise responses are not delayed."""
         self._keyed = keyed
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -233,6 +233,7 @@
             target_heartbeat.started_ms,
             target_heartbeat.sequence,
             told and not target_heartbeat.held,
+            self._delivery.process_ended,
             self._incarnations.is_known(target)
             or self._has_outlived_daemon(target_heartbeat, received),
         )
