By calls, a connection made after all others closed is confirmed by a heartbeat

What callers saw: a late heartbeat of a target's process that has ended let the next process under its id have keys under the former one's fences.

Cause: by calls, an accepted heartbeat makes the daemon connect, and keys are granted to whichever process accepts the connection. If the heartbeat was sent by a process that has ended since, this is the next one, whose own first heartbeat has not been received.

Change: keys are granted on a connection that was made after all earlier ones had closed only once another heartbeat has been received. A restarted count shows the next process meanwhile. Connections of a new process, and one of two that a target closes, are used at once as before.

--- a/features/restart_orders.feature
+++ b/features/restart_orders.feature
@@ -59,6 +59,9 @@
       | targets that take their keys by calls | 4     | all daemons freeze; target 1 restarts; 7 s; all daemons thaw |
       | targets that take their keys by calls | 4     | the store fails; target 1 restarts; 0.5 s; daemon 1 restarts; 8 s; the store recovers |
       | targets that take their keys by calls | 4     | the store fails; target 1 restarts; 8 s; the store recovers |
+      | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 0.05 s; target 1 restarts |
+      | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 0.5 s; target 1 restarts |
+      | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 1.5 s; target 1 restarts |
 
   # A restart of daemons alone must cost their targets nothing.
   Scenario Outline: Targets that outlive their daemons keep their keys: <order> (<way>, start time: <report>)
--- a/features/steps/restart_order_steps.py
+++ b/features/steps/restart_order_steps.py
@@ -1,5 +1,6 @@
 """Steps for restarts of targets under their ids and of daemons in a given order."""
 
+import re
 import sys
 from contextlib import ExitStack
 from dataclasses import replace
@@ -23,6 +24,7 @@
 
 FORMER, OTHER = "t", "other"
 STARTED_AT = 100.0
+DELAYED_HEARTBEAT = re.compile(r"a heartbeat of target (\d+) is delayed by ([\d.]+) s")
 
 
 @given("{count:d} targets in two failure domains that have served for {seconds:g} s")
@@ -46,7 +48,13 @@
 
 
 def _play(world: World, event: str) -> None:
-    """Play one event: a pause, or what happens to the store or to some daemons or targets."""
+    """Play one event: a pause, or what happens to a heartbeat, the store, daemons or targets."""
+    delayed = DELAYED_HEARTBEAT.fullmatch(event)
+    if delayed is not None:
+        node = world.nodes[int(delayed[1])]
+        assert node.target is not None
+        world.late_beat(node, node.target, float(delayed[2]))
+        return
     if event.endswith(" s"):
         world.run(float(event.removesuffix(" s")))
         return
--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -52,12 +52,20 @@
         self._keyed = False
         self._was_attached = False
         """Whether a connection to the present process has been made."""
+        self._is_unconfirmed = False
+        """Whether the present connections were made after all earlier ones had closed, and no
+        heartbeat has been received since."""
         self._timer: Any = None
 
     @property
     def process_ended(self) -> bool:
-        """Whether all connections to the process that sent the last heartbeat have closed."""
-        return self._was_attached and not self._port.attached
+        """Whether all connections to the process that sent earlier heartbeats have closed."""
+        return self._was_attached and not self._is_attached
+
+    @property
+    def _is_attached(self) -> bool:
+        """Whether a connection to the process that sent the last heartbeat is open."""
+        return self._port.attached and not self._is_unconfirmed
 
     def set_keyed(self, keyed: bool) -> None:
         """Set whether the target's service is keyed; start the periodic check if it is."""
@@ -68,13 +76,18 @@
     def target_changed(self) -> None:
         """Drop calls in transit, which concern the former incarnation."""
         self._port.close()
-        self._was_attached = False
+        self._was_attached = self._is_unconfirmed = False
         self._calls.target_changed()
         self._grant_manager.assume_unknown_grants(CALL_TRANSIT_S)
 
     def respond(self, received: float, *, at_once: bool) -> "Deferred[HeartbeatResponse]":
-        """Answer a heartbeat at once, without keys; attach to the process that sent it."""
+        """Answer a heartbeat at once, without keys; attach to the process that sent it.
+
+        Once all connections have closed, the heartbeat may be a late one of a process that has
+        ended: the process that accepts the next connection gets no keys before it sends another.
+        """
         if self._keyed:
+            self._is_unconfirmed = self._was_attached and not self._port.attached
             self._port.attach().addCallbacks(lambda _: self._attached(), self._not_attached)
         return succeed(HeartbeatResponse())
 
@@ -93,7 +106,7 @@
         """Make the grant and release calls that are due."""
         if not self._keyed or not self._grant_manager.target:
             return
-        for call in self._calls.due(boot_time(), attached=self._port.attached):
+        for call in self._calls.due(boot_time(), attached=self._is_attached):
             if isinstance(call, GrantCall):
                 self._grant(call)
             else:
