The identity of a heartbeat's sender is determined in a file of its own

Change: target_identity.py; only an accepted heartbeat is kept, the log line needs a former incarnation, and the delivery is told of the final id before the reported keys are noted.

--- a/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
+++ b/packages/daemon/src/pearward_daemon/mesh/call_delivery.py
@@ -92,7 +92,7 @@
         return succeed(HeartbeatResponse())
 
     def _attached(self) -> None:
-        self._was_attached = self._port.attached
+        self._was_attached = self._was_attached or self._port.attached
         self.deliver()
 
     def _not_attached(self, failure: Failure) -> None:
--- a/packages/daemon/src/pearward_daemon/mesh/core.py
+++ b/packages/daemon/src/pearward_daemon/mesh/core.py
@@ -240,9 +240,7 @@
         if self._table is None or self._settings.service not in self._table.keyed_services:
             return
         holder = self._planner.active_planner()
-        if holder is None:
-            return
-        if not self._local_target.is_identified:
+        if holder is None or not self._local_target.is_identified:
             return
         report = self._local_target.take_report()
         if not report.target and not report.ended:
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -6,14 +6,10 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from pearward_coordination.former_incarnation import (
-    FirstHeartbeat,
-    FormerIncarnation,
-    Registration,
-)
+from pearward_coordination.former_incarnation import Registration
 from pearward_coordination.grant_calls import CALL_TRANSIT_S
 from pearward_coordination.grants import GrantManager, ReleasedRow
-from pearward_coordination.incarnations import HeartbeatIdentity, IncarnationTracker
+from pearward_coordination.incarnations import IncarnationTracker
 from pearward_coordination.key_load import KeyCounter
 from pearward_coordination.link_queue import LinkQueue
 from pearward_coordination.messages import KeyReport
@@ -43,6 +39,7 @@
 from .parked_requests import ParkedRequests
 from .settings import GrantMode, MeshSettings
 from .target_departure import UNKNOWN_START, TargetDeparture
+from .target_identity import TargetIdentity
 from .target_info import LocalTargetListener, TargetInfo
 from .target_request import TargetRequest
 from .target_signals import TargetSignals
@@ -96,11 +93,10 @@
         self._termination = TerminationDetector(client, self._target_listening, self._target_ended)
         self._delivery = self._make_delivery(settings.grant_mode, grants)
         self._incarnations = IncarnationTracker()
-        self._registration: Registration | None = None
-        self._former_known = False
-        """Whether the incarnations that earlier runs of this daemon served are known."""
-        self._unidentified: tuple[TargetHeartbeat, float] | None = None
-        """Last heartbeat whose sender is not known for certain, and the time of its receipt."""
+        self._identity = TargetIdentity(
+            self._incarnations, self._grant_manager, log,
+            reports_keys=settings.grant_mode is GrantMode.HEARTBEAT,
+        )  # fmt: skip
         self._info: TargetInfo | None = None
         self._keyed = False
         self._drained_since: float | None = None
@@ -139,7 +135,7 @@
     @property
     def is_identified(self) -> bool:
         """Whether it is certain which incarnation of the target sent the last heartbeat."""
-        return self._unidentified is None
+        return self._identity.is_certain
 
     @property
     def slots(self) -> TargetSlots:
@@ -194,9 +190,7 @@
         incarnation = self._incarnation_of(target_heartbeat, now)
         if incarnation is None:
             return succeed(HeartbeatResponse())
-        self._unidentified = None
-        if not self._former_known and target_heartbeat.started_ms is None:
-            self._unidentified = target_heartbeat, now
+        reported = target_heartbeat
         target_heartbeat = replace(target_heartbeat, target=incarnation)
         if self._grant_manager.has_ended(target_heartbeat.target) or self._is_stale(
             target_heartbeat, now
@@ -208,6 +202,7 @@
             )  # fmt: skip
             return succeed(HeartbeatResponse())
         self._incarnations.heard(now)
+        self._identity.accepted(reported, now)
         self._silent = False
         self._termination.heartbeat_received()
         if target_heartbeat.target != self._grant_manager.target:
@@ -227,38 +222,10 @@
 
     def _incarnation_of(self, target_heartbeat: TargetHeartbeat, received: float) -> str | None:
         """Return the incarnation that sent a heartbeat, or None if the heartbeat is outdated."""
-        target, told = target_heartbeat.target, self._settings.grant_mode is GrantMode.HEARTBEAT
-        identity = HeartbeatIdentity(
-            target,
-            target_heartbeat.started_ms,
-            target_heartbeat.sequence,
-            told and not target_heartbeat.held,
-            self._delivery.process_ended,
-            self._incarnations.is_known(target)
-            or self._has_outlived_daemon(target_heartbeat, received),
-        )
-        unix_ms = round(unix_time() * MS_PER_S)
-        return self._incarnations.incarnation_of(identity, received, unix_ms)
-
-    def _has_outlived_daemon(self, target_heartbeat: TargetHeartbeat, received: float) -> bool:
-        """Return whether a first heartbeat counts as one of the incarnation served last."""
-        former = FormerIncarnation(
-            self._incarnations.served_last(target_heartbeat.target),
-            self._grant_manager.key_map,
-            self._registration,
-        )
-        first = FirstHeartbeat(
-            received, target_heartbeat.sequence, target_heartbeat.cold_s, target_heartbeat.held
-        )
-        outlived = target_heartbeat.started_ms is not None or former.has_sent(first)
-        if not outlived:
-            seen = self._registration
-            self._log.emit(
-                "target_presumed_replaced", former=former.target, sequence=first.sequence,
-                cold_s=first.cold_s, held=len(first.held), map=self.map_version,
-                registered_age_s=round(received - seen.at, 3) if seen is not None else None,
-            )  # fmt: skip
-        return outlived
+        return self._identity.incarnation_of(
+            target_heartbeat, received, round(unix_time() * MS_PER_S),
+            process_ended=self._delivery.process_ended,
+        )  # fmt: skip
 
     def log_invalid_heartbeat(self, target: str, error: str) -> None:
         """Log an unreadable heartbeat once for each target id; it changes nothing else."""
@@ -455,25 +422,18 @@
 
         *registration* is the recent entry of the last one, if there is one.
         """
-        self._incarnations.set_former_incarnations(targets)
-        if self._former_known:
-            return
-        self._former_known = True
-        self._registration = registration
-        if self._unidentified is not None:
-            target_heartbeat, received = self._unidentified
-            self._unidentified = None
-            self._identify(target_heartbeat, received)
+        provisional = self._identity.set_former_incarnations(targets, registration)
+        if provisional is not None:
+            self._identify(*provisional)
 
     def _identify(self, target_heartbeat: TargetHeartbeat, received: float) -> None:
-        """Determine the sender of a heartbeat that was received under a provisional id."""
-        self._incarnations.forget(target_heartbeat.target)
+        """Replace the provisional id under which a heartbeat was received."""
         incarnation = self._incarnation_of(target_heartbeat, received)
         if incarnation is None or incarnation == self._grant_manager.target:
             return
         self._grant_manager.target_identified(incarnation)
-        self._grant_manager.heartbeat(received, target_heartbeat.held, target_heartbeat.released)
         self._delivery.target_changed()
+        self._grant_manager.heartbeat(received, target_heartbeat.held, target_heartbeat.released)
         if self._info is not None:
             self._publish(replace(self._info, target=incarnation))
 
@@ -482,10 +442,8 @@
 
         One with the id of the present target may still run if the two are only presumed to differ.
         """
-        shared_id = target_id(target)
-        if shared_id == target_id(self._grant_manager.target) and self._incarnations.is_presumed(
-            shared_id
-        ):
+        present = target_id(self._grant_manager.target)
+        if target_id(target) == present and self._incarnations.is_presumed(present):
             self._grant_manager.note_presumed_ended(target, CALL_TRANSIT_S)
             return
         self._grant_manager.note_ended(target)
