A former incarnation with the present one's id ends for certain only by a start time

What callers would have seen: two targets that held a key at once, for up to the rest of a hold.

A living process that a daemon presumes to be the next one still holds its keys. If the daemon restarted again before those holds had expired, the presumed incarnation owned no keys yet, so that the process passed for it, and the one before counted as ended at once.

Change: an incarnation with the id of the present one counts as ended at once only if the present one reports its start time. Otherwise the holds that earlier processes of the daemon may have granted expire first.

--- a/features/restart_orders.feature
+++ b/features/restart_orders.feature
@@ -63,6 +63,22 @@
       | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 0.5 s; target 1 restarts |
       | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 1.5 s; target 1 restarts |
 
+  # Guards against two holders of a key: a process that is too young to be recognised, by calls, is
+  # presumed to be the next one. A daemon that was restarted again took the former one's end for certain.
+  Scenario Outline: A young process that outlives several daemons shares no key with others: <order> (<count>)
+    Given targets that take their keys by calls
+    And <count> targets in two failure domains that have served for 6 s
+    When these follow each other: <order>
+    Then every key is served after 12 s
+
+    Examples:
+      | count | order                                                                              |
+      | 2     | target 1 is replaced; 1.5 s; daemon 1 restarts; 0.5 s; daemon 1 restarts           |
+      | 4     | target 1 is replaced; 1.5 s; daemon 1 restarts; 0.5 s; daemon 1 restarts           |
+      | 2     | target 1 is replaced; 3 s; daemon 1 restarts; 1 s; daemon 1 restarts               |
+      | 4     | target 1 is replaced; 3 s; daemon 1 restarts; 1 s; daemon 1 restarts               |
+      | 4     | target 1 is replaced; 1.5 s; daemon 1 restarts; 0.2 s; daemon 1 restarts; 0.2 s; daemon 1 restarts |
+
   # A restart of daemons alone must cost their targets nothing.
   Scenario Outline: Targets that outlive their daemons keep their keys: <order> (<way>, start time: <report>)
     Given <way>
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -138,6 +138,11 @@
         incarnation = self._newest.get(target)
         return incarnation is not None and incarnation.presumed
 
+    def reports_start_time(self, target: str) -> bool:
+        """Return whether the newest incarnation of an id is identified by its start time."""
+        incarnation = self._newest.get(target)
+        return incarnation is not None and incarnation.started_ms is not None
+
     def _identify_first(self, identity: HeartbeatIdentity, now: float, unix_ms: int) -> str:
         """Return the incarnation that sent the first heartbeat of an id to this process."""
         if identity.started_ms is not None:
--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -440,10 +440,11 @@
     def note_ended(self, target: str) -> None:
         """Record that an incarnation served by an earlier run of this daemon has terminated.
 
-        One with the id of the present target may still run if the two are only presumed to differ.
+        One with the id of the present target is possibly the same process, unless its start time
+        shows that it is not: an earlier run may have presumed a new incarnation.
         """
         present = target_id(self._grant_manager.target)
-        if target_id(target) == present and self._incarnations.is_presumed(present):
+        if target_id(target) == present and not self._incarnations.reports_start_time(present):
             self._grant_manager.note_presumed_ended(target, CALL_TRANSIT_S)
             return
         self._grant_manager.note_ended(target)
