A count above the known one needs more evidence once the process seems to have ended

What callers saw: a target that restarts under its id right after it was granted its first keys, and whose next process's first heartbeat is delayed, got its keys under the former process's fence.

Cause: the first heartbeat received of the next process had count 2, above the former one's last count of 1, and no lower one had been received before it. That it reported no key was not considered.

Change: where the heartbeat reports no key though the process heard last was granted some, or all connections to that process have closed, a higher count belongs to it only if a younger process cannot have counted so far; otherwise it is the next process's once another heartbeat confirms it.

--- a/features/restart_orders.feature
+++ b/features/restart_orders.feature
@@ -63,6 +63,19 @@
       | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 0.5 s; target 1 restarts |
       | targets that take their keys by calls | 4     | a heartbeat of target 1 is delayed by 1.5 s; target 1 restarts |
 
+  # The next process's first heartbeat is delayed, so that the first one received has a higher count than
+  # the last one of a process that had sent one heartbeat only.
+  Scenario Outline: A target that restarts right after its first keys: <way>
+    Given <way>
+    And 2 targets in two failure domains that have served for 6 s
+    When these follow each other: target 0 is replaced; all daemons restart; 1 s; target 0 restarts; a heartbeat of target 0 is delayed by 1.5 s
+    Then every key is served after 12 s
+
+    Examples:
+      | way                                   |
+      | targets that take keys by heartbeats  |
+      | targets that take their keys by calls |
+
   # Guards against two holders of a key: a process that is too young to be recognised, by calls, is
   # presumed to be the next one. A daemon that was restarted again took the former one's end for certain.
   Scenario Outline: A young process that outlives several daemons shares no key with others: <order> (<count>)
--- a/packages/coordination/src/pearward_coordination/incarnations.py
+++ b/packages/coordination/src/pearward_coordination/incarnations.py
@@ -39,6 +39,8 @@
     """Whether it reports that it holds no key."""
     process_ended: bool = False
     """Whether all connections to the process that was heard last have closed."""
+    lost_keys: bool = False
+    """Whether it reports no key, though the process that was heard last was granted some."""
     outlived_daemon: bool = True
     """Whether a first heartbeat without a start time counts as the former incarnation's."""
 
@@ -166,14 +168,17 @@
 
     @staticmethod
     def _may_be_next(incarnation: _Incarnation, identity: HeartbeatIdentity, now: float) -> bool:
-        """Return whether a higher count may be the next process's, heard before with lower ones.
+        """Return whether a higher count may be the next process's.
 
-        Heartbeats that were held up together arrive at once, whatever the time between them.
+        Either lower ones were heard before, which arrive at once if they were held up together, or
+        the process that was heard last seems to have ended, and the next one's were delayed.
         """
-        if not incarnation.restart_sequence or not identity.holds_nothing:
-            return False
         if _is_older(identity, now - incarnation.last_heartbeat):
             return False
+        if identity.lost_keys or identity.process_ended:
+            return True
+        if not incarnation.restart_sequence or not identity.holds_nothing:
+            return False
         elapsed_s = now - incarnation.restart_at
         counted_s = (identity.sequence - incarnation.restart_sequence) * MIN_INTERVAL_S
         return elapsed_s < RESTART_SPACING_S or counted_s <= elapsed_s
--- a/packages/daemon/src/pearward_daemon/mesh/target_identity.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_identity.py
@@ -55,12 +55,14 @@
 
         *process_ended* states that all connections to the process heard before have closed.
         """
+        holds_nothing = self._reports_keys and not heartbeat.held
         identity = HeartbeatIdentity(
             heartbeat.target,
             heartbeat.started_ms,
             heartbeat.sequence,
-            holds_nothing=self._reports_keys and not heartbeat.held,
+            holds_nothing,
             process_ended=process_ended,
+            lost_keys=holds_nothing and bool(self._grant_manager.confirmed()),
             outlived_daemon=self._tracker.is_known(heartbeat.target)
             or self._has_outlived_daemon(heartbeat, received),
         )
