--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
