--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -307,6 +307,10 @@
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         return await asyncio.wait_for(case(deployment, trouble), limit_s)
 
+    def ended_from_outside(number: int, frame: object) -> None:
+        raise SystemExit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, ended_from_outside)
     status = NOT_RUN
     try:
         breaches = asyncio.run(bounded())
