--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,6 +23,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+LATEST_END_S = 117
+"""Seconds after which a script ends in any case, with all processes that it started."""
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "inContactMs": 3000, "acknowledgeMs": 4000, "catchUpS": 4,
     "drainMs": 2000, "gracePeriodS": 6, "lostMs": 200, "configurationMs": 2000,
@@ -310,10 +312,13 @@
     def ended_from_outside(number: int, frame: object) -> None:
         raise SystemExit(NOT_RUN)
 
-    signal.signal(signal.SIGTERM, ended_from_outside)
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, ended_from_outside)
+    signal.alarm(LATEST_END_S)
     status = NOT_RUN
     try:
-        breaches = asyncio.run(bounded())
+        # Not asyncio.run(), which waits for every cancelled task of the stand-ins.
+        breaches = asyncio.new_event_loop().run_until_complete(bounded())
         for breach in breaches:
             record("breach", what=breach)
             print(breach)
