Log the connection of each send and the responses that are skipped

Cause: a log line of a send did not name its connection, and a response to another request was skipped without a line. From the logs it could not be told whether a refusal belongs to the second send of a request or is a late copy of the refusal of the first one.

Change: sent_to_target has the local port of its connection, and surplus_response_skipped names the response's id, the request that waits there, and the connection.

--- a/packages/daemon/src/pearward_daemon/mesh/local_target.py
+++ b/packages/daemon/src/pearward_daemon/mesh/local_target.py
@@ -21,6 +21,7 @@
 from pearward_transport.clock import boot_time, unix_time
 from pearward_transport.errors import ServerUnreachable
 from pearward_transport.http_client import ServerClient
+from pearward_transport.server_connection import ServerConnection
 
 from ..exchange import ReplySink
 from .call_delivery import CallDelivery
@@ -553,11 +554,22 @@
         if self._signals.response_ended(target, facts, sent_at, boot_time()):
             self._slots.apply_limits()
 
-    def sent(self, head: RequestHead, left_ms: int) -> None:
-        """Record that a request is sent to the target."""
+    def sent(self, head: RequestHead, left_ms: int, connection: ServerConnection) -> None:
+        """Record that a request is sent to the target over *connection*."""
         self._log.emit(
             "sent_to_target", id=_text(head.request_id), target=head.target, left_ms=left_ms,
-            running=self._slots.running, waiting=self._slots.waiting, map=self.map_version,
+            connection=connection.local_port, running=self._slots.running,
+            waiting=self._slots.waiting, map=self.map_version,
+        )  # fmt: skip
+
+    def surplus_response(
+        self, head: RequestHead, facts: ResponseFacts, connection: ServerConnection
+    ) -> None:
+        """Record a response to another request than the one that *connection* carries."""
+        self._log.emit(
+            "surplus_response_skipped", failure=True, id=_text(head.request_id),
+            response_id=_text(facts.request_id), target=head.target,
+            connection=connection.local_port,
         )  # fmt: skip
 
     def ended(
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -237,7 +237,7 @@
         self._sent_at = boot_time()
         if self._ticket is not None:
             self._ticket.sent = True
-        self._local_target.sent(self._head, left_ms)
+        self._local_target.sent(self._head, left_ms, connection)
         headers = self._local_target.headers(self._head, left_ms)
         data = b"".join(self._body)
         self._body = []
@@ -312,9 +312,13 @@
     def accepts(self, headers: bytes) -> bool:
         """Return whether a response belongs to this request, not a surplus one to another."""
         self._facts = facts = self._local_target.facts(headers)
-        if facts.request_id == self._head.request_id and not facts.other_target:
+        if facts.request_id and facts.request_id != self._head.request_id:
+            if self._connection is not None:
+                self._local_target.surplus_response(self._head, facts, self._connection)
+            return False
+        if facts.request_id and not facts.other_target:
             self._local_target.response_received(self._head.target, facts, self._sent_at)
-        return not facts.request_id or facts.request_id == self._head.request_id
+        return True
 
     def response_head(self, status: int, headers: bytes, length: int) -> None:
         """Process the head of a response; an invalid response is not forwarded."""
