A request is never sent twice on one connection to a target

Callers of unsafe requests got 503, which says that a request has not run, while the target ran it; with three attempts a route it ran twice.

Cause: a target refused the first send and sent the refusal again, late. The second send went over the same connection, as the pool returns the one used last, and the id by which responses are matched is that of the request, not of the send. The copy ended the second send.

Change: a connection keeps the ids of the requests that it has carried until they can no longer be sent again, and the pool leaves it out for these. A copy then arrives where another request's id, or nothing, is expected. This does not depend on the kind of response, on its delay or on how often a request is sent.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -38,6 +38,19 @@
     Then the caller gets 503 and no part of that response
     And the response says when to retry
 
+  # The second copy was taken for the response to the next send, and callers got 503 for requests
+  # that ran.
+  Scenario Outline: A refusal that a target sends twice does not end the next send of the request: <late_ms> ms
+    When an unsafe keyed request is refused once, and the refusal is sent again <late_ms> ms later
+    Then the caller gets 200 and the complete response
+    And exactly one target has run it
+
+    Examples:
+      | late_ms |
+      | 10      |
+      | 60      |
+      | 200     |
+
   Scenario: A long request body and a long response are transferred completely
     When a request of 200000 bytes gets a response of 300000 bytes
     Then the caller gets 200 and the complete response
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -84,6 +84,18 @@
     context.expected = b"x" * 40
 
 
+@when("an unsafe keyed request is refused once, and the refusal is sent again {late_ms:d} ms later")
+def refused_twice(context: Any, late_ms: int) -> None:
+    context.request_id = _id(context)
+    context.reply = _cluster(context).call(
+        _nodes(context, KEYED)[0],
+        f"/{KEYED}/unsafe/x?work_ms=300&bytes=40&spoil=refuse-twice&again_ms={late_ms}",
+        method="POST",
+        headers={"Request-Id": context.request_id, "Shard-Key": "30000"},
+    )
+    context.expected = b"x" * 40
+
+
 @then("the caller gets {status:d} and no part of that response")
 def gets_failure(context: Any, status: int) -> None:
     assert (context.reply.status, context.reply.body) == (status, b""), context.reply
--- /dev/null
+++ b/features/steps/target_connection_steps.py
@@ -0,0 +1,219 @@
+"""Steps for the connections to a local target, over transports in memory."""
+
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+from twisted.internet.address import IPv4Address
+from twisted.internet.testing import StringTransport
+
+sys.path.insert(0, str(Path(__file__).parents[2]))
+
+from pearward_coordination.grants import GrantTiming
+from pearward_daemon.mesh.target_request import TargetRequest
+from pearward_platform.headers import PlatformDialect
+from pearward_protocol.heads import RequestHead, ResponseHead
+from pearward_state.outcome import Outcome, RequestClass
+from pearward_transport.carried_requests import CarriedRequests
+from pearward_transport.http_client import ServerClient
+from tests.fuzz.mesh_targets import SERVICE
+from tests.fuzz.mesh_world import begin_world
+
+REQUEST_ID, OTHER_ID = "r1", "r2"
+POSITION = 7
+FORMS = {
+    "503, not executed": (503, "Not-Executed: 1\r\n"),
+    "429, not executed": (429, "Not-Executed: 1\r\n"),
+    "421, not executed": (421, "Not-Executed: 1\r\n"),
+    "421, other target": (421, "Instance-Id: i-other\r\n"),
+    "503": (503, ""),
+    "500": (500, ""),
+    "200": (200, "Server-Signature: signed\r\n"),
+}
+
+
+class _Transport(StringTransport):
+    """A transport whose socket accepts any option."""
+
+    def __init__(self, port: int) -> None:
+        super().__init__(hostAddress=IPv4Address("TCP", "127.0.0.1", port))
+        self.socket = mock.Mock()
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Do nothing, as the socket is a mock."""
+
+
+class _Network:
+    """Connects at once, and keeps the transports by their ports."""
+
+    def __init__(self) -> None:
+        self.transports: list[_Transport] = []
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout_s: float) -> None:
+        transport = _Transport(len(self.transports) + 1)
+        self.transports.append(transport)
+        transport.protocol = factory.buildProtocol(None)
+        transport.protocol.makeConnection(transport)
+
+
+class _Reply:
+    """Records the response to one send."""
+
+    is_remote = False
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+
+    def respond(self, head: ResponseHead, *, ended: bool, body: bytes = b"") -> None:
+        self.head = head
+
+    def consumed(self, count: int) -> None:
+        """Do nothing, as no request has a body."""
+
+
+def _head(request_id: str, target: str) -> RequestHead:
+    return RequestHead(
+        service=SERVICE, key=b"%d" % POSITION, request_id=request_id.encode(), method=b"POST",
+        path=b"/", headers=b"", deadline_ms=8000, request_class=RequestClass.INTERACTIVE,
+        tenant="-", repeatable=False, prior_age_ms=0, version=0, task_id="t", position=POSITION,
+        body_length=0, target=target,
+    )  # fmt: skip
+
+
+def _response(request_id: str, form: str) -> bytes:
+    status, headers = FORMS[form]
+    lines = f"HTTP/1.1 {status} Status\r\nRequest-Id: {request_id}\r\n{headers}"
+    return f"{lines}Content-Length: 0\r\n\r\n".encode()
+
+
+def _send(context: Any, request_id: str) -> tuple[TargetRequest, _Reply]:
+    """Send a request to the target; return it with its reply."""
+    local_target = context.local_target
+    reply = _Reply()
+    request = local_target.take(_head(request_id, local_target.info.target), True, b"", reply)
+    request.begin()
+    assert reply.head is None, reply.head
+    return request, reply
+
+
+def _transport_of(context: Any, request: TargetRequest) -> _Transport:
+    """Return the transport on which a request was sent and has no response yet."""
+    return next(t for t in context.network.transports if t.protocol is request._connection)
+
+
+def _respond(transport: _Transport, data: bytes) -> None:
+    """Deliver a response of the target, unless the daemon has closed the connection."""
+    if not transport.disconnecting and not transport.disconnected:
+        transport.protocol.dataReceived(data)
+
+
+@given('a daemon that has sent a request to its target and got the response "{form}"')
+def first_send(context: Any, form: str) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    world = context.world = begin_world(stack, 1, GrantTiming())
+    world.run(8.0)
+    local_target = context.local_target = world.nodes[0].daemon.core.local_target
+    context.network = _Network()
+    context.log = mock.Mock()
+    local_target._dialect = PlatformDialect()
+    local_target._client = ServerClient(context.network, "10.0.0.1:1")
+    local_target._log = context.log
+    request, reply = _send(context, REQUEST_ID)
+    context.first = _transport_of(context, request)
+    context.copy = _response(REQUEST_ID, form)
+    _respond(context.first, context.copy)
+    assert reply.head is not None and request.done
+
+
+@when("it sends the request again, and the second copy of that response arrives")
+def send_again(context: Any) -> None:
+    context.request, context.reply = _send(context, REQUEST_ID)
+    context.second = _transport_of(context, context.request)
+    _respond(context.first, context.copy)
+
+
+@then("the second send has no response yet")
+def no_response_yet(context: Any) -> None:
+    assert context.reply.head is None, context.reply.head
+
+
+@when("the target responds to the second send with 200")
+def respond_to_second(context: Any) -> None:
+    _respond(context.second, _response(REQUEST_ID, "200"))
+
+
+@then("the second send gets that response")
+def second_gets_response(context: Any) -> None:
+    head = context.reply.head
+    assert head is not None and (head.status, head.outcome) == (200, Outcome.SERVED), head
+
+
+@when("it sends the request {count:d} times more, each after the refusal of the one before")
+def send_more(context: Any, count: int) -> None:
+    context.used = [context.first]
+    for _ in range(count):
+        request, _ = _send(context, REQUEST_ID)
+        context.used.append(_transport_of(context, request))
+        _respond(context.used[-1], context.copy)
+
+
+@then("its {sends:d} sends were made on {connections:d} connections")
+def own_connections(context: Any, sends: int, connections: int) -> None:
+    assert len(context.used) == sends
+    assert len(set(context.used)) == connections, [t.getHost().port for t in context.used]
+
+
+@then("other requests are sent on the same connections")
+def others_share(context: Any) -> None:
+    requests = [_send(context, f"other-{n}")[0] for n in range(len(context.used))]
+    transports = {_transport_of(context, request) for request in requests}
+    assert transports == set(context.used), transports
+
+
+@when("it sends another request, and the second copy of that response arrives")
+def send_other(context: Any) -> None:
+    context.request, context.reply = _send(context, OTHER_ID)
+    assert _transport_of(context, context.request) is context.first
+    _respond(context.first, context.copy)
+    no_response_yet(context)
+
+
+@when("the target responds to the other request with 200")
+def respond_to_other(context: Any) -> None:
+    _respond(context.first, _response(OTHER_ID, "200"))
+
+
+@then("the other request gets that response")
+def other_gets_response(context: Any) -> None:
+    second_gets_response(context)
+
+
+@then("the log names the id of the skipped response and the connection")
+def skipped_logged(context: Any) -> None:
+    lines = [
+        call.kwargs
+        for call in context.log.emit.call_args_list
+        if call.args == ("surplus_response_skipped",)
+    ]
+    named = [(line["id"], line["response_id"], line["connection"]) for line in lines]
+    assert named == [(OTHER_ID, REQUEST_ID, context.first.getHost().port)], named
+
+
+@given(
+    "a connection that has carried {count:d} requests, one every {interval:g} s, "
+    "with deadlines of {deadline:g} s"
+)
+def carried(context: Any, count: int, interval: float, deadline: float) -> None:
+    context.carried = CarriedRequests()
+    for number in range(count):
+        now = number * interval
+        context.carried.add(b"%d" % number, now + deadline, now)
+
+
+@then("it keeps between {least:d} and {most:d} ids")
+def kept(context: Any, least: int, most: int) -> None:
+    assert least <= len(context.carried) <= most, len(context.carried)
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -30,6 +30,9 @@
 """Maximum length in bytes of a request body that is received completely before it is sent."""
 BUFFERED_RESPONSE = 65_536
 """Maximum length in bytes of a response that is forwarded only once it is complete."""
+RESEND_MARGIN_S = 1.0
+"""Seconds after its deadline for which a request may still be sent again, as the deadline is
+computed anew from the time of arrival of each send."""
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which callers conclude that a request has not run."""
@@ -194,7 +197,7 @@
             return
         if self._refused_by_crashes():
             return
-        connection = self._local_target.client.take()
+        connection = self._local_target.client.take(self._head.request_id)
         if connection is not None:
             self._send(connection)
         else:
@@ -238,6 +241,7 @@
         if self._ticket is not None:
             self._ticket.sent = True
         self._local_target.sent(self._head, left_ms, connection)
+        connection.note_carried(self._head.request_id, self._deadline + RESEND_MARGIN_S)
         headers = self._local_target.headers(self._head, left_ms)
         data = b"".join(self._body)
         self._body = []
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -2,7 +2,8 @@
 
 The query of a request controls its response: ``work_ms`` (run time), ``bytes`` (body size) and
 ``spoil`` (``short``, ``unsigned``, ``surplus``, ``late``, ``unframed``, ``close``, ``fail``,
-``refuse``, ``crash``).
+``refuse``, ``refuse-twice``, ``crash``). With ``refuse-twice`` the first send of a request is
+refused, and that refusal is sent again ``again_ms`` later; further sends are run.
 
 Control requests:
 
@@ -63,6 +64,8 @@
         """Key of each running request; -1 for requests without a numeric key."""
         self.released: list[list[Any]] = []
         self.runs: list[dict[str, Any]] = []
+        self.refused_ids: set[str] = set()
+        """Ids of the requests whose first send was refused."""
         self.running = 0
         self.sustained_per_s = 0.0
         """Requests per second that it can complete; 0 if only its slots limit it."""
@@ -220,6 +223,10 @@
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(MISDIRECTED)
             return b""
+        arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
+        if arguments.get("spoil") == "refuse-twice" and request_id not in target.refused_ids:
+            self._refuse_twice(request, request_id, int(arguments["again_ms"]) / 1000)
+            return NOT_DONE_YET
         self._record_run(
             {
                 "id": request_id,
@@ -237,7 +244,6 @@
         request.working_on = int(key) if key is not None and key.isdigit() else -1
         target.work_started(request.working_on)
         request.working = True
-        arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
         work_s = int(arguments.get("work_ms", "0")) / 1000
         delay_s = target.delay_s(work_s)
         timer = reactor.callLater(delay_s, self._send_response, request, request_id, arguments)
@@ -250,6 +256,18 @@
         request.notifyFinish().addErrback(on_disconnect)
         return NOT_DONE_YET
 
+    def _refuse_twice(self, request: Any, request_id: str, again_s: float) -> None:
+        """Refuse the first send of a request, and send the refusal again after *again_s*."""
+        self._target.refused_ids.add(request_id)
+        transport = request.transport
+        refusal = (
+            f"HTTP/1.1 503 Status\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+        transport.write(refusal)
+        request.channel.requestDone(request)
+        reactor.callLater(again_s, transport.write, refusal)
+
     def _key_call(self, request: Any) -> Any:
         expected = request.getHeader("Expected-Instance")
         if expected and expected != self._target.id:
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -95,15 +95,27 @@
         """Number of connections to the server, idle or not."""
         return self._open
 
-    def take(self) -> ServerConnection | None:
-        """Return the most recently used idle connection, or None."""
+    def take(self, request_id: bytes = b"") -> ServerConnection | None:
+        """Return the most recently used idle connection, or None.
+
+        Connections that have carried the request *request_id* are left out. A server may send a
+        response twice, and the id, by which responses are matched, is the same for all sends of a
+        request: on the same connection, the late second copy would be taken for the response to
+        the next send.
+        """
         now = self.now()
-        while self._idle:
+        left_out: list[ServerConnection] = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            if connection.idle and not connection.idle_expired(now):
-                return connection
-            connection.close()
-        return None
+            if not connection.idle or connection.idle_expired(now):
+                connection.close()
+            elif connection.has_carried(request_id):
+                left_out.append(connection)
+            else:
+                found = connection
+        self._idle += reversed(left_out)
+        return found
 
     def connect(self) -> "Deferred[ServerConnection]":
         """Open a connection; the Deferred fails with ServerUnreachable."""
--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -23,6 +23,7 @@
 from twisted.web.http import _ChunkedTransferDecoder, _IdentityTransferDecoder
 from zope.interface import implementer
 
+from .carried_requests import CarriedRequests
 from .socket_state import still_open
 
 __all__ = ["ConnectionOwner", "ResponseSink", "ServerConnection"]
@@ -144,6 +145,7 @@
         self._last_used_at = 0.0
         self._idle_limit_s = owner.idle_limit_s
         self._local_port = 0
+        self._carried = CarriedRequests()
 
     @property
     def local_port(self) -> int:
@@ -169,6 +171,14 @@
 
     # -- the request ----------------------------------------------------------
 
+    def note_carried(self, request_id: bytes, until: float) -> None:
+        """Note that it carries a request that may be sent again up to *until* s of `now()`."""
+        self._carried.add(request_id, until, self._owner.now())
+
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether it has carried a request that may be sent again."""
+        return request_id in self._carried
+
     def send(
         self, method: bytes, path: bytes, headers: bytes, body: bytes, sink: ResponseSink
     ) -> None:
