Read a connection's local port when a log line names it

Cause: the port was read when the connection was made, which the connections of features/attached_target.feature do not support; four of its scenarios failed since the lines of sends name their connection.

Change: it is read with the first line that names it.

Measured: features/attached_target.feature, 4 of 4 failed before, 0 now.

--- a/packages/transport/src/pearward_transport/server_connection.py
+++ b/packages/transport/src/pearward_transport/server_connection.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import cached_property
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -144,13 +145,12 @@
         self._in_unframed_body = False
         self._last_used_at = 0.0
         self._idle_limit_s = owner.idle_limit_s
-        self._local_port = 0
         self._carried = CarriedRequests()
 
-    @property
+    @cached_property
     def local_port(self) -> int:
-        """Port of this end, which identifies the connection in logs; 0 before it is made."""
-        return self._local_port
+        """Port of this end, which identifies the connection in logs."""
+        return int(self.transport.getHost().port)
 
     @property
     def idle(self) -> bool:
@@ -267,7 +267,6 @@
 
     def connectionMade(self) -> None:
         self._connected = True
-        self._local_port = self.transport.getHost().port
         self._last_used_at = self._owner.now()
         self.transport.setTcpNoDelay(True)
         _end_when_silent(self.transport.socket)
