A second copy of a response does not count as the release of keys

A late second copy of a grant's response ended a release that waited on the connection, one of a release's response ended the next release, and one of a refusal ended the next grant. Such keys are given to another target while this one works on them or holds them.

Change: a connection is closed after a release and after a grant that was not accepted. The copy of an accepted grant can only be taken for another accepted grant, which keeps keys where they are.

--- a/features/steps/target_connection_steps.py
+++ b/features/steps/target_connection_steps.py
@@ -1,5 +1,6 @@
 """Steps for the connections to a local target, over transports in memory."""
 
+import math
 import sys
 from contextlib import ExitStack
 from pathlib import Path
@@ -12,11 +13,14 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
-from pearward_coordination.grants import GrantTiming
+from pearward_coordination.grants import GrantedRow, GrantTiming, HeldRow
+from pearward_daemon.mesh.dialect import GrantReply, GrantVerdict, ReleaseReply
 from pearward_daemon.mesh.target_request import TargetRequest
+from pearward_platform.grants import PlatformGrants
 from pearward_platform.headers import PlatformDialect
 from pearward_protocol.heads import RequestHead, ResponseHead
 from pearward_state.outcome import Outcome, RequestClass
+from pearward_transport import server_connection
 from pearward_transport.carried_requests import CarriedRequests
 from pearward_transport.http_client import ServerClient
 from tests.fuzz.mesh_targets import SERVICE
@@ -45,6 +49,9 @@
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Do nothing, as the socket is a mock."""
 
+    def doWrite(self) -> None:
+        """Do nothing, as everything is written at once."""
+
 
 class _Network:
     """Connects at once, and keeps the transports by their ports."""
@@ -52,6 +59,10 @@
     def __init__(self) -> None:
         self.transports: list[_Transport] = []
 
+    def callLater(self, delay_s: float, call: Any, *args: Any) -> Any:
+        """Return a timer that never fires."""
+        return mock.Mock()
+
     def connectTCP(self, host: str, port: int, factory: Any, timeout_s: float) -> None:
         transport = _Transport(len(self.transports) + 1)
         self.transports.append(transport)
@@ -110,8 +121,8 @@
         transport.protocol.dataReceived(data)
 
 
-@given('a daemon that has sent a request to its target and got the response "{form}"')
-def first_send(context: Any, form: str) -> None:
+@given("a daemon that has sent a request to its target")
+def send_first(context: Any) -> None:
     stack = ExitStack()
     context.add_cleanup(stack.close)
     world = context.world = begin_world(stack, 1, GrantTiming())
@@ -122,11 +133,29 @@
     local_target._dialect = PlatformDialect()
     local_target._client = ServerClient(context.network, "10.0.0.1:1")
     local_target._log = context.log
-    request, reply = _send(context, REQUEST_ID)
-    context.first = _transport_of(context, request)
+    context.request, context.reply = _send(context, REQUEST_ID)
+    context.first = _transport_of(context, context.request)
+
+
+@given('a daemon that has sent a request to its target and got the response "{form}"')
+def first_response(context: Any, form: str) -> None:
+    send_first(context)
     context.copy = _response(REQUEST_ID, form)
     _respond(context.first, context.copy)
-    assert reply.head is not None and request.done
+    assert context.reply.head is not None and context.request.done
+
+
+@when("the target responds with {status:d}, that it was not executed, and without an id")
+def respond_without_id(context: Any, status: int) -> None:
+    lines = f"HTTP/1.1 {status} Status\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    _respond(context.first, lines.encode())
+
+
+@then("it is unknown whether the request has run, and the connection is closed")
+def unknown_and_closed(context: Any) -> None:
+    head = context.reply.head
+    assert head is not None and head.outcome is Outcome.UNKNOWN, head
+    assert context.first.disconnected, "the connection is open"
 
 
 @when("it sends the request again, and the second copy of that response arrives")
@@ -217,3 +246,65 @@
 @then("it keeps between {least:d} and {most:d} ids")
 def kept(context: Any, least: int, most: int) -> None:
     assert least <= len(context.carried) <= most, len(context.carried)
+
+
+# -- grants and releases by calls ---------------------------------------------------------------
+
+
+def _call_response(call: str, status: int) -> bytes:
+    token = f"Handover: t{status}\r\n" if call == "release" else ""
+    return f"HTTP/1.1 {status} Status\r\n{token}Content-Length: 0\r\n\r\n".encode()
+
+
+def _call(context: Any, call: str) -> tuple[_Transport, list[Any]]:
+    """Make a call; return the transport that carries it, and a list that gets the reply."""
+    for transport in context.network.transports:
+        transport.clear()
+    if call == "grant":
+        made = context.grants.grant("i-1", GrantedRow(0, 9, 4, ""), 2.0, math.inf)
+    else:
+        made = context.grants.release("i-1", HeldRow(0, 9, 4))
+    replies: list[Any] = []
+    made.addCallback(replies.append)
+    return next(t for t in context.network.transports if t.value()), replies
+
+
+@given("a target that has responded to a {call} call with {status:d}")
+def responded_to_call(context: Any, call: str, status: int) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    stack.enter_context(mock.patch.object(server_connection, "still_open", lambda socket: True))
+    context.network = _Network()
+    context.grants = PlatformGrants(ServerClient(context.network, "10.0.0.1:1"))
+    context.grants.attach()
+    context.first, replies = _call(context, call)
+    context.copy = _call_response(call, status)
+    _respond(context.first, context.copy)
+    assert replies
+
+
+@when("a {call} call is made, and the second copy of that response arrives")
+def next_call(context: Any, call: str) -> None:
+    context.second, context.replies = _call(context, call)
+    _respond(context.first, context.copy)
+
+
+@then("the {call} call does not count as {outcome}")
+def not_counted(context: Any, call: str, outcome: str) -> None:
+    assert not any(_counts_as(reply, outcome) for reply in context.replies), context.replies
+
+
+@then("the call ends as {outcome} once the target responds with {status:d}")
+def counted(context: Any, outcome: str, status: int) -> None:
+    call = "release" if outcome == "released" else "grant"
+    if context.replies:
+        # The copy ended the call without an outcome, so the call is made again.
+        context.second, context.replies = _call(context, call)
+    _respond(context.second, _call_response(call, status))
+    assert _counts_as(context.replies[-1], outcome), context.replies
+
+
+def _counts_as(reply: GrantReply | ReleaseReply, outcome: str) -> bool:
+    if isinstance(reply, ReleaseReply):
+        return outcome == "released" and reply.released
+    return outcome == "refused" and reply.verdict is GrantVerdict.NEWER_SEEN
--- a/features/target_connections.feature
+++ b/features/target_connections.feature
@@ -35,3 +35,17 @@
   Scenario: A connection keeps the ids of its requests only while they may be sent again
     Given a connection that has carried 1000 requests, one every 0.01 s, with deadlines of 1.5 s
     Then it keeps between 150 and 152 ids
+
+  # Responses to these calls carry no id. Keys that count as released, or as not granted, are given to
+  # another target.
+  Scenario Outline: A second copy of a response is not taken for the response to the next call: <first> <response>, <next>
+    Given a target that has responded to a <first> call with <response>
+    When a <next> call is made, and the second copy of that response arrives
+    Then the <next> call does not count as <outcome>
+    But the call ends as <outcome> once the target responds with <later>
+
+    Examples:
+      | first   | response | next    | outcome  | later |
+      | grant   | 200      | release | released | 200   |
+      | release | 200      | release | released | 200   |
+      | grant   | 409      | grant   | refused  | 409   |
--- a/packages/transport/src/pearward_transport/http_client.py
+++ b/packages/transport/src/pearward_transport/http_client.py
@@ -123,6 +123,12 @@
         self._reactor.connectTCP(self._host, self._port, factory, CONNECT_TIMEOUT_S)
         return factory.made.addErrback(self._refused)
 
+    def discard(self, connection: ServerConnection) -> None:
+        """Close a connection after its exchange, and do not use it again."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+        connection.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         idle, self._idle = self._idle, []
