A refusal without a request id does not show that a request has not run

Cause: a response without an id was taken for the one that was due, and with Not-Executed it ended the request as not run. It may belong to an earlier request on the connection.

Change: such a response is invalid, like others without an id: it is not known whether the request has run, and the connection is closed.

Tests: 2 of 2 scenarios failed before, and pass now.

--- a/features/target_connections.feature
+++ b/features/target_connections.feature
@@ -32,6 +32,17 @@
     Then the other request gets that response
     And the log names the id of the skipped response and the connection
 
+  # Without an id it may be the response to an earlier request.
+  Scenario Outline: A refusal without an id does not show that a request has not run: <status>
+    Given a daemon that has sent a request to its target
+    When the target responds with <status>, that it was not executed, and without an id
+    Then it is unknown whether the request has run, and the connection is closed
+
+    Examples:
+      | status |
+      | 503    |
+      | 421    |
+
   Scenario: A connection keeps the ids of its requests only while they may be sent again
     Given a connection that has carried 1000 requests, one every 0.01 s, with deadlines of 1.5 s
     Then it keeps between 150 and 152 ids
--- a/packages/daemon/src/pearward_daemon/mesh/target_request.py
+++ b/packages/daemon/src/pearward_daemon/mesh/target_request.py
@@ -484,12 +484,15 @@
 
 def _rejection_reason(status: int, facts: ResponseFacts) -> Reason | None:
     """Return why a response cannot be forwarded, or None."""
+    if not facts.request_id:
+        # It may belong to another request, so that it does not show that this one has not run.
+        return Reason.INVALID_RESPONSE
     if facts.not_run or (facts.other_target and status == 421):
         return Reason.TARGET_REFUSED
     if status in _NOT_RUN_STATUSES:
         # Without the header that confirms it, the request may have run despite this status.
         return Reason.TARGET_FAILED
-    if not facts.request_id or facts.encoded:
+    if facts.encoded:
         return Reason.INVALID_RESPONSE
     if 200 <= status < 300 and not facts.signed:
         return Reason.INVALID_RESPONSE
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -212,6 +212,8 @@
         if request.path.startswith(b"/pearward/"):
             return self._key_call(request)
         request_id = request.getHeader("Request-Id")
+        if request_id is not None:
+            request.setHeader("Request-Id", request_id)
         expected = request.getHeader("Expected-Instance")
         if expected and expected != target.id:
             request.setHeader("Instance-Id", target.id)
