A stopping daemon waits until its responses to callers are written

Callers that read slowly lost the end of their responses when the daemon beside them was stopped as planned.

Cause: a request counted as ended once the last chunk of its response was handed to the caller's connection. The process exited when no request was open, and up to a window of 128 kB of each response was not written yet.

Change: the exit waits for callers' connections that the event loop still has output for, up to the limit that holds for running requests. This takes in every form of response, as each is written through the connection.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -106,6 +106,12 @@
     Then all of them are served and the daemon exits by itself with code 0
     And it reports that it is not ready after it was told to stop
 
+  # The process ended while up to a window of each response was not written yet.
+  Scenario: A daemon that is stopped completes the responses that its callers read slowly
+    When a daemon is told to stop while its callers slowly read responses of several forms
+    Then each caller has received every response completely
+    And that daemon exits with code 0 and is restarted
+
   Scenario: A request that outlasts the stop of its caller's daemon gets a response
     Given a route "/patient/" with a time-out of 20 s
     When a daemon is told to stop during a request that runs 12 s on "/patient/"
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -152,7 +152,7 @@
         self._log.emit("settings_read", changed=changed)
 
     def _check_stopped(self) -> None:
-        """Stop once no requests are open, or shortly before the platform kills this process.
+        """Stop once all responses are written, or shortly before the platform kills this process.
 
         If too few instances of a failure domain are ready, the platform continues to send callers
         here. From the time at which they should have been rerouted they are refused with a
@@ -169,8 +169,7 @@
             self._ingress.refuse_new(RESTART_RETRY_S)
             # Running requests end now; the target keeps its keys for the daemon's next incarnation.
             self._local_target.refuse_new()
-        idle = not self._open_requests
-        if expired or (idle and waited_s >= min_wait_s):
+        if expired or (waited_s >= min_wait_s and self._is_idle):
             self._deregister(waited_s)
         else:
             self._reactor.callLater(STOP_POLL_S, self._check_stopped)
@@ -180,6 +179,11 @@
         """Number of requests without a complete response, from callers or from other daemons."""
         return self._ingress.open_requests + self._local_target.open_requests + self._pacer.waiting
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether all responses are complete, and written as far as callers are concerned."""
+        return not self._open_requests and not self._callers.unfinished
+
     def _deregister(self, waited_s: float) -> None:
         """Refuse new requests, remove the entry, then wait for requests that arrived meanwhile.
 
@@ -189,23 +193,22 @@
         keep = self._local_target.info is not None
         self._log.emit(
             "store_session_stopping", waited_s=round(waited_s, 3), open=self._open_requests,
-            entry_kept=keep,
+            unwritten=self._callers.unfinished, entry_kept=keep,
         )  # fmt: skip
         self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._exit_when_idle())
 
     def _exit_when_idle(self) -> None:
-        """Exit once the requests have ended that arrived while the entry was removed."""
+        """Exit once the responses are written to requests that arrived meanwhile."""
         assert self._stopping_since is not None
         waited_s = boot_time() - self._stopping_since
         expired = waited_s >= self._settings.stop_s - KILL_MARGIN_S
-        open_requests = self._open_requests
-        if open_requests and not expired:
+        if not self._is_idle and not expired:
             self._reactor.callLater(STOP_POLL_S, self._exit_when_idle)
             return
         self._traffic.report()
         self._log.emit(
-            "stopped", waited_s=round(waited_s, 3), open=open_requests,
-            aborted=self._ingress.cancel_open(),
+            "stopped", waited_s=round(waited_s, 3), open=self._open_requests,
+            unwritten=self._callers.unfinished, aborted=self._ingress.cancel_open(),
         )  # fmt: skip
         self._caller_port.stopListening()
         self._pool.close()
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -107,7 +107,7 @@
 
     @property
     def unfinished(self) -> bool:
-        """Whether a response is not completely sent."""
+        """Whether a response is not complete, or the connection is being closed after one."""
         return self._closing or bool(self._in_progress)
 
     def end_if_idle(self, since: float) -> None:
@@ -269,8 +269,9 @@
 
     @property
     def unfinished(self) -> int:
-        """Number of connections on which a response is not completely sent."""
-        return sum(channel.unfinished for channel in self._channels)
+        """Number of connections on which a response is not completely written to the kernel."""
+        writers = frozenset(self._reactor.getWriters())
+        return sum(channel.unfinished or channel.transport in writers for channel in self._channels)
 
     def end_idle(self) -> None:
         """Close the connections without requests."""
