The stand-in closes after a long response without a length

Cause: it closed the transport directly. A transport that has paused its producer, as after a write of over 64 kB, does not close by itself, and the response never ended. In the scenario with slow readers that response so kept the daemon from exiting, which hid its own loss.

Change: the stand-in closes through its channel. The steps restart the stopped daemon before the checks, so that a failure does not spread.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -110,7 +110,7 @@
   Scenario: A daemon that is stopped completes the responses that its callers read slowly
     When a daemon is told to stop while its callers slowly read responses of several forms
     Then each caller has received every response completely
-    And that daemon exits with code 0 and is restarted
+    And the stopped daemon has ended by itself with code 0
 
   Scenario: A request that outlasts the stop of its caller's daemon gets a response
     Given a route "/patient/" with a time-out of 20 s
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -12,6 +12,7 @@
 from pearward_devtools.mesh.cluster import CALLERS, HOST, MeshNode
 
 POOLED, KEYED = "sheets", "roster"
+KEY = "30000"
 READ_BYTES_PER_S = 118_000.0
 SEGMENT_BYTES, RECEIVE_BUFFER = 1460, 2304
 """Socket options with which the kernel holds little of a response that is not read."""
@@ -76,7 +77,7 @@
     def _request(self, number: int) -> bytes:
         return (
             f"GET /{self.service}/safe/x?{self.queries[number]} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"Request-Id: {self.first_id}-{number}\r\nShard-Key: 30000\r\n\r\n"
+            f"Request-Id: {self.first_id}-{number}\r\nShard-Key: {KEY}\r\n\r\n"
         ).encode()
 
     def _read(self, connection: socket.socket) -> None:
@@ -116,11 +117,13 @@
     return (rest[:length], rest[length:]) if len(rest) >= length else (None, b"")
 
 
-def _read_while_stopping(context: Any, callers_of: MeshNode, stopped: MeshNode) -> None:
+def _read_while_stopping(
+    context: Any, callers_of: MeshNode, stopped: MeshNode, service: str
+) -> None:
     """Stop a daemon while callers of a daemon read responses of each form."""
     context.stopped = stopped
     context.readers = [
-        SlowReader(callers_of, queries, f"slow{next(context.mesh_ids)}")
+        SlowReader(callers_of, queries, f"slow{next(context.mesh_ids)}", service)
         for queries in FORMS.values()
     ]
     for reader in context.readers:
@@ -129,6 +132,10 @@
     stopped.daemon.send_signal(signal.SIGTERM)
     for reader in context.readers:
         reader.thread.join()
+    context.exit_code = stopped.daemon.wait(timeout=TIMEOUT_S)
+    # Restarted before the checks, so that later scenarios have this daemon even if one fails.
+    context.mesh.start_daemon(stopped)
+    context.mesh.wait_served()
 
 
 def _nodes(context: Any, service: str) -> list[MeshNode]:
@@ -138,7 +145,27 @@
 @when("a daemon is told to stop while its callers slowly read responses of several forms")
 def stop_under_readers(context: Any) -> None:
     node = _nodes(context, KEYED)[0]
-    _read_while_stopping(context, node, node)
+    _read_while_stopping(context, node, node, POOLED)
+
+
+@when(
+    "the daemon of a key's owner is told to stop while callers of another daemon slowly read "
+    "responses of several forms"
+)
+def stop_owner_under_readers(context: Any) -> None:
+    headers = {"Request-Id": f"slow{next(context.mesh_ids)}", "Shard-Key": KEY}
+    reply = context.mesh.call(_nodes(context, POOLED)[0], f"/{KEYED}/safe/x", headers=headers)
+    owner = next(
+        node
+        for node in _nodes(context, KEYED)
+        if context.mesh.state(node)["id"] == reply.headers["Target"]
+    )
+    _read_while_stopping(context, _nodes(context, POOLED)[0], owner, KEYED)
+
+
+@then("the stopped daemon has ended by itself with code 0")
+def ended_by_itself(context: Any) -> None:
+    assert context.exit_code == 0, context.exit_code
 
 
 @then("each caller has received every response completely")
--- a/packages/devtools/src/pearward_devtools/mesh/target.py
+++ b/packages/devtools/src/pearward_devtools/mesh/target.py
@@ -314,7 +314,9 @@
             transport.loseConnection()
         elif spoil == "unframed":
             transport.write(response)
-            transport.loseConnection()
+            # The channel's own method: with the channel registered as a producer, the transport
+            # does not close after a write that fills its buffer.
+            request.channel.loseConnection()
         elif spoil == "surplus":
             other_response = response.replace(request_id.encode(), b"another-request")
             transport.write(other_response + response)
