--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -30,19 +30,11 @@
 from .metrics import LazyMetrics
 from .paced_stream import LinkPacer, PacedStream
 from .settings import MeshSettings
+from .shutdown import Shutdown
 from .traffic_report import MemberDomains, TrafficReport
 
 __all__ = ["MeshDaemon"]
 
-DEREGISTRATION_S = 2.4
-"""Seconds after SIGTERM in which new callers still arrive: the platform removes an instance
-after two readiness checks, one second apart, without a 200."""
-RESTART_RETRY_S = 1.2
-"""Retry delay in s for callers that a stopping daemon refuses: an ended process is restarted
-within about a second."""
-STOP_POLL_S = 0.1
-KILL_MARGIN_S = 0.4
-"""Seconds before the platform's SIGKILL at which this daemon exits by itself."""
 HEADER_BYTES = 64 * 1024
 """Maximum bytes of a request's headers until a configuration sets a limit."""
 HEADER_COUNT = 200
@@ -102,8 +94,10 @@
         self._callers = CallerFactory(
             self._ingress, reactor, HttpLimits(HEADER_BYTES, HEADER_COUNT, IDLE_S)
         )
+        self._shutdown = Shutdown(
+            reactor, settings, self._log, self._core, self._ingress, self._pacer, self._callers
+        )
         self._caller_port: Any = None
-        self._stopping_since: float | None = None
         self._stopped: Deferred[None] = Deferred()
 
     # -- start and stop ------------------------------------------------------------
@@ -126,6 +120,7 @@
         self._caller_port = listen(
             settings.callers.port, self._callers, interface=settings.callers.ip, backlog=512
         )
+        self._shutdown.done.addCallback(lambda _: self._exit())
         self._export_gauges()
         self._traffic.start()
         self._log.emit(
@@ -136,80 +131,15 @@
 
     def stop(self) -> None:
         """Hand over the target's work, wait for open requests, then stop; may be called twice."""
-        if self._stopping_since is not None:
-            return
-        self._stopping_since = boot_time()
-        self._log.emit(
-            "stopping", open=self._ingress.open_requests, at_target=self._local_target.open_requests
-        )
-        self._core.stop()
-        self._ingress.stop(self._stopping_since + self._settings.stop_s - KILL_MARGIN_S)
-        self._check_stopped()
+        self._shutdown.start()
 
     def reload(self, settings: MeshSettings) -> None:
         """Compare settings that were read again; changes take effect only after a restart."""
         changed = settings != self._settings
         self._log.emit("settings_read", changed=changed)
 
-    def _check_stopped(self) -> None:
-        """Stop once all responses are written, or shortly before the platform kills this process.
-
-        If too few instances of a failure domain are ready, the platform continues to send callers
-        here. From the time at which they should have been rerouted they are refused with a
-        retry delay.
-        """
-        assert self._stopping_since is not None
-        waited_s = boot_time() - self._stopping_since
-        expired = waited_s >= self._settings.stop_s - KILL_MARGIN_S
-        # Without a target no callers arrive here that other instances could serve.
-        min_wait_s = (
-            DEREGISTRATION_S if self._local_target.info is not None else DEREGISTRATION_S / 2
-        )
-        if waited_s >= min_wait_s:
-            self._ingress.refuse_new(RESTART_RETRY_S)
-            # Running requests end now; the target keeps its keys for the daemon's next incarnation.
-            self._local_target.refuse_new()
-        if expired or (waited_s >= min_wait_s and self._is_idle):
-            self._deregister(waited_s)
-        else:
-            self._reactor.callLater(STOP_POLL_S, self._check_stopped)
-
-    @property
-    def _open_requests(self) -> int:
-        """Number of requests without a complete response, from callers or from other daemons."""
-        return self._ingress.open_requests + self._local_target.open_requests + self._pacer.waiting
-
-    @property
-    def _is_idle(self) -> bool:
-        """Whether all responses are complete, and written as far as callers are concerned."""
-        return not self._open_requests and not self._callers.unfinished
-
-    def _deregister(self, waited_s: float) -> None:
-        """Refuse new requests, remove the entry, then wait for requests that arrived meanwhile.
-
-        While the target runs the entry is kept, to be overwritten by the next incarnation.
-        """
-        self._local_target.refuse_new()
-        keep = self._local_target.info is not None
-        self._log.emit(
-            "store_session_stopping", waited_s=round(waited_s, 3), open=self._open_requests,
-            unwritten=self._callers.unfinished, entry_kept=keep,
-        )  # fmt: skip
-        self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._exit_when_idle())
-
-    def _exit_when_idle(self) -> None:
-        """Exit once the responses are written to requests that arrived meanwhile."""
-        assert self._stopping_since is not None
-        waited_s = boot_time() - self._stopping_since
-        expired = waited_s >= self._settings.stop_s - KILL_MARGIN_S
-        if not self._is_idle and not expired:
-            self._reactor.callLater(STOP_POLL_S, self._exit_when_idle)
-            return
+    def _exit(self) -> None:
         self._traffic.report()
-        self._log.emit(
-            "stopped", waited_s=round(waited_s, 3), open=self._open_requests,
-            unwritten=self._callers.unfinished, aborted=self._ingress.cancel_open(),
-        )  # fmt: skip
         self._caller_port.stopListening()
         self._pool.close()
         self._stopped.callback(None)
--- /dev/null
+++ b/packages/daemon/src/pearward_daemon/mesh/shutdown.py
@@ -0,0 +1,142 @@
+"""The planned stop of a daemon on a users' platform: what its exit waits for.
+
+In order: callers are rerouted by the platform; running requests end and their responses are
+written; the daemon's entry in the store is released. The exit comes shortly before the platform
+kills the process, whatever is left.
+"""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from pearward_transport.clock import boot_time
+from pearward_transport.http_server import CallerFactory
+
+from .core import MeshCore
+from .ingress import MeshIngress
+from .log import DecisionLog
+from .paced_stream import LinkPacer
+from .settings import MeshSettings
+
+__all__ = ["Shutdown"]
+
+DEREGISTRATION_S = 2.4
+"""Seconds after SIGTERM in which new callers still arrive: the platform removes an instance
+after two readiness checks, one second apart, without a 200."""
+RESTART_RETRY_S = 1.2
+"""Retry delay in s for callers that a stopping daemon refuses: an ended process is restarted
+within about a second."""
+STOP_POLL_S = 0.1
+KILL_MARGIN_S = 0.4
+"""Seconds before the platform's SIGKILL at which this daemon exits by itself."""
+
+
+class Shutdown:
+    """Stops the parts of one daemon in order."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: MeshSettings,
+        log: DecisionLog,
+        core: MeshCore,
+        ingress: MeshIngress,
+        pacer: LinkPacer,
+        callers: CallerFactory,
+    ) -> None:
+        self._reactor = reactor
+        self._limit_s = settings.stop_s - KILL_MARGIN_S
+        self._log = log
+        self._core = core
+        self._local_target = core.local_target
+        self._ingress = ingress
+        self._pacer = pacer
+        self._callers = callers
+        self._started_at: float | None = None
+        self._done: Deferred[None] = Deferred()
+
+    @property
+    def done(self) -> "Deferred[None]":
+        """Fires when the daemon may exit."""
+        return self._done
+
+    def start(self) -> None:
+        """Start the stop; further calls do nothing."""
+        if self._started_at is not None:
+            return
+        self._started_at = boot_time()
+        self._log.emit(
+            "stopping", open=self._ingress.open_requests, at_target=self._local_target.open_requests
+        )
+        self._core.stop()
+        self._ingress.stop(self._started_at + self._limit_s)
+        self._check_idle()
+
+    # -- state ---------------------------------------------------------------------------
+
+    @property
+    def _waited_s(self) -> float:
+        assert self._started_at is not None
+        return boot_time() - self._started_at
+
+    @property
+    def _is_expired(self) -> bool:
+        """Whether the daemon has to exit now."""
+        return self._waited_s >= self._limit_s
+
+    @property
+    def _open_requests(self) -> int:
+        """Number of requests without a complete response, from callers or from other daemons."""
+        return self._ingress.open_requests + self._local_target.open_requests + self._pacer.waiting
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether all responses are complete, and written as far as callers are concerned."""
+        return not self._open_requests and not self._callers.unfinished
+
+    # -- steps ---------------------------------------------------------------------------
+
+    def _check_idle(self) -> None:
+        """Go on once all responses are written, or the time is up.
+
+        If too few instances of a failure domain are ready, the platform continues to send callers
+        here. From the time at which they should have been rerouted they are refused with a
+        retry delay.
+        """
+        # Without a target no callers arrive here that other instances could serve.
+        min_wait_s = (
+            DEREGISTRATION_S if self._local_target.info is not None else DEREGISTRATION_S / 2
+        )
+        rerouted = self._waited_s >= min_wait_s
+        if rerouted:
+            self._ingress.refuse_new(RESTART_RETRY_S)
+            # Running requests end now; the target keeps its keys for the daemon's next incarnation.
+            self._local_target.refuse_new()
+        if self._is_expired or (rerouted and self._is_idle):
+            self._deregister()
+        else:
+            self._reactor.callLater(STOP_POLL_S, self._check_idle)
+
+    def _deregister(self) -> None:
+        """Refuse new requests, remove the entry, then wait for requests that arrived meanwhile.
+
+        While the target runs the entry is kept, to be overwritten by the next incarnation.
+        """
+        self._local_target.refuse_new()
+        keep = self._local_target.info is not None
+        self._log.emit(
+            "store_session_stopping", waited_s=round(self._waited_s, 3), open=self._open_requests,
+            unwritten=self._callers.unfinished, entry_kept=keep,
+        )  # fmt: skip
+        self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._stop_when_idle())
+
+    def _stop_when_idle(self) -> None:
+        """Exit once the responses are written to requests that arrived meanwhile."""
+        if not self._is_idle and not self._is_expired:
+            self._reactor.callLater(STOP_POLL_S, self._stop_when_idle)
+            return
+        self._log.emit(
+            "stopped", waited_s=round(self._waited_s, 3), open=self._open_requests,
+            unwritten=self._callers.unfinished, aborted=self._ingress.cancel_open(),
+        )  # fmt: skip
+        self._done.callback(None)
