A stopping daemon waits until other daemons have its responses

Callers beside other daemons lost the end of long responses when the daemon beside the target was stopped.

Cause: a response counted as complete once it was handed to the connection to the other daemon. What its window did not allow, or the connection had not sent, went with the process. Requests in the socket's buffer went with it too, and their callers got 502.

Change: the stop waits until the streams of other daemons have ended, then tells these daemons that it closes. They close their connections once they have all responses, and send no more requests; the exit waits for that, for 0.2 s at most where no response is in transit, and up to the silence limit otherwise. A connection is closed after its producer is unregistered, as it else never closes with a full buffer.

Tests: with the former conditions put back 5 of 6 scenarios of other daemons in features/planned_stop.feature fail; they pass now.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -112,6 +112,11 @@
     Then each caller has received every response completely
     And the stopped daemon has ended by itself with code 0
 
+  Scenario: A daemon that is stopped completes the responses of its target that other daemons forward slowly
+    When the daemon of a key's owner is told to stop while callers of another daemon slowly read responses of several forms
+    Then each caller has received every response completely
+    And the stopped daemon has ended by itself with code 0
+
   Scenario: A request that outlasts the stop of its caller's daemon gets a response
     Given a route "/patient/" with a time-out of 20 s
     When a daemon is told to stop during a request that runs 12 s on "/patient/"
--- /dev/null
+++ b/features/planned_stop.feature
@@ -0,0 +1,48 @@
+Feature: What a daemon on a users' platform waits for before it exits
+
+  Virtual time; the control plane and the target are stand-ins.
+
+  Scenario: A daemon with idle connections only exits once callers have been rerouted
+    Given a daemon with an idle connection of a caller and one of another daemon
+    When it is told to stop
+    Then it exits between 2.4 s and 2.6 s after that
+
+  # Callers, and the daemons that forward their requests, got only the start of long responses.
+  Scenario Outline: Output that is not written yet delays the exit until it is: <output>
+    Given a daemon with output: <output>
+    When it is told to stop, and the output is written 4 s later
+    Then it exits between 4 s and 4.2 s after that
+
+    Examples:
+      | output                                                       |
+      | a response that a caller has not read                        |
+      | a response to another daemon that exceeds its window         |
+      | a response to another daemon that the connection has not sent |
+
+  Scenario Outline: Output that is never written delays the exit up to the limit: <output>
+    Given a daemon with output: <output>
+    When it is told to stop
+    Then it exits between 5.6 s and 5.7 s after that
+    And the log names what was left
+
+    Examples:
+      | output                                               |
+      | a response that a caller has not read                |
+      | a response to another daemon that exceeds its window |
+
+  # The last response was lost with the process, or reset as the other daemon had sent more meanwhile.
+  Scenario: A daemon exits after the other daemons have closed their connections
+    Given a daemon that responds to another daemon just before it refuses requests
+    When it is told to stop, and the other daemon closes its connection 0.5 s after the notice
+    Then it exits when the connection is closed
+
+  Scenario: A daemon that was suspended after a response does not hold the exit
+    Given a daemon that responds to another daemon just before it refuses requests
+    When it is told to stop, and the other daemon never closes its connection
+    Then it exits between 2.4 s and 4.1 s after that
+
+  # It stayed open for good: reading had ended, and nothing wrote to it any more.
+  Scenario: A connection to another daemon with much output closes once it is written
+    Given a connection to another daemon whose output fills the transport
+    When it is closed and the output is written
+    Then the transport has closed
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -94,9 +94,14 @@
         self._callers = CallerFactory(
             self._ingress, reactor, HttpLimits(HEADER_BYTES, HEADER_COUNT, IDLE_S)
         )
+        self._peers = PeerListener(
+            self._own_id, self, reactor, WINDOW, self._note_sent,
+            ledger=self._ledger, compresses=self._compresses,
+        )  # fmt: skip
         self._shutdown = Shutdown(
-            reactor, settings, self._log, self._core, self._ingress, self._pacer, self._callers
-        )
+            reactor, settings, self._log, self._core, self._ingress, self._pacer, self._peers,
+            self._callers,
+        )  # fmt: skip
         self._caller_port: Any = None
         self._stopped: Deferred[None] = Deferred()
 
@@ -106,11 +111,7 @@
         """Listen and start; the Deferred fires when the daemon has stopped."""
         settings = self._settings
         listen = self._reactor.listenTCP
-        peers = PeerListener(
-            self._own_id, self, self._reactor, WINDOW, self._note_sent,
-            ledger=self._ledger, compresses=self._compresses,
-        )  # fmt: skip
-        listen(settings.peers.port, peers, interface=settings.peers.ip, backlog=512)
+        listen(settings.peers.port, self._peers, interface=settings.peers.ip, backlog=512)
         self._core.start(self._table_changed)
         heartbeats = self._heartbeat_server(self._local_target)
         status = LocalServer(self._status, self._reactor)
--- a/packages/daemon/src/pearward_daemon/mesh/shutdown.py
+++ b/packages/daemon/src/pearward_daemon/mesh/shutdown.py
@@ -1,8 +1,9 @@
 """The planned stop of a daemon on a users' platform: what its exit waits for.
 
 In order: callers are rerouted by the platform; running requests end and their responses are
-written; the daemon's entry in the store is released. The exit comes shortly before the platform
-kills the process, whatever is left.
+written; the daemon's entry in the store is released; other daemons close their connections, as
+they then have all responses and send no further requests. The exit comes shortly before the
+platform kills the process, whatever is left.
 """
 
 from typing import Any
@@ -11,6 +12,7 @@
 
 from pearward_transport.clock import boot_time
 from pearward_transport.http_server import CallerFactory
+from pearward_transport.peer import PeerListener
 
 from .core import MeshCore
 from .ingress import MeshIngress
@@ -27,6 +29,10 @@
 """Retry delay in s for callers that a stopping daemon refuses: an ended process is restarted
 within about a second."""
 STOP_POLL_S = 0.1
+CLOSING_POLL_S = 0.01
+CLOSING_LIMIT_S = 0.2
+"""Seconds within which other daemons, to which no response is in transit, close their
+connections; those that do not are suspended or cut off."""
 KILL_MARGIN_S = 0.4
 """Seconds before the platform's SIGKILL at which this daemon exits by itself."""
 
@@ -42,6 +48,7 @@
         core: MeshCore,
         ingress: MeshIngress,
         pacer: LinkPacer,
+        peers: PeerListener,
         callers: CallerFactory,
     ) -> None:
         self._reactor = reactor
@@ -51,8 +58,10 @@
         self._local_target = core.local_target
         self._ingress = ingress
         self._pacer = pacer
+        self._peers = peers
         self._callers = callers
         self._started_at: float | None = None
+        self._closing_since = 0.0
         self._done: Deferred[None] = Deferred()
 
     @property
@@ -87,12 +96,21 @@
     @property
     def _open_requests(self) -> int:
         """Number of requests without a complete response, from callers or from other daemons."""
-        return self._ingress.open_requests + self._local_target.open_requests + self._pacer.waiting
+        return (
+            self._ingress.open_requests
+            + self._local_target.open_requests
+            + self._pacer.waiting
+            + self._peers.open_streams
+        )
+
+    @property
+    def _unwritten(self) -> int:
+        """Number of callers' connections with output to write."""
+        return self._callers.unfinished
 
     @property
     def _is_idle(self) -> bool:
-        """Whether all responses are complete, and written as far as callers are concerned."""
-        return not self._open_requests and not self._callers.unfinished
+        return not self._open_requests and not self._unwritten
 
     # -- steps ---------------------------------------------------------------------------
 
@@ -126,17 +144,34 @@
         keep = self._local_target.info is not None
         self._log.emit(
             "store_session_stopping", waited_s=round(self._waited_s, 3), open=self._open_requests,
-            unwritten=self._callers.unfinished, entry_kept=keep,
+            unwritten=self._unwritten, entry_kept=keep,
         )  # fmt: skip
         self._core.session.stop(keep_entry=keep).addBoth(lambda _: self._stop_when_idle())
 
     def _stop_when_idle(self) -> None:
-        """Exit once the responses are written to requests that arrived meanwhile."""
+        """Go on once the responses are written to requests that arrived meanwhile."""
         if not self._is_idle and not self._is_expired:
             self._reactor.callLater(STOP_POLL_S, self._stop_when_idle)
             return
         self._log.emit(
             "stopped", waited_s=round(self._waited_s, 3), open=self._open_requests,
-            unwritten=self._callers.unfinished, aborted=self._ingress.cancel_open(),
+            unwritten=self._unwritten, aborted=self._ingress.cancel_open(),
+        )  # fmt: skip
+        self._closing_since = boot_time()
+        self._peers.close()
+        self._check_closed()
+
+    def _check_closed(self) -> None:
+        """Exit once other daemons have closed their connections, or the time is up."""
+        closing_s = boot_time() - self._closing_since
+        awaits_peers = self._peers.undelivered or (
+            self._peers.connections and closing_s < CLOSING_LIMIT_S
+        )
+        if (awaits_peers or self._unwritten) and not self._is_expired:
+            self._reactor.callLater(CLOSING_POLL_S, self._check_closed)
+            return
+        self._log.emit(
+            "closed", waited_s=round(self._waited_s, 3), connections=len(self._peers.connections),
+            unwritten=self._unwritten,
         )  # fmt: skip
         self._done.callback(None)
--- a/packages/transport/src/pearward_transport/peer.py
+++ b/packages/transport/src/pearward_transport/peer.py
@@ -61,6 +61,11 @@
         """Number of streams whose responses are not completely sent."""
         return sum(connection.open_streams for connection in self._connections)
 
+    @property
+    def undelivered(self) -> int:
+        """Number of connections whose peers may not have received the last response yet."""
+        return sum(connection.undelivered for connection in self._connections)
+
     def close(self) -> None:
         """Tell all peers to close their connections, and accept no further ones.
 
--- a/packages/transport/src/pearward_transport/peer_connection.py
+++ b/packages/transport/src/pearward_transport/peer_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from math import inf
 from typing import Any, Protocol
 
 from twisted.internet.error import ConnectionAborted
@@ -166,6 +167,7 @@
         self._closing = False
         """Whether the peer has told that it closes the connection."""
         self._last_received = 0.0
+        self._stream_ended_at = -inf
         self._control_sent_since = False
         """Whether a control message was sent after the last data was received."""
         self._checks = checks
@@ -198,6 +200,16 @@
         """Number of open streams."""
         return len(self._streams)
 
+    @property
+    def undelivered(self) -> bool:
+        """Whether the peer may not have received all responses yet.
+
+        After announce_closing() the peer closes the connection once it has. One that does not
+        within the silence limit, with little output left, counts as lost.
+        """
+        since_s = self._reactor.seconds() - self._stream_ended_at
+        return bool(self._streams) or self._paused or since_s < SILENCE_LIMIT_S
+
     # -- sending ------------------------------------------------------------
 
     def open_stream(
@@ -231,7 +243,7 @@
 
     def reset(self, stream: int, code: ResetCode) -> None:
         """Reset a stream."""
-        self._streams.pop(stream, None)
+        self._stream_ended(stream)
         self._mux.reset(stream, code)
         self._flush()
 
@@ -253,6 +265,8 @@
     def close(self) -> None:
         """Close the connection once pending output is written."""
         if self._connected:
+            # A transport with a producer that it has paused does not close by itself.
+            self.transport.unregisterProducer()
             self.transport.loseConnection()
 
     def _flush(self, control: str = "") -> None:
@@ -266,10 +280,14 @@
                 address = self._peer.address if self._peer is not None else ""
                 self._ledger.frames_sent(address, output, opener=self._opener, control=control)
         for stream in self._mux.take_closed():
-            self._streams.pop(stream, None)
+            self._stream_ended(stream)
         if self._closing and not self._streams:
             self.close()
 
+    def _stream_ended(self, stream: int) -> None:
+        if self._streams.pop(stream, None) is not None:
+            self._stream_ended_at = self._reactor.seconds()
+
     # -- Twisted's callbacks ------------------------------------------------
 
     def connectionMade(self) -> None:
