A stopping daemon waits until heartbeats and operators have their responses

Cause: as with callers, what the connections for heartbeats, readiness and metrics had not written was dropped at the exit; nothing waited for them.

Change: the servers count their connections with unwritten output, and the stop waits for these as it does for callers.

Tests: with the former condition put back 3 of 3 scenarios of features/planned_stop.feature fail; they pass now. planned_stop.feature and mesh.feature, 47 scenarios passed.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -16,6 +16,8 @@
     Examples:
       | output                                                       |
       | a response that a caller has not read                        |
+      | a response to a heartbeat that the target has not read       |
+      | a response to an operator that is not read                   |
       | a response to another daemon that exceeds its window         |
       | a response to another daemon that the connection has not sent |
 
@@ -28,6 +30,7 @@
     Examples:
       | output                                               |
       | a response that a caller has not read                |
+      | a response to an operator that is not read           |
       | a response to another daemon that exceeds its window |
 
   # The last response was lost with the process, or reset as the other daemon had sent more meanwhile.
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -18,6 +18,7 @@
 from pearward_state.outcome import Outcome, RequestClass
 from pearward_transport.caller_request import CallerRequest
 from pearward_transport.http_server import CallerFactory, HttpLimits
+from pearward_transport.local_server import LocalReply, LocalServer
 from pearward_transport.peer import PeerListener
 
 GRACE_S = 6.0
@@ -134,6 +135,8 @@
     context.handler = _Handler()
     me = PeerId("me", "127.0.0.1:1")
     context.callers = CallerFactory(context.handler, reactor, HttpLimits(4096, 50, 60.0))
+    context.heartbeats = LocalServer(lambda request: LocalReply(b"{}"), reactor)
+    context.operators = LocalServer(lambda request: LocalReply(b"x" * 1000), reactor)
     context.peers = PeerListener(me, context.handler, reactor, window)
     local_target = mock.Mock(open_requests=0)
     core = mock.Mock(local_target=local_target)
@@ -142,7 +145,7 @@
     ingress = mock.Mock(open_requests=0, **{"cancel_open.return_value": 0})
     context.shutdown = Shutdown(
         reactor, mock.Mock(stop_s=GRACE_S), context.log, core, ingress, mock.Mock(waiting=0),
-        context.peers, context.callers,
+        context.peers, (context.callers, context.heartbeats, context.operators),
     )  # fmt: skip
     context.exits = []
     context.shutdown.done.addCallback(lambda _: context.exits.append(reactor.seconds()))
@@ -202,6 +205,10 @@
     _begin(context)
     if output == "a response that a caller has not read":
         _blocked_response(context, context.callers)
+    elif output == "a response to a heartbeat that the target has not read":
+        _blocked_response(context, context.heartbeats)
+    elif output == "a response to an operator that is not read":
+        _blocked_response(context, context.operators)
     elif output == "a response to another daemon that exceeds its window":
         context.other = _Peer(context, WINDOW)
         context.other.consumes = False
--- a/packages/daemon/src/pearward_daemon/mesh/app.py
+++ b/packages/daemon/src/pearward_daemon/mesh/app.py
@@ -61,7 +61,6 @@
     ) -> None:
         self._reactor = reactor
         self._settings = settings
-        self._heartbeat_server = heartbeat_server
         self._own_id = PeerId(secrets.token_hex(8), str(settings.peers_reached_at))
         self._log = DecisionLog(settings.log_lines_per_s, boot_time)
         link = LinkQueue(settings.link_mbit_per_s)
@@ -98,9 +97,11 @@
             self._own_id, self, reactor, WINDOW, self._note_sent,
             ledger=self._ledger, compresses=self._compresses,
         )  # fmt: skip
+        self._heartbeats = heartbeat_server(self._local_target)
+        self._status_server = LocalServer(self._status, reactor)
         self._shutdown = Shutdown(
             reactor, settings, self._log, self._core, self._ingress, self._pacer, self._peers,
-            self._callers,
+            (self._callers, self._heartbeats, self._status_server),
         )  # fmt: skip
         self._caller_port: Any = None
         self._stopped: Deferred[None] = Deferred()
@@ -113,9 +114,8 @@
         listen = self._reactor.listenTCP
         listen(settings.peers.port, self._peers, interface=settings.peers.ip, backlog=512)
         self._core.start(self._table_changed)
-        heartbeats = self._heartbeat_server(self._local_target)
-        status = LocalServer(self._status, self._reactor)
-        listen(settings.heartbeats.port, heartbeats, interface=settings.heartbeats.ip)
+        status = self._status_server
+        listen(settings.heartbeats.port, self._heartbeats, interface=settings.heartbeats.ip)
         listen(settings.readiness.port, status, interface=settings.readiness.ip)
         listen(settings.metrics.port, status, interface=settings.metrics.ip)
         self._caller_port = listen(
--- a/packages/daemon/src/pearward_daemon/mesh/shutdown.py
+++ b/packages/daemon/src/pearward_daemon/mesh/shutdown.py
@@ -6,12 +6,12 @@
 platform kills the process, whatever is left.
 """
 
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 
 from pearward_transport.clock import boot_time
-from pearward_transport.http_server import CallerFactory
 from pearward_transport.peer import PeerListener
 
 from .core import MeshCore
@@ -20,7 +20,7 @@
 from .paced_stream import LinkPacer
 from .settings import MeshSettings
 
-__all__ = ["Shutdown"]
+__all__ = ["OutputServer", "Shutdown"]
 
 DEREGISTRATION_S = 2.4
 """Seconds after SIGTERM in which new callers still arrive: the platform removes an instance
@@ -37,6 +37,14 @@
 """Seconds before the platform's SIGKILL at which this daemon exits by itself."""
 
 
+class OutputServer(Protocol):
+    """A server whose responses have to be written before the daemon exits."""
+
+    @property
+    def unfinished(self) -> int:
+        """Number of connections on which a response is not completely written."""
+
+
 class Shutdown:
     """Stops the parts of one daemon in order."""
 
@@ -49,8 +57,9 @@
         ingress: MeshIngress,
         pacer: LinkPacer,
         peers: PeerListener,
-        callers: CallerFactory,
+        servers: Sequence[OutputServer],
     ) -> None:
+        """*servers* are those for callers, heartbeats and operators."""
         self._reactor = reactor
         self._limit_s = settings.stop_s - KILL_MARGIN_S
         self._log = log
@@ -59,7 +68,7 @@
         self._ingress = ingress
         self._pacer = pacer
         self._peers = peers
-        self._callers = callers
+        self._servers = servers
         self._started_at: float | None = None
         self._closing_since = 0.0
         self._done: Deferred[None] = Deferred()
@@ -105,8 +114,8 @@
 
     @property
     def _unwritten(self) -> int:
-        """Number of callers' connections with output to write."""
-        return self._callers.unfinished
+        """Number of connections to callers, the target and operators with output to write."""
+        return sum(server.unfinished for server in self._servers)
 
     @property
     def _is_idle(self) -> bool:
--- a/packages/transport/src/pearward_transport/local_server.py
+++ b/packages/transport/src/pearward_transport/local_server.py
@@ -69,6 +69,21 @@
         self.finish()
 
 
+class _Channel(http.HTTPChannel):  # type: ignore[misc]
+    """One connection, which the server counts as long as it is open."""
+
+    requestFactory = _Request
+    factory: "LocalServer"
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.factory.opened(self)
+
+    def connectionLost(self, reason: Any) -> None:
+        super().connectionLost(reason)
+        self.factory.closed(self)
+
+
 class LocalServer(ServerFactory):  # type: ignore[misc]
     """Serves requests with one handler."""
 
@@ -77,10 +92,24 @@
     def __init__(self, handler: Handler, reactor: Any) -> None:
         self.handler = handler
         self._reactor = reactor
+        self._channels: set[_Channel] = set()
+
+    @property
+    def unfinished(self) -> int:
+        """Number of connections on which a response is not completely written to the kernel."""
+        writers = frozenset(self._reactor.getWriters())
+        return sum(channel.transport in writers for channel in self._channels)
+
+    def opened(self, channel: _Channel) -> None:
+        """Register a connection."""
+        self._channels.add(channel)
+
+    def closed(self, channel: _Channel) -> None:
+        """Unregister a connection."""
+        self._channels.discard(channel)
 
-    def buildProtocol(self, addr: Any) -> http.HTTPChannel:
-        channel = http.HTTPChannel()
-        channel.requestFactory = _Request
+    def buildProtocol(self, addr: Any) -> _Channel:
+        channel = _Channel()
         channel.factory = self
         channel.callLater = self._reactor.callLater
         channel.timeOut = IDLE_S
