The older daemon decides to end once its responses to callers are written

Cause: as on the users' platform, a request counted as ended once its response was handed to the caller's connection.

Change: unwritten output delays the decision to end, up to the idle time-out of connections for callers that do not read.

Tests: the scenario of features/closing.feature failed before, and passes now; closing, closing_processes, faults and front_door: 35 scenarios passed.

--- a/features/closing.feature
+++ b/features/closing.feature
@@ -138,6 +138,15 @@
     When all data arrives and 0.1 s pass
     Then the daemon has ended
 
+  # Was cut: the request counted as ended once its response was handed to the connection.
+  Scenario: A response that is not written to its caller yet delays the decision to end
+    Given a daemon and a peer that is connected
+    And a caller with an open connection, which has output that is not written
+    When the daemon is stopped as planned and 3 s pass
+    Then the daemon has not decided to end
+    When the output is written, all data arrives and 1 s pass
+    Then the daemon has ended
+
   # Lost its connection, although its daemon knew that it may have run.
   Scenario: A caller's request that runs when the drain's time limit passes ends with a response
     Given a daemon and a peer that is connected
--- a/features/steps/closing_steps.py
+++ b/features/steps/closing_steps.py
@@ -335,6 +335,19 @@
     context.channel = channel
 
 
+@given("a caller with an open connection, which has output that is not written")
+def unwritten_output(context: Any) -> None:
+    caller_connected(context)
+    context.reactor.addWriter(context.caller_transport)
+
+
+@when("the output is written, all data arrives and {seconds:g} s pass")
+def output_written(context: Any, seconds: float) -> None:
+    context.reactor.removeWriter(context.caller_transport)
+    _advance(context, seconds)
+    data_arrives(context, seconds)
+
+
 @when("the daemon is stopped as planned and decides to end")
 def decides_to_end(context: Any) -> None:
     context.daemon.drain()
--- a/packages/daemon/src/pearward_daemon/daemon.py
+++ b/packages/daemon/src/pearward_daemon/daemon.py
@@ -138,15 +138,21 @@
         """Stop if the daemon is drained or the time limit for draining has passed."""
         waited_s = boot_time() - self._drain_started
         over = waited_s >= self._settings.drain_limit_s
-        if over or self._is_drained():
+        if over or self._is_drained(waited_s):
             self._stop(waited_s, cut=self._owner.busy + self._ingress.open_requests)
             return
         self._reactor.callLater(DRAIN_CHECK_S, self._check_drained)
 
-    def _is_drained(self) -> bool:
-        """Return whether no request runs and no shard is left that could be handed over."""
+    def _is_drained(self, waited_s: float) -> bool:
+        """Return whether no request runs and no shard is left that could be handed over.
+
+        Responses to callers are also written, unless a caller takes longer than connections may
+        be idle.
+        """
         if self._owner.busy or self._ingress.open_requests or self._listener.open_streams:
             return False
+        if self._callers.unfinished and waited_s < self._settings.limits.idle_s:
+            return False
         stop = PlannedStop(self._me.incarnation, self._drain_started)
         return stop.is_handed_over(
             self._control.ownership, boot_time(), server_healthy=self._control.server_healthy
