The last log lines wait a short time for a reader that is behind

Cause: at the end of the process the log was written once without blocking. With a full pipe the last lines, which say how the daemon stopped, were lost.

Change: the end waits for the reader, for 0.2 s at most.

Tests: the scenario with a full pipe and a reader that reads on failed before, and passes now.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -49,3 +49,15 @@
     Given a connection to another daemon whose output fills the transport
     When it is closed and the output is written
     Then the transport has closed
+
+  # The last lines, which say how the daemon ended, were lost with the process.
+  Scenario Outline: The last log lines wait for their reader, if it reads in time: <reader>
+    Given a log whose reader is behind by a full pipe
+    When the process ends and the reader <reader>
+    Then <lines> last line was received, and without a reader the process waited for at most 0.2 s
+
+    Examples:
+      | reader          | lines |
+      | reads on        | the   |
+      | does not read   | no    |
+      | closes its end  | no    |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,5 +1,10 @@
 """Steps for the planned stop of a daemon on a users' platform, in virtual time, without sockets."""
 
+import os
+import select
+import threading
+import time
+from contextlib import suppress
 from typing import Any
 from unittest import mock
 
@@ -11,6 +16,8 @@
 from twisted.python.failure import Failure
 
 from pearward_coordination.messages import PeerId
+from pearward_daemon import logs
+from pearward_daemon.logs import LineWriter
 from pearward_daemon.mesh import shutdown
 from pearward_daemon.mesh.shutdown import Shutdown
 from pearward_protocol.heads import Hello, RequestHead, ResponseHead
@@ -126,12 +133,16 @@
     )  # fmt: skip
 
 
+def _patch(module: Any, name: str, value: Any) -> Any:
+    patch = mock.patch.object(module, name, value)
+    patch.start()
+    return patch
+
+
 def _begin(context: Any, window: int = WINDOW) -> None:
     reactor = context.reactor = MemoryReactorClock()
     reactor.advance(START_S)
-    patch = mock.patch.object(shutdown, "boot_time", reactor.seconds)
-    patch.start()
-    context.add_cleanup(patch.stop)
+    context.add_cleanup(_patch(shutdown, "boot_time", reactor.seconds).stop)
     context.handler = _Handler()
     me = PeerId("me", "127.0.0.1:1")
     context.callers = CallerFactory(context.handler, reactor, HttpLimits(4096, 50, 60.0))
@@ -299,3 +310,48 @@
 @then("the transport has closed")
 def transport_closed(context: Any) -> None:
     assert context.other.transport.closed
+
+
+# -- the log --------------------------------------------------------------------------------------
+
+
+@given("a log whose reader is behind by a full pipe")
+def reader_behind(context: Any) -> None:
+    context.read_end, write_end = os.pipe()
+    context.writer = LineWriter(write_end)
+    for size in (1000, 1):
+        with suppress(BlockingIOError):
+            while True:
+                os.write(write_end, b"." * size)
+    context.writer.write({"message_type": "last line"})
+    context.received = b""
+
+
+@when("the process ends and the reader {reader}")
+def process_ends(context: Any, reader: str) -> None:
+    def read() -> None:
+        time.sleep(0.05)
+        while b"last line" not in context.received:
+            context.received += os.read(context.read_end, 1 << 20)
+
+    thread = threading.Thread(target=read, daemon=True)
+    if reader == "reads on":
+        # Longer, as the thread may get no processor time at once.
+        context.add_cleanup(_patch(logs, "END_WAIT_S", 10.0).stop)
+        thread.start()
+    elif reader == "closes its end":
+        os.close(context.read_end)
+    with mock.patch.object(logs.select, "select", wraps=select.select) as waiting:
+        context.writer.finish()
+    context.waits_s = [call.args[3] for call in waiting.call_args_list]
+    if reader == "reads on":
+        thread.join(timeout=1.0)
+
+
+@then(
+    "{lines} last line was received, and without a reader the process waited for at most {most:g} s"
+)
+def last_line(context: Any, lines: str, most: float) -> None:
+    assert (b"last line" in context.received) is (lines == "the"), context.received[-100:]
+    if lines == "no":
+        assert all(wait_s <= most for wait_s in context.waits_s), context.waits_s
--- a/packages/daemon/src/pearward_daemon/logs.py
+++ b/packages/daemon/src/pearward_daemon/logs.py
@@ -2,10 +2,13 @@
 
 Lines are buffered and written in one batch several times a second to a descriptor in
 non-blocking mode. If its reader falls behind, lines are dropped and counted: a slow
-log collector must not slow down requests.
+log collector must not slow down requests. Only at the end of the process the last lines wait for
+the reader, for a short time.
 """
 
 import os
+import select
+import time
 from collections import deque
 from typing import Any
 
@@ -18,6 +21,8 @@
 MAX_LINES = 20_000
 """Maximum number of buffered lines if the reader falls behind; further ones are dropped."""
 FLUSH_S = 0.1
+END_WAIT_S = 0.2
+"""Maximum time in s for which the last lines wait for a reader that is behind."""
 
 
 class LineWriter:
@@ -35,7 +40,7 @@
         """Start writing eliot's messages to *descriptor*, flushed periodically by *reactor*."""
         writer = cls(descriptor)
         eliot.add_destinations(writer.write)
-        reactor.addSystemEventTrigger("after", "shutdown", writer.flush)
+        reactor.addSystemEventTrigger("after", "shutdown", writer.finish)
 
         def flush_again() -> None:
             writer.flush()
@@ -56,6 +61,18 @@
             return
         self._lines.append(orjson.dumps(message, default=json_default))
 
+    def finish(self) -> None:
+        """Write the last lines, and wait up to END_WAIT_S for the descriptor to accept them."""
+        until = time.monotonic() + END_WAIT_S
+        self.flush()
+        while self._unwritten and (left_s := until - time.monotonic()) > 0.0:
+            if select.select([], [self._descriptor], [], left_s)[1]:
+                before = len(self._unwritten)
+                self.flush()
+                if len(self._unwritten) == before:
+                    # The reader has closed its end.
+                    return
+
     def flush(self) -> None:
         """Write as many buffered bytes as the descriptor accepts without blocking."""
         if self._lines:
