Output of the event loop's last iteration is written before the process ends

Cause: the reactor stops in a timer, before it writes what its last iteration has added to connections. The refusal of a request that was read last was dropped, and its caller could not know that it had not run.

Change: what connections have buffered is written once more, as far as the kernel takes it, before the reactor stops.

Tests: a scenario of features/planned_stop.feature.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -50,6 +50,13 @@
     When it is closed and the output is written
     Then the transport has closed
 
+  # The refusal of a request that was read last was dropped, and its caller did not know that it had
+  # not run.
+  Scenario: Output of the event loop's last iteration is written before the process ends
+    Given a response to a caller that the event loop has not written yet
+    When the reactor stops
+    Then the caller has received the response
+
   # The last lines, which say how the daemon ended, were lost with the process.
   Scenario Outline: The last log lines wait for their reader, if it reads in time: <reader>
     Given a log whose reader is behind by a full pipe
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -27,6 +27,7 @@
 from pearward_transport.http_server import CallerFactory, HttpLimits
 from pearward_transport.local_server import LocalReply, LocalServer
 from pearward_transport.peer import PeerListener
+from pearward_transport.reactor import write_pending
 
 GRACE_S = 6.0
 STEP_S = 0.01
@@ -312,6 +313,25 @@
     assert context.other.transport.closed
 
 
+@given("a response to a caller that the event loop has not written yet")
+def last_response(context: Any) -> None:
+    _begin(context)
+    context.caller = _connect(context, context.callers)
+    context.caller.protocol.dataReceived(GET)
+    context.handler.requests[-1].send_response(503, b"", b"")
+    assert not context.caller.sent
+
+
+@when("the reactor stops")
+def reactor_stops(context: Any) -> None:
+    write_pending(context.reactor)
+
+
+@then("the caller has received the response")
+def response_received(context: Any) -> None:
+    assert context.caller.sent.startswith(b"HTTP/1.1 503 "), context.caller.sent
+
+
 # -- the log --------------------------------------------------------------------------------------
 
 
--- a/packages/daemon/src/pearward_daemon/main.py
+++ b/packages/daemon/src/pearward_daemon/main.py
@@ -52,6 +52,8 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from pearward_transport.reactor import write_pending
+
     from .daemon import Daemon
     from .logs import LineWriter
 
@@ -64,6 +66,7 @@
         sys.exit(EXIT_LISTEN)
     _tune_garbage_collector()
     stopped.addBoth(lambda _: reactor.callLater(FLUSH_S, reactor.stop))
+    reactor.addSystemEventTrigger("before", "shutdown", write_pending, reactor)
     _on_sigterm(daemon.drain)
     reactor.run(installSignalHandlers=False)
 
--- a/packages/transport/src/pearward_transport/reactor.py
+++ b/packages/transport/src/pearward_transport/reactor.py
@@ -11,7 +11,7 @@
 from twisted.internet.main import installReactor
 from twisted.python import log
 
-__all__ = ["install"]
+__all__ = ["install", "write_pending"]
 
 
 class _DaemonReactor(EPollReactor):  # type: ignore[misc]
@@ -42,3 +42,13 @@
     reactor = _DaemonReactor()
     installReactor(reactor)
     return reactor
+
+
+def write_pending(reactor: Any) -> None:
+    """Write what connections have buffered, as far as the kernel takes it at once.
+
+    Called before the reactor stops: it does not write any more what its last iteration has added.
+    """
+    for writer in list(reactor.getWriters()):
+        if writer.connected:
+            writer.doWrite()
