A caller that sends more requests gets the end of its response

Callers that send further requests before they have received a response lost its end around a planned stop: the connection was reset.

Cause: a connection was closed once the response that ends it was written, or with the process, with requests of the caller unread or still to come. The kernel then resets it, and discards what the caller has not received.

Evidence: of ten slow readers of 500 kB the one that sent requests 1, 2 and 3 s after the first was reset at 3.0 and 2.1 s, one that sent requests at 3.6 s, after the process had ended, was reset in one of two plays, and none of those that sent them once in between.

Change: the connection is closed for sending first, and what the caller still sends is read and discarded until it closes its end. The stop waits until callers' kernels have acknowledged all output.

Tests: a scenario of features/callers.feature failed before, and passes now.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -55,6 +55,17 @@
     When the requests get responses in the order 2, 1
     Then only response 2 announces that the connection closes, and it is closed
 
+  # The connection was reset, and its caller lost the end of the response before: the kernel resets a
+  # connection that is closed with unread data.
+  Scenario: A connection that closes after a response reads on until its caller closes it
+    Given a caller's connection with a header time-out of 3 s
+    When it pipelines 1 safe requests
+    And the first request asks for the connection to be closed
+    And the requests get responses in the order 1
+    And it pipelines 2 safe requests
+    Then 1 requests have begun
+    And the connection is closed for sending only, and what its caller sends is read
+
   Scenario: A malformed request gets no response in place of an earlier one
     Given a caller's connection with a header time-out of 3 s
     When it pipelines 2 safe requests
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -110,6 +110,7 @@
   Scenario: A daemon that is stopped completes the responses that its callers read slowly
     When a daemon is told to stop while its callers slowly read responses of several forms
     Then each caller has received every response completely
+    And so has the caller that sent further requests meanwhile, at least the first one
     And the stopped daemon has ended by itself with code 0
 
   Scenario: A daemon that is stopped completes the responses of its target that other daemons forward slowly
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -16,6 +16,7 @@
     Examples:
       | output                                                       |
       | a response that a caller has not read                        |
+      | a response that a caller's kernel has not acknowledged       |
       | a response to a heartbeat that the target has not read       |
       | a response to an operator that is not read                   |
       | a response to another daemon that exceeds its window         |
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -16,6 +16,19 @@
 IDLE_S = 60.0
 
 
+class _Transport(StringTransport):  # type: ignore[misc]
+    """Counts as disconnecting once its sending direction is to be closed."""
+
+    closed = False
+
+    def loseWriteConnection(self) -> None:
+        self.disconnecting = True
+
+    def loseConnection(self) -> None:
+        super().loseConnection()
+        self.closed = True
+
+
 class _Handler:
     """Records requests and their bodies."""
 
@@ -52,7 +65,7 @@
     limits = HttpLimits(4096, 50, IDLE_S, seconds)
     factory = CallerFactory(context.handler, context.clock, limits)
     context.channel = factory.buildProtocol(None)
-    context.transport = StringTransport()
+    context.transport = _Transport()
     context.channel.makeConnection(context.transport)
 
 
@@ -204,3 +217,10 @@
         bodies.append(rest[:length])
         rest = rest[length:]
     return bodies
+
+
+@then("the connection is closed for sending only, and what its caller sends is read")
+def closed_for_sending(context: Any) -> None:
+    assert context.transport.disconnecting
+    assert not context.transport.closed
+    assert context.transport.producerState == "producing", context.transport.producerState
--- a/features/steps/closing_steps.py
+++ b/features/steps/closing_steps.py
@@ -24,7 +24,7 @@
 from pearward_protocol.streams import Event, Multiplexer
 from pearward_state.outcome import Outcome, Reason, RequestClass
 from pearward_state.table import Kind
-from pearward_transport import peer_connection
+from pearward_transport import http_server, peer_connection
 from pearward_transport.peer import PeerPool
 
 SETTINGS = {
@@ -121,6 +121,20 @@
         return self.connecting[-1]
 
 
+class _CallerTransport(_Transport):  # type: ignore[misc]
+    """A caller's connection, whose output is written when the caller's end is lost."""
+
+    socket = None
+
+    def __init__(self, reactor: Any) -> None:
+        super().__init__()
+        self._reactor = reactor
+
+    def loseWriteConnection(self) -> None:
+        self.disconnecting = True
+        self._reactor.addWriter(self)
+
+
 class _Wire:
     """Two ends of a connection; data moves only when it is told to."""
 
@@ -221,6 +235,7 @@
         mock.patch.object(daemon_module, "ServerClient", lambda *args: context.server),
         mock.patch.object(daemon_module, "Metrics"),
         mock.patch.object(daemon_module, "boot_time", reactor.seconds),
+        mock.patch.object(http_server, "unacknowledged", lambda socket: 0),
     ]
     for patch in patches:
         patch.start()
@@ -330,7 +345,7 @@
 @given("a caller with an open connection")
 def caller_connected(context: Any) -> None:
     channel = _factory(context, CALLER_PORT).buildProtocol(IPv4Address("TCP", "127.0.0.1", 2))
-    context.caller_transport = _Transport()
+    context.caller_transport = _CallerTransport(context.reactor)
     channel.makeConnection(context.caller_transport)
     context.channel = channel
 
@@ -405,6 +420,7 @@
 def data_arrives(context: Any, seconds: float) -> None:
     context.wire.settle()
     if "caller_transport" in context and context.caller_transport.disconnecting:
+        context.reactor.removeWriter(context.caller_transport)
         context.channel.connectionLost(Failure(ConnectionDone()))
     _advance(context, seconds)
 
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -23,6 +23,7 @@
 from pearward_protocol.heads import Hello, RequestHead, ResponseHead
 from pearward_protocol.streams import ClosingReceived, Multiplexer
 from pearward_state.outcome import Outcome, RequestClass
+from pearward_transport import http_server
 from pearward_transport.caller_request import CallerRequest
 from pearward_transport.http_server import CallerFactory, HttpLimits
 from pearward_transport.local_server import LocalReply, LocalServer
@@ -39,6 +40,8 @@
 class _Transport(FileDescriptor):  # type: ignore[misc]
     """A connection's end whose output the kernel takes only while it is not blocked."""
 
+    socket = None
+
     def __init__(self, reactor: Any, protocol: Any) -> None:
         super().__init__(reactor)
         self.connected = 1
@@ -144,6 +147,10 @@
     reactor = context.reactor = MemoryReactorClock()
     reactor.advance(START_S)
     context.add_cleanup(_patch(shutdown, "boot_time", reactor.seconds).stop)
+    context.unacknowledged = 0
+    context.add_cleanup(
+        _patch(http_server, "unacknowledged", lambda socket: context.unacknowledged).stop
+    )
     context.handler = _Handler()
     me = PeerId("me", "127.0.0.1:1")
     context.callers = CallerFactory(context.handler, reactor, HttpLimits(4096, 50, 60.0))
@@ -217,6 +224,11 @@
     _begin(context)
     if output == "a response that a caller has not read":
         _blocked_response(context, context.callers)
+    elif output == "a response that a caller's kernel has not acknowledged":
+        _blocked_response(context, context.callers)
+        context.unblock()
+        context.unacknowledged = 1000
+        context.unblock = lambda: setattr(context, "unacknowledged", 0)
     elif output == "a response to a heartbeat that the target has not read":
         _blocked_response(context, context.heartbeats)
     elif output == "a response to an operator that is not read":
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -16,6 +16,9 @@
 READ_BYTES_PER_S = 118_000.0
 SEGMENT_BYTES, RECEIVE_BUFFER = 1460, 2304
 """Socket options with which the kernel holds little of a response that is not read."""
+LATER_S = (1.0, 2.0, 3.0, 3.3, 3.6)
+"""Seconds after which a caller sends further requests: before the daemon refuses new ones, and
+after that."""
 STOP_AFTER_S = 0.25
 """Seconds from the callers' requests to the SIGTERM."""
 TIMEOUT_S = 8.0
@@ -37,6 +40,8 @@
     """Queries of the requests, which are pipelined."""
     first_id: str
     service: str = POOLED
+    later_s: tuple[float, ...] = ()
+    """Seconds after which the first request is sent again, whether or not it has a response."""
     data: bytes = b""
     end: str = ""
     """How the connection ended before all responses were complete."""
@@ -74,17 +79,20 @@
             connection.sendall(b"".join(self._request(n) for n in range(len(self.queries))))
             self._read(connection)
 
-    def _request(self, number: int) -> bytes:
+    def _request(self, number: int, name: str = "") -> bytes:
         return (
             f"GET /{self.service}/safe/x?{self.queries[number]} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"Request-Id: {self.first_id}-{number}\r\nShard-Key: {KEY}\r\n\r\n"
+            f"Request-Id: {self.first_id}-{name or number}\r\nShard-Key: {KEY}\r\n\r\n"
         ).encode()
 
     def _read(self, connection: socket.socket) -> None:
         began = time.monotonic()
+        later_s = list(self.later_s)
         checked = 0
         while True:
             try:
+                if later_s and time.monotonic() - began >= later_s[0]:
+                    connection.sendall(self._request(0, f"later-{later_s.pop(0)}") * 2)
                 part = connection.recv(8192)
             except OSError as error:
                 self.end = type(error).__name__
@@ -126,11 +134,14 @@
         SlowReader(callers_of, queries, f"slow{next(context.mesh_ids)}", service)
         for queries in FORMS.values()
     ]
-    for reader in context.readers:
+    context.sender = SlowReader(
+        callers_of, FORMS["one with a length"], f"slow{next(context.mesh_ids)}", service, LATER_S
+    )
+    for reader in (*context.readers, context.sender):
         reader.start()
     time.sleep(STOP_AFTER_S)
     stopped.daemon.send_signal(signal.SIGTERM)
-    for reader in context.readers:
+    for reader in (*context.readers, context.sender):
         reader.thread.join()
     context.exit_code = stopped.daemon.wait(timeout=TIMEOUT_S)
     # Restarted before the checks, so that later scenarios have this daemon even if one fails.
@@ -176,3 +187,9 @@
         if reader.received != reader.expected
     ]
     assert not incomplete, incomplete
+
+
+@then("so has the caller that sent further requests meanwhile, at least the first one")
+def received_first(context: Any) -> None:
+    sender = context.sender
+    assert sender.received[:1] == sender.expected[:1], (len(sender.data), sender.end)
--- a/packages/transport/src/pearward_transport/http_server.py
+++ b/packages/transport/src/pearward_transport/http_server.py
@@ -14,6 +14,7 @@
 from twisted.web import http
 
 from .caller_request import BodySink, CallerRequest
+from .socket_state import unacknowledged
 
 __all__ = ["CallerFactory", "HttpLimits", "RequestHandler", "close_port"]
 
@@ -106,14 +107,20 @@
         return self._peer_address
 
     @property
-    def unfinished(self) -> bool:
-        """Whether a response is not complete, or the connection is being closed after one."""
-        return self._closing or bool(self._in_progress)
+    def in_progress(self) -> bool:
+        """Whether a request has no complete response."""
+        return bool(self._in_progress)
 
     def end_if_idle(self, since: float) -> None:
         """Close the connection if it is idle and has received nothing since *since*."""
-        if not self._in_progress and self._last_active < since:
-            self.transport.abortConnection() if self.requests else self.loseConnection()
+        if self._in_progress or self._last_active >= since:
+            return
+        if self._closing:
+            self.transport.loseConnection()
+        elif self.requests:
+            self.transport.abortConnection()
+        else:
+            self.loseConnection()
 
     def end_if_slow(self, since: float) -> None:
         """Close the connection if incomplete request headers began to arrive before *since*."""
@@ -121,9 +128,8 @@
             self._head_started_at = None
             if self._end_without_parsing():
                 return
-            self._closing = True
             self.transport.write(REQUEST_TIMEOUT)
-            self.loseConnection()
+            self._end_output()
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
@@ -231,8 +237,7 @@
         self.requests.remove(request)
         self._in_progress.remove(request)
         if last:
-            self._closing = True
-            self.loseConnection()
+            self._end_output()
             return
         if not self._waitingForTransport:
             self._networkProducer.resumeProducing()
@@ -240,6 +245,17 @@
             self._in_progress[0].release_output()
         self._parse_buffered()
 
+    def _end_output(self) -> None:
+        """End the sending direction once all output is written; read on until the caller closes.
+
+        The kernel resets a connection that is closed with unread data, and discards what the
+        caller has not received yet. What the caller still sends is discarded.
+        """
+        self._closing = True
+        self._networkProducer.unregisterProducer()
+        self._networkProducer.resumeProducing()
+        self.transport.loseWriteConnection()
+
     def pause_reading(self) -> None:
         """Stop reading; received data stays in the kernel's buffer."""
         self._networkProducer.pauseProducing()
@@ -269,13 +285,18 @@
 
     @property
     def unfinished(self) -> int:
-        """Number of connections on which a response is not completely written to the kernel."""
+        """Number of connections whose callers have not received a response completely."""
         writers = frozenset(self._reactor.getWriters())
-        return sum(channel.unfinished or channel.transport in writers for channel in self._channels)
+        return sum(
+            channel.in_progress
+            or channel.transport in writers
+            or unacknowledged(channel.transport.socket) > 0
+            for channel in self._channels
+        )
 
     def end_idle(self) -> None:
         """Close the connections without requests."""
-        for channel in [each for each in self._channels if not each.unfinished]:
+        for channel in [each for each in self._channels if not each.in_progress]:
             channel.end_if_idle(inf)
 
     def set_limits(self, limits: HttpLimits) -> None:
