--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -1,6 +1,6 @@
 Feature: What a daemon on a users' platform waits for before it exits
 
-  Virtual time; the control plane and the target are stand-ins.
+  Virtual time and no sockets, but for the log's pipe; the control plane and the target are stand-ins.
 
   Scenario: A daemon with idle connections only exits once callers have been rerouted
     Given a daemon with an idle connection of a caller and one of another daemon
