--- a/review/standins-2/small.py
+++ b/review/standins-2/small.py
@@ -82,16 +82,34 @@
                 process.kill()
                 process.wait()
         self.write_record()
-        shutil.rmtree(self.temporary, ignore_errors=True)
+        if not os.environ.get("KEEP"): shutil.rmtree(self.temporary, ignore_errors=True)
 
     # -- processes
 
     def start_store(self):
         path = self.temporary / "configuration.json"
         path.write_text(json.dumps(self.configuration))
-        self.spawn([sys.executable, str(HERE / "store.py"), self.store_at, str(path)], "store")
+        command = [sys.executable, str(HERE / "store.py"), self.store_at, str(path)]
+        self.store = self.spawn(command, "store")
         self.until(lambda: listens(self.store_at), 5, "the store")
 
+    def store_said(self, word):
+        """Return the times of the store's lines with *word*, on the monotonic clock."""
+        lines = (self.temporary / "store.log").read_text().splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{")]
+        return [row[word] for row in rows if word in row]
+
+    def configure(self):
+        """Write the configuration as the operator does; return when it was acknowledged."""
+        known = len(self.store_said("acknowledged"))
+        path = self.temporary / "configuration.json"
+        path.write_text(json.dumps(self.configuration))
+        self.store.send_signal(signal.SIGUSR2)
+        self.until(lambda: len(self.store_said("acknowledged")) > known, 5, "acknowledgement")
+        at = self.store_said("acknowledged")[-1]
+        self.note("configuration acknowledged", version=self.configuration["version"])
+        return at
+
     def start_daemon(self, machine):
         settings = {
             "instance": machine.name, "failure_domain": machine.zone, "failure_domains": ZONES,
@@ -158,18 +176,19 @@
             self.rows.append({"at": round(time.monotonic(), 4), "event": event, **fields})
 
     def request(self, machine, service, number, key=None, *, timeout_s=2.0, deadline_ms=1500):
-        """Send one safe request as a client beside *machine* does; return the status, or 0."""
+        """Send one GET as a client beside *machine* does; return the status, or 0."""
         headers = {"Host": HOST, "Request-Id": f"q{number}", "Deadline-Ms": str(deadline_ms)}
         if key is not None:
             headers["Shard-Key"] = str(key)
         sent = time.monotonic()
         try:
-            status = get(machine.at["outbound"], f"/{service}/{number}", headers, timeout_s)[0]
+            status, body = get(machine.at["outbound"], f"/{service}/{number}", headers, timeout_s)
         except (OSError, http.client.HTTPException):
-            status = 0
+            status, body = 0, b""
         with self.lock:
             self.rows.append({"at": round(sent, 4), "event": "request", "id": f"q{number}",
                               "key": key, "via": machine.name, "status": status,
+                              "by": body.decode("latin-1").partition(" ")[0],
                               "ms": round((time.monotonic() - sent) * 1000)})
         return status
 
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -1,13 +1,18 @@
 """A small stand-in of the platform's metadata store, as PROTOCOL.md describes it.
 
 Usage: store.py IP:PORT CONFIGURATION.json. Serves kv-key, kv-range, kv-watch, kv-txn, kv-lease,
-kv-keep and kv-lease-end from memory. It is never slow, down or wrong.
+kv-keep and kv-lease-end from memory. It is never slow, down or wrong. SIGUSR2 makes it read the
+configuration again and write it as the operator does; it prints when that is done. SIGUSR1 makes
+it lose the next answer to a watch of the operator's keys: "Once an answer is lost on a connection,
+that connection says nothing further."
 """
 
 import asyncio
 import base64
 import json
+import signal
 import sys
+import time
 from urllib.parse import parse_qs, urlsplit
 
 from web import serve
@@ -21,6 +26,7 @@
         self.leases = {}
         self.next_lease = 100
         self.changed = asyncio.Event()
+        self.losing = False
 
     def _event(self, row):
         self.history.append((self.revision, row))
@@ -94,6 +100,10 @@
         while True:
             events = [e for r, e in self.history if r > after and e["privateKey"].startswith(prefix)]
             left = end - asyncio.get_running_loop().time()
+            if events and self.losing and prefix.startswith("op/"):
+                self.losing = False
+                print(json.dumps({"lost": time.monotonic()}), flush=True)
+                await asyncio.Event().wait()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
             try:
@@ -119,9 +129,20 @@
 
 async def main():
     store = Store()
-    store.revision = 1
-    with open(sys.argv[2], "rb") as file:
-        store.put("op/config", base64.b64encode(file.read()).decode(), 0)
+
+    def configure():
+        store.revision += 1
+        with open(sys.argv[2], "rb") as file:
+            store.put("op/config", base64.b64encode(file.read()).decode(), 0)
+        print(json.dumps({"acknowledged": time.monotonic()}), flush=True)
+
+    def lose():
+        store.losing = True
+
+    configure()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, lose)
+    loop.add_signal_handler(signal.SIGUSR2, configure)
     server = await serve(sys.argv[1], store.handle)
     await asyncio.gather(server.serve_forever(), store.expire())
 
