--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -2,6 +2,7 @@
 
 Its one argument is a JSON object: id, service, address, zone, control (where heartbeats go), slots,
 interval_s, work_s, keyed, and record (a file of JSON lines about what it holds, runs and is told).
+SIGUSR1 makes it leave by DELETE, SIGUSR2 makes it report that it is draining.
 It accepts a heartbeat's answer if that comes within a second and holds at most 4 KiB.
 """
 
@@ -157,6 +158,7 @@
     server = Server()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, lambda: loop.create_task(server.leave()))
+    loop.add_signal_handler(signal.SIGUSR2, lambda: setattr(server, "state", "draining"))
     web = await serve(ME["address"], server.handle)
     server.record("started")
     await asyncio.gather(web.serve_forever(), server.beats(), server.ticks())
